Thin whole path: caller -> entry -> QUIC -> sidecar -> stand-ins

Change: one binary (cmd/wagtaildrum) with go-flags subcommands entry, sidecar, ctl apply/show, standin engine|tool|platform, play. Core packages without I/O: program (order, reserve-before-spend budget, history), admission (priority gate), fencing (stale fence/sequence refusal), routing (rendezvous hashing), config (plan/diff). Peer protocol: msgpack Call and Frame values on one quic-go stream per call, keep-alive 1s, idle timeout 5s. Entry takes a fenced lease per program in the platform table (lost ack resolved by read-back), writes an intent record before any non-idempotent tool call. Settings are TOML checked on load with typed errors.

No tests yet.

--- /dev/null
+++ b/cmd/wagtaildrum/entry.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/entry"
+	"github.com/wagtaildrum/wagtaildrum/settings"
+)
+
+type entryCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
+}
+
+// Execute runs an entry instance until SIGTERM, then drains: requests in
+// flight finish (up to drain_timeout) before it exits.
+func (c *entryCommand) Execute([]string) error {
+	s, err := settings.Load[settings.Entry](c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess("entry", s.InstanceID)
+	ctx, stop := signalled()
+	defer stop()
+	e := entry.New(s, clock.Real{}, p.log, p.metrics.Scope())
+	defer e.Close()
+	if err := p.serveDebug(ctx, s.Debug, e.State); err != nil {
+		return err
+	}
+	p.goroutine(ctx, e.WatchConfig)
+	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), s.DrainTimeout); err != nil {
+		stop()
+		_ = p.wait(stop)
+		return err
+	}
+	p.log.Info("entry started", "listen", s.Listen, "debug", s.Debug, "data_centre", s.DataCentre)
+	err = p.wait(stop)
+	p.log.Info("entry stopped")
+	return err
+}
--- /dev/null
+++ b/cmd/wagtaildrum/standin.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/settings"
+	"github.com/wagtaildrum/wagtaildrum/standin"
+)
+
+type engineCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
+}
+
+// Execute runs the engine stand-in until SIGTERM.
+func (c *engineCommand) Execute([]string) error {
+	s, err := settings.Load[settings.Engine](c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess("engine", s.InstanceID)
+	ctx, stop := signalled()
+	defer stop()
+	eng := standin.NewEngine(s.Model, s.Step, s.MaxBatch, s.CacheBlocks, s.BlockTokens)
+	p.goroutine(ctx, eng.Run)
+	if err := p.serveDebug(ctx, s.Debug, eng.State); err != nil {
+		return err
+	}
+	if err := p.serveHTTP(ctx, s.Listen, eng.Handler(), time.Second); err != nil {
+		return err
+	}
+	p.log.Info("engine stand-in started", "listen", s.Listen, "model", s.Model)
+	return p.wait(stop)
+}
+
+type toolCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
+}
+
+// Execute runs the tool stand-in until SIGTERM.
+func (c *toolCommand) Execute([]string) error {
+	s, err := settings.Load[settings.Tool](c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess("tool", s.InstanceID)
+	ctx, stop := signalled()
+	defer stop()
+	t := standin.NewTool(s.Hang)
+	if err := p.serveDebug(ctx, s.Debug, t.State); err != nil {
+		return err
+	}
+	if err := p.serveHTTP(ctx, s.Listen, t.Handler(), time.Second); err != nil {
+		return err
+	}
+	p.log.Info("tool stand-in started", "listen", s.Listen)
+	return p.wait(stop)
+}
+
+type platformCommand struct {
+	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
+}
+
+// Execute runs the platform stand-in until SIGTERM.
+func (c *platformCommand) Execute([]string) error {
+	s, err := settings.Load[settings.Platform](c.Settings)
+	if err != nil {
+		return err
+	}
+	p := newProcess("platform", s.InstanceID)
+	ctx, stop := signalled()
+	defer stop()
+	pl := standin.NewPlatform(s.InstanceLag, time.Now)
+	if err := p.serveDebug(ctx, s.Debug, pl.State); err != nil {
+		return err
+	}
+	if err := p.serveHTTP(ctx, s.Listen, pl.Handler(), time.Second); err != nil {
+		return err
+	}
+	p.log.Info("platform stand-in started", "listen", s.Listen)
+	return p.wait(stop)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/config"
+	"github.com/wagtaildrum/wagtaildrum/peer"
+	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/settings"
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	id          string
+	leaseTTL    time.Duration
+	configPoll  time.Duration
+	callTimeout time.Duration
+	clock       clock.Clock
+	platform    *platform.Client
+	peers       *peer.Client
+	log         *slog.Logger
+	config      atomic.Pointer[config.Config]
+	avoid       *avoidList
+	metrics     metrics
+
+	mu       sync.Mutex
+	programs map[program.ID]*owned
+}
+
+type metrics struct {
+	calls    tally.Counter
+	refused  tally.Counter
+	failed   tally.Counter
+	latency  tally.Timer
+	programs tally.Gauge
+}
+
+// owned is a program this instance owns, with the lock that serialises
+// its calls and the cancel function of the call in flight.
+type owned struct {
+	mu       sync.Mutex
+	prog     *program.Program
+	cancel   context.CancelFunc
+	last     *lastAnswer
+	leaseVer uint64
+}
+
+// New returns an entry instance with the settings s.
+func New(s *settings.Entry, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Entry {
+	e := &Entry{
+		id:          s.InstanceID,
+		leaseTTL:    s.LeaseTTL,
+		configPoll:  s.ConfigPoll,
+		callTimeout: s.CallTimeout,
+		clock:       clk,
+		platform:    platform.NewClient(s.Platform, 2*time.Second),
+		peers:       peer.NewClient(),
+		log:         log,
+		avoid:       newAvoidList(clk),
+		programs:    map[program.ID]*owned{},
+		metrics: metrics{
+			calls:    scope.Counter("calls"),
+			refused:  scope.Counter("refused"),
+			failed:   scope.Counter("failed"),
+			latency:  scope.Timer("call_latency"),
+			programs: scope.Gauge("programs"),
+		},
+	}
+	e.config.Store(&config.Config{})
+	return e
+}
+
+// Handler returns the callers' HTTP API.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/programs", e.createProgram)
+	mux.HandleFunc("GET /v1/programs/{id}", e.getProgram)
+	mux.HandleFunc("DELETE /v1/programs/{id}", e.endProgram)
+	mux.HandleFunc("POST /v1/programs/{id}/calls", e.programCall)
+	mux.HandleFunc("POST /v1/chat/completions", e.chatCompletions)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
+
+// Close closes the peer connections.
+func (e *Entry) Close() { e.peers.Close() }
+
+func (e *Entry) lookup(id program.ID) (*owned, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o, ok := e.programs[id]
+	return o, ok
+}
+
+// State is the entry instance's state dump.
+type State struct {
+	ID            string            `json:"id"`
+	ConfigVersion uint64            `json:"config_version"`
+	Endpoints     []config.Endpoint `json:"endpoints"`
+	Avoided       []string          `json:"avoided_endpoints"`
+	Programs      []ProgramDump     `json:"programs"`
+}
+
+// ProgramDump is one owned program in the state dump.
+type ProgramDump struct {
+	ID       string `json:"id"`
+	State    string `json:"state"`
+	Next     uint64 `json:"next_sequence"`
+	Spent    int64  `json:"spent_tokens"`
+	Budget   int64  `json:"budget_tokens"`
+	Fence    uint64 `json:"fence"`
+	InFlight bool   `json:"in_flight"`
+}
+
+// State returns a snapshot for the state dump.
+func (e *Entry) State() any {
+	cfg := e.config.Load()
+	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names()}
+	e.mu.Lock()
+	all := make([]*owned, 0, len(e.programs))
+	for _, o := range e.programs {
+		all = append(all, o)
+	}
+	e.mu.Unlock()
+	for _, o := range all {
+		o.mu.Lock()
+		p := o.prog
+		st.Programs = append(st.Programs, ProgramDump{ID: string(p.ID()), State: p.State().String(), Next: p.NextSequence(),
+			Spent: p.Spent(), Budget: p.Spec().BudgetTokens, Fence: p.Fence(), InFlight: p.Reserved() > 0})
+		o.mu.Unlock()
+	}
+	return st
+}
--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+
+	"github.com/wagtaildrum/wagtaildrum/config"
+	"github.com/wagtaildrum/wagtaildrum/platform"
+)
+
+// FileError is a desired-configuration file that cannot be used.
+type FileError struct {
+	path   string
+	detail string
+}
+
+// Error names the file and the fault.
+func (e *FileError) Error() string { return fmt.Sprintf("config file %s: %s", e.path, e.detail) }
+
+// StaleError says the configuration changed after the plan was made.
+type StaleError struct{ planned, current uint64 }
+
+// Error names both versions.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("configuration changed since the plan (planned against version %d, now %d): plan again", e.planned, e.current)
+}
+
+// ReadDesired reads and validates a desired configuration from a TOML file
+// of [[endpoint]] tables.
+func ReadDesired(path string) (*config.Config, error) {
+	var cfg config.Config
+	md, err := toml.DecodeFile(path, &cfg)
+	if err != nil {
+		return nil, &FileError{path: path, detail: err.Error()}
+	}
+	if und := md.Undecoded(); len(und) > 0 {
+		return nil, &FileError{path: path, detail: fmt.Sprintf("unknown key %q", und[0].String())}
+	}
+	if err := cfg.Validate(); err != nil {
+		return nil, &FileError{path: path, detail: err.Error()}
+	}
+	return &cfg, nil
+}
+
+// Current reads the configuration in force; none yet is version 0.
+func Current(ctx context.Context, pc *platform.Client) (*config.Config, error) {
+	rec, err := pc.Get(ctx, config.Key)
+	if platform.Is(err, platform.FailureNotFound) {
+		return &config.Config{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var cfg config.Config
+	if err := json.Unmarshal(rec.Value, &cfg); err != nil {
+		return nil, &FileError{path: "platform:" + config.Key, detail: err.Error()}
+	}
+	cfg.Version = rec.Version
+	return &cfg, nil
+}
+
+// Apply writes desired if the configuration is still at plan's base
+// version, and returns the new version. A write whose answer was lost is
+// read back: if the record holds desired at base+1, it was ours.
+func Apply(ctx context.Context, pc *platform.Client, plan *config.Plan, desired *config.Config) (uint64, error) {
+	ver, err := pc.Put(ctx, config.Key, desired, plan.Base())
+	switch {
+	case err == nil:
+		return ver, nil
+	case platform.Is(err, platform.FailureConflict):
+		var pe *platform.Error
+		if e, ok := err.(*platform.Error); ok {
+			pe = e
+		}
+		return 0, &StaleError{planned: plan.Base(), current: pe.Current()}
+	case platform.Is(err, platform.FailureUnavailable):
+		cur, rerr := Current(ctx, pc)
+		if rerr != nil {
+			return 0, err
+		}
+		if cur.Version == plan.Base()+1 && len(config.MakePlan(cur, desired).Changes()) == 0 {
+			return cur.Version, nil
+		}
+		if cur.Version != plan.Base() {
+			return 0, &StaleError{planned: plan.Base(), current: cur.Version}
+		}
+	}
+	return 0, err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Handler serves one call. It writes its reply with send and must end it
+// with a FrameEnd, FrameRefused or FrameFailed. ctx ends when the caller
+// goes away or the connection is lost.
+type Handler func(ctx context.Context, call *Call, send func(Frame) error)
+
+// Server accepts peer connections and runs a Handler per call.
+type Server struct {
+	listener *quic.Listener
+	handler  Handler
+	log      *slog.Logger
+}
+
+// Listen opens a QUIC listener on addr (host:port).
+func Listen(addr string, handler Handler, log *slog.Logger) (*Server, error) {
+	tlsConf, err := serverTLS()
+	if err != nil {
+		return nil, err
+	}
+	ln, err := quic.ListenAddr(addr, tlsConf, quicConfig())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen quic %s", addr)
+	}
+	return &Server{listener: ln, handler: handler, log: log}, nil
+}
+
+// Addr returns the address the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve accepts connections until ctx ends, then closes the listener.
+func (s *Server) Serve(ctx context.Context) error {
+	go func() {
+		<-ctx.Done()
+		_ = s.listener.Close()
+	}()
+	for {
+		conn, err := s.listener.Accept(ctx)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "accept peer connection")
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go s.serveStream(stream)
+	}
+}
+
+func (s *Server) serveStream(stream *quic.Stream) {
+	defer stream.Close()
+	var call Call
+	if err := msgpack.NewDecoder(stream).Decode(&call); err != nil {
+		s.log.Warn("peer call undecodable", "err", err)
+		stream.CancelRead(1)
+		return
+	}
+	// The caller's going away shows as the stream's context ending: the
+	// handler then cancels the endpoint's work so nothing stays held.
+	ctx := stream.Context()
+	enc := msgpack.NewEncoder(stream)
+	send := func(f Frame) error { return enc.Encode(&f) }
+	s.handler(ctx, &call, send)
+	stream.CancelRead(0)
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Validator is a settings type that can check itself after decoding.
+// Check adds each fault to c.
+type Validator interface {
+	Check(c *Checker)
+}
+
+// Load decodes the TOML file at path into a new T and checks it. It returns
+// a *Error for an unreadable file, a syntax error, the first unknown key,
+// or the first fault that T's Check finds.
+func Load[T any, PT interface {
+	*T
+	Validator
+}](path string) (*T, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{file: path, problem: ProblemUnreadable, detail: err.Error()}
+	}
+	return Decode[T, PT](path, string(data))
+}
+
+// Decode is Load for settings already read; name is used in errors.
+func Decode[T any, PT interface {
+	*T
+	Validator
+}](name, data string) (*T, error) {
+	v := PT(new(T))
+	md, err := toml.Decode(data, v)
+	if err != nil {
+		var perr toml.ParseError
+		if errors.As(err, &perr) {
+			return nil, &Error{file: name, problem: ProblemSyntax, detail: perr.Message + fmt.Sprintf(" (line %d)", perr.Position.Line)}
+		}
+		return nil, &Error{file: name, problem: ProblemBadValue, detail: err.Error()}
+	}
+	if undecoded := md.Undecoded(); len(undecoded) > 0 {
+		return nil, &Error{file: name, key: undecoded[0].String(), problem: ProblemUnknownKey, detail: "not a setting of this process"}
+	}
+	c := &Checker{file: name}
+	v.Check(c)
+	if c.first != nil {
+		return nil, c.first
+	}
+	return (*T)(v), nil
+}
+
+// Checker collects the first fault found by a Validator.
+type Checker struct {
+	file  string
+	first *Error
+}
+
+func (c *Checker) fail(key string, p Problem, format string, args ...any) {
+	if c.first == nil {
+		c.first = &Error{file: c.file, key: key, problem: p, detail: fmt.Sprintf(format, args...)}
+	}
+}
+
+// Required records ProblemMissing if value is empty.
+func (c *Checker) Required(key, value string) bool {
+	if value == "" {
+		c.fail(key, ProblemMissing, "required")
+		return false
+	}
+	return true
+}
+
+// HostPort records a fault unless value is a required "host:port".
+func (c *Checker) HostPort(key, value string) {
+	if !c.Required(key, value) {
+		return
+	}
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		c.fail(key, ProblemBadValue, "want host:port, got %q", value)
+	}
+}
+
+// URL records a fault unless value is a required absolute http(s) URL.
+func (c *Checker) URL(key, value string) {
+	if !c.Required(key, value) {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.fail(key, ProblemBadValue, "want an http:// or https:// URL, got %q", value)
+	}
+}
+
+// Positive records ProblemBadValue unless d > 0.
+func (c *Checker) Positive(key string, d time.Duration) {
+	if d <= 0 {
+		c.fail(key, ProblemBadValue, "must be a positive duration such as \"1s\", got %s", d)
+	}
+}
+
+// AtLeast records ProblemBadValue unless n >= lowest.
+func (c *Checker) AtLeast(key string, n, lowest int) {
+	if n < lowest {
+		c.fail(key, ProblemBadValue, "must be at least %d, got %d", lowest, n)
+	}
+}
+
+// OneOf records ProblemBadValue unless value is one of allowed.
+func (c *Checker) OneOf(key, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	c.fail(key, ProblemBadValue, "want one of %v, got %q", allowed, value)
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,228 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/platform"
+)
+
+// Platform stands in for the platform's table service, object store and
+// instance list. Its zero value is not usable; call NewPlatform.
+type Platform struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	records  map[string]platform.Record
+	objects  map[string]json.RawMessage
+	changes  []instanceChange
+	lag      time.Duration
+	outage   bool
+	lostAcks int
+	writes   int
+	reads    int
+}
+
+type instanceChange struct {
+	at time.Time
+	in platform.Instance
+}
+
+// NewPlatform returns an empty platform whose instance list lags by lag.
+func NewPlatform(lag time.Duration, now func() time.Time) *Platform {
+	return &Platform{now: now, records: map[string]platform.Record{}, objects: map[string]json.RawMessage{}, lag: lag}
+}
+
+// SetOutage makes every call fail with 503 while on is true.
+func (p *Platform) SetOutage(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outage = on
+}
+
+// LoseAcks makes the next n writes take effect and then answer 503, as a
+// platform whose answer is lost after the write committed.
+func (p *Platform) LoseAcks(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lostAcks = n
+}
+
+// Counts returns the writes and reads served so far.
+func (p *Platform) Counts() (writes, reads int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.writes, p.reads
+}
+
+// Handler returns the platform's HTTP API.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /table", p.get)
+	mux.HandleFunc("PUT /table", p.put)
+	mux.HandleFunc("GET /scan", p.scan)
+	mux.HandleFunc("GET /objects", p.getObject)
+	mux.HandleFunc("PUT /objects", p.putObject)
+	mux.HandleFunc("GET /instances", p.instances)
+	mux.HandleFunc("PUT /instances", p.setInstance)
+	return p.faults(mux)
+}
+
+func (p *Platform) faults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		down := p.outage
+		p.mu.Unlock()
+		if down {
+			writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ackLost counts a write and reports whether its answer is to be lost.
+func (p *Platform) ackLost() bool {
+	p.writes++
+	if p.lostAcks > 0 {
+		p.lostAcks--
+		return true
+	}
+	return false
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	p.mu.Lock()
+	p.reads++
+	rec, ok := p.records[key]
+	p.mu.Unlock()
+	if !ok {
+		writeJSON(w, http.StatusNotFound, platform.ErrorBody{Error: "no such key"})
+		return
+	}
+	writeJSON(w, http.StatusOK, rec)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	var req platform.PutRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || key == "" {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a key and a JSON body"})
+		return
+	}
+	p.mu.Lock()
+	cur := p.records[key]
+	if cur.Version != req.ExpectVersion {
+		p.mu.Unlock()
+		writeJSON(w, http.StatusConflict, platform.ErrorBody{Error: "version conflict", Version: cur.Version})
+		return
+	}
+	rec := platform.Record{Key: key, Value: req.Value, Version: cur.Version + 1}
+	p.records[key] = rec
+	lost := p.ackLost()
+	p.mu.Unlock()
+	if lost {
+		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "answer lost"})
+		return
+	}
+	writeJSON(w, http.StatusOK, platform.PutResponse{Version: rec.Version})
+}
+
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	p.mu.Lock()
+	p.reads++
+	var out []platform.Record
+	for k, rec := range p.records {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, rec)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(out, func(a, b platform.Record) int { return strings.Compare(a.Key, b.Key) })
+	writeJSON(w, http.StatusOK, platform.ScanResponse{Records: out})
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	p.mu.Lock()
+	p.reads++
+	obj, ok := p.objects[key]
+	p.mu.Unlock()
+	if !ok {
+		writeJSON(w, http.StatusNotFound, platform.ErrorBody{Error: "no such object"})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(obj)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	var raw json.RawMessage
+	if err := json.NewDecoder(r.Body).Decode(&raw); err != nil || key == "" {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a key and a JSON body"})
+		return
+	}
+	p.mu.Lock()
+	p.objects[key] = raw
+	lost := p.ackLost()
+	p.mu.Unlock()
+	if lost {
+		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "answer lost"})
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// instances answers the list as it stood lag ago: the real list lags.
+func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	cutoff := p.now().Add(-p.lag)
+	seen := map[string]platform.Instance{}
+	for _, c := range p.changes {
+		if c.at.After(cutoff) {
+			break
+		}
+		seen[c.in.ID] = c.in
+	}
+	p.mu.Unlock()
+	out := make([]platform.Instance, 0, len(seen))
+	for _, in := range seen {
+		out = append(out, in)
+	}
+	slices.SortFunc(out, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
+	writeJSON(w, http.StatusOK, platform.InstancesResponse{Instances: out})
+}
+
+func (p *Platform) setInstance(w http.ResponseWriter, r *http.Request) {
+	var in platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.ID == "" {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want an instance with an id"})
+		return
+	}
+	p.mu.Lock()
+	p.changes = append(p.changes, instanceChange{at: p.now(), in: in})
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// PlatformState is the platform stand-in's state dump.
+type PlatformState struct {
+	Records int  `json:"records"`
+	Objects int  `json:"objects"`
+	Writes  int  `json:"writes"`
+	Reads   int  `json:"reads"`
+	Outage  bool `json:"outage"`
+}
+
+// State returns a snapshot for the state dump.
+func (p *Platform) State() any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PlatformState{Records: len(p.records), Objects: len(p.objects), Writes: p.writes, Reads: p.reads, Outage: p.outage}
+}
