--- a/cmd/wagtaildrum/main.go
+++ b/cmd/wagtaildrum/main.go
@@ -20,7 +20,10 @@
 	exitBadSettings = 2
 )
 
-func main() {
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run parses args, runs the subcommand and returns the exit code.
+func run(args []string) int {
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "scheduler for agent programs"
 	must(parser.AddCommand("entry", "run an entry instance", "Serves the callers' API and owns programs.", &entryCommand{}))
@@ -36,19 +39,21 @@
 	must(standin.AddCommand("platform", "platform stand-in (table, objects, instance list)", "", &platformCommand{}))
 	must(parser.AddCommand("play", "play workload files against an entry instance", "Prints each program's outcome and whole-program latency.", &playCommand{}))
 
-	if _, err := parser.Parse(); err != nil {
-		var ferr *flags.Error
-		if errors.As(err, &ferr) && ferr.Type == flags.ErrHelp {
-			fmt.Println(err)
-			return
-		}
-		fmt.Fprintln(os.Stderr, "wagtaildrum:", err)
-		var serr *settings.Error
-		if errors.As(err, &serr) || errors.As(err, &ferr) {
-			os.Exit(exitBadSettings)
-		}
-		os.Exit(exitFailure)
+	_, err = parser.ParseArgs(args)
+	if err == nil {
+		return 0
+	}
+	var ferr *flags.Error
+	if errors.As(err, &ferr) && ferr.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "wagtaildrum:", err)
+	var serr *settings.Error
+	if errors.As(err, &serr) || errors.As(err, &ferr) {
+		return exitBadSettings
 	}
+	return exitFailure
 }
 
 func must(_ any, err error) {
--- a/settings/load.go
+++ b/settings/load.go
@@ -6,11 +6,14 @@
 	"net"
 	"net/url"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/BurntSushi/toml"
 )
 
+var lastKey = regexp.MustCompile(`last key "([^"]+)"`)
+
 // Validator is a settings type that can check itself after decoding.
 // Check adds each fault to c.
 type Validator interface {
@@ -36,14 +39,26 @@
 	*T
 	Validator
 }](name, data string) (*T, error) {
+	// First pass: syntax only. Whatever fails in the second pass is then
+	// a value of the wrong type for its key.
+	var raw map[string]any
+	if _, err := toml.Decode(data, &raw); err != nil {
+		return nil, &Error{file: name, problem: ProblemSyntax, detail: err.Error()}
+	}
 	v := PT(new(T))
 	md, err := toml.Decode(data, v)
 	if err != nil {
 		var perr toml.ParseError
 		if errors.As(err, &perr) {
-			return nil, &Error{file: name, problem: ProblemSyntax, detail: perr.Message + fmt.Sprintf(" (line %d)", perr.Position.Line)}
+			return nil, &Error{file: name, key: perr.LastKey, problem: ProblemBadValue, detail: perr.Message}
+		}
+		// A value of the wrong TOML type comes back as a plain error that
+		// names the key only in its text.
+		key := ""
+		if m := lastKey.FindStringSubmatch(err.Error()); m != nil {
+			key = m[1]
 		}
-		return nil, &Error{file: name, problem: ProblemBadValue, detail: err.Error()}
+		return nil, &Error{file: name, key: key, problem: ProblemBadValue, detail: err.Error()}
 	}
 	if undecoded := md.Undecoded(); len(undecoded) > 0 {
 		return nil, &Error{file: name, key: undecoded[0].String(), problem: ProblemUnknownKey, detail: "not a setting of this process"}
--- /dev/null
+++ b/systemtest/bed_test.go
@@ -0,0 +1,116 @@
+package systemtest
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/config"
+	"github.com/wagtaildrum/wagtaildrum/entry"
+	"github.com/wagtaildrum/wagtaildrum/operator"
+	"github.com/wagtaildrum/wagtaildrum/peer"
+	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/settings"
+	"github.com/wagtaildrum/wagtaildrum/sidecar"
+	"github.com/wagtaildrum/wagtaildrum/standin"
+)
+
+// bed is a whole deployment in one test: the platform, engine and tool
+// stand-ins, a sidecar per endpoint, and entry instances.
+type bed struct {
+	t        *testing.T
+	ctx      context.Context
+	platform *standin.Platform
+	platURL  string
+	engines  map[string]*standin.Engine
+	tool     *standin.Tool
+	sidecars map[string]*sidecar.Sidecar
+	cfg      config.Config
+	entries  []*entry.Entry
+	entryURL []string
+}
+
+type engineSpec struct{ name, model string }
+
+var defaultEngines = []engineSpec{
+	{"workshop-1", "workshop"}, {"workshop-2", "workshop"}, {"notification-1", "notification"},
+	{"fleetdesk-1", "fleetdesk"}, {"fleetdesk-2", "fleetdesk"},
+}
+
+var allTools = []string{"parts_lookup", "dispatch_van", "reserve_loan_chair", "ledger_usage", "billing_charge", "slow_tool"}
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// serve serves h on a fresh loopback port until the test ends.
+func serve(t *testing.T, h http.Handler) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return "http://" + ln.Addr().String()
+}
+
+func newBed(t *testing.T, engines []engineSpec, entries int) *bed {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	b := &bed{t: t, ctx: ctx, engines: map[string]*standin.Engine{}, sidecars: map[string]*sidecar.Sidecar{}}
+	b.platform = standin.NewPlatform(time.Second, time.Now)
+	b.platURL = serve(t, b.platform.Handler())
+	for _, es := range engines {
+		eng := standin.NewEngine(es.model, time.Millisecond, 32, 2048, 16)
+		done := make(chan error, 1)
+		go eng.Run(ctx, done)
+		b.engines[es.name] = eng
+		b.addSidecar(es.name, "engine", serve(t, eng.Handler()), config.Endpoint{Name: es.name, Role: "engine", Model: es.model, DataCentre: "riga-a"})
+	}
+	b.tool = standin.NewTool([]string{"slow_tool"})
+	b.addSidecar("tools-1", "tool", serve(t, b.tool.Handler()), config.Endpoint{Name: "tools-1", Role: "tool", Tools: allTools, DataCentre: "riga-c"})
+	b.applyConfig()
+	for i := range entries {
+		b.addEntry(i)
+	}
+	return b
+}
+
+func (b *bed) addSidecar(name, role, endpointURL string, ep config.Endpoint) {
+	s := &settings.Sidecar{Common: settings.Common{InstanceID: name}, Endpoint: endpointURL, Role: role,
+		Platform: b.platURL, MaxConcurrent: 16, MaxQueued: 256, DrainTimeout: time.Second}
+	sc := sidecar.New(s, quietLog(), tally.NoopScope)
+	srv, err := peer.Listen("127.0.0.1:0", sc.Handle, quietLog())
+	require.NoError(b.t, err)
+	go func() { _ = srv.Serve(b.ctx) }()
+	b.sidecars[name] = sc
+	ep.Sidecar = srv.Addr()
+	b.cfg.Endpoints = append(b.cfg.Endpoints, ep)
+}
+
+func (b *bed) applyConfig() {
+	pc := platform.NewClient(b.platURL, 2*time.Second)
+	cur, err := operator.Current(b.ctx, pc)
+	require.NoError(b.t, err)
+	_, err = operator.Apply(b.ctx, pc, config.MakePlan(cur, &b.cfg), &b.cfg)
+	require.NoError(b.t, err)
+}
+
+func (b *bed) addEntry(i int) {
+	s := &settings.Entry{Common: settings.Common{InstanceID: "entry-" + string(rune('1'+i))}, Platform: b.platURL,
+		LeaseTTL: 10 * time.Second, ConfigPoll: 50 * time.Millisecond, CallTimeout: 5 * time.Second, DrainTimeout: time.Second}
+	e := entry.New(s, clock.Real{}, quietLog(), tally.NoopScope)
+	done := make(chan error, 1)
+	go e.WatchConfig(b.ctx, done)
+	b.t.Cleanup(e.Close)
+	b.entries = append(b.entries, e)
+	b.entryURL = append(b.entryURL, serve(b.t, e.Handler()))
+	require.Eventually(b.t, func() bool {
+		return e.State().(entry.State).ConfigVersion > 0
+	}, 5*time.Second, 10*time.Millisecond, "entry never read the configuration")
+}
