--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -60,7 +60,9 @@
 			sctx, cancel := context.WithTimeout(context.Background(), grace)
 			defer cancel()
 			err := srv.Shutdown(sctx)
-			<-errc
+			if serr := <-errc; !errors.Is(serr, http.ErrServerClosed) {
+				err = errors.Join(err, serr)
+			}
 			done <- err
 		}
 	})
--- a/peer/client.go
+++ b/peer/client.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return false, eris.Wrapf(err, "open stream to %s", addr)
 	}
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { stream.CancelRead(2); stream.CancelWrite(2) })
 	defer stop()
 	if err := msgpack.NewEncoder(stream).Encode(call); err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -66,7 +66,7 @@
 }
 
 func (s *Server) serveStream(stream *quic.Stream) {
-	defer stream.Close()
+	defer func() { _ = stream.Close() }()
 	var call Call
 	if err := msgpack.NewDecoder(stream).Decode(&call); err != nil {
 		s.log.Warn("peer call undecodable", "err", err)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -126,7 +126,7 @@
 		s.fail(send, call, err)
 		return
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(resp.Body)
 		_ = send(peer.Frame{Type: peer.FrameFailed, Reason: "endpoint_status", Message: string(body)})
@@ -156,7 +156,7 @@
 		s.fail(send, call, err)
 		return
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		_ = send(peer.Frame{Type: peer.FrameFailed, Reason: "endpoint_status", Message: resp.Status + " " + string(body)})
--- a/workload/player.go
+++ b/workload/player.go
@@ -91,7 +91,8 @@
 	create := caller.CreateProgram{ID: p.ID, BudgetTokens: p.BudgetTokens, Urgency: p.Urgency, Deadline: p.Deadline, NonIdempotentTools: p.NonIdempotentTools}
 	var st caller.ProgramState
 	var fail caller.ErrorBody
-	if resp, err := pl.api.New().Post("v1/programs").BodyJSON(create).Receive(&st, &fail); err != nil || resp.StatusCode != http.StatusCreated {
+	resp, err := pl.api.New().Post("v1/programs").BodyJSON(create).Receive(&st, &fail) //nolint:bodyclose // closed by sling
+	if err != nil || resp.StatusCode != http.StatusCreated {
 		pl.record(Entry{Program: p.ID, Status: statusOf(resp), Error: &fail.Error})
 		out.Failed++
 		pl.finishOutcome(out)
@@ -123,8 +124,8 @@
 	}
 	spawned.Wait()
 	out.Latency = time.Since(start)
-	_, _ = pl.api.New().Get("v1/programs/"+p.ID).Receive(&out.Final, nil)
-	_, _ = pl.api.New().Delete("v1/programs/"+p.ID).Receive(nil, nil)
+	_, _ = pl.api.New().Get("v1/programs/"+p.ID).Receive(&out.Final, nil) //nolint:bodyclose // closed by sling
+	_, _ = pl.api.New().Delete("v1/programs/"+p.ID).Receive(nil, nil)     //nolint:bodyclose // closed by sling
 	pl.finishOutcome(out)
 }
 
@@ -141,7 +142,7 @@
 	for attempt := 0; ; attempt++ {
 		var ans caller.Answer
 		var fail caller.ErrorBody
-		resp, err := pl.api.New().Post("v1/programs/"+id+"/calls").BodyJSON(c).Receive(&ans, &fail)
+		resp, err := pl.api.New().Post("v1/programs/"+id+"/calls").BodyJSON(c).Receive(&ans, &fail) //nolint:bodyclose // closed by sling
 		e.Status = statusOf(resp)
 		if err == nil && e.Status == http.StatusOK {
 			e.Answer, e.Error = &ans, nil
