--- /dev/null
+++ b/config/config_bench_test.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"testing"
+)
+
+func sized(n int) *Config {
+	c := &Config{Version: 1}
+	for i := range n {
+		c.Endpoints = append(c.Endpoints, Endpoint{Name: "engine-" + strconv.Itoa(i), Role: "engine",
+			Model: "model-" + strconv.Itoa(i%6), Sidecar: "10.1." + strconv.Itoa(i/250) + "." + strconv.Itoa(i%250) + ":9000",
+			DataCentre: "riga-a"})
+	}
+	return c
+}
+
+// BenchmarkConfigDecode measures the CPU to take in one configuration
+// change as a watcher does today (decode the whole record), and reports
+// the record's size, at three sizes: the slopes feed docs/CAPACITY.md.
+func BenchmarkConfigDecode(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		raw, err := json.Marshal(sized(n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(raw)))
+			for b.Loop() {
+				var c Config
+				if err := json.Unmarshal(raw, &c); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "bytes/config")
+		})
+	}
+}
+
+// BenchmarkMakePlan measures ctl's plan of a one-endpoint change.
+func BenchmarkMakePlan(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		cur, want := sized(n), sized(n)
+		want.Endpoints[n/2].Draining = true
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if len(MakePlan(cur, want).Changes()) != 1 {
+					b.Fatal("want one change")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/program/program_bench_test.go
@@ -0,0 +1,55 @@
+package program
+
+import (
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkProgramMemory measures the bytes an owner holds per program,
+// with no history and with a history of 10 turns of 40 words each, at
+// three table sizes so the slope (bytes/program) is visible. It reports
+// the custom metric bytes/program; ns/op is the time to build the table.
+func BenchmarkProgramMemory(b *testing.B) {
+	turn := Message{Role: "user", Content: strings.Repeat("voyage ", 40)}
+	for _, turns := range []int{0, 10} {
+		for _, n := range []int{1000, 10000, 100000} {
+			b.Run(fmt.Sprintf("turns=%d/programs=%d", turns, n), func(b *testing.B) {
+				var perProgram float64
+				for b.Loop() {
+					perProgram = measure(n, turns, turn)
+				}
+				b.ReportMetric(perProgram, "bytes/program")
+			})
+		}
+	}
+}
+
+func measure(n, turns int, turn Message) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := make(map[ID]*Program, n)
+	now := time.Unix(0, 0)
+	for i := range n {
+		id := ID("program-" + strconv.Itoa(i))
+		p, err := New(Spec{ID: id, BudgetTokens: 250000, NonIdempotentTools: []string{"billing_charge"}}, now, 1)
+		if err != nil {
+			panic(err)
+		}
+		for t := range turns {
+			_ = p.Begin(uint64(t+1), 0, now)
+			// Each turn's text is its own allocation, as it is when it
+			// arrives from a caller.
+			p.Finish(uint64(t+1), 0, Message{Role: turn.Role, Content: strings.Clone(turn.Content)})
+		}
+		table[id] = p
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(table)
+	return float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
+}
