config: plan in linear time by indexing endpoints by name

Ruled out: describe() string building as the main cost (it is linear and stays; it is what is left after the change).

Change: MakePlan builds a name index of each side once. Plan order and content unchanged (TestMakePlan, ExampleMakePlan).

--- a/config/config.go
+++ b/config/config.go
@@ -117,20 +117,23 @@
 	return b.String()
 }
 
-// MakePlan returns the changes that turn current into desired.
+// MakePlan returns the changes that turn current into desired. It indexes
+// both sides by name once, so a plan costs time linear in the endpoints.
 func MakePlan(current, desired *Config) *Plan {
 	p := &Plan{base: current.Version}
+	cur := byName(current)
+	want := byName(desired)
 	for _, d := range desired.Endpoints {
-		cur, ok := current.Find(d.Name)
+		c, ok := cur[d.Name]
 		switch {
 		case !ok:
 			p.changes = append(p.changes, Change{Kind: ChangeAdd, Endpoint: d.Name, Detail: describe(d)})
-		case describe(cur) != describe(d):
-			p.changes = append(p.changes, Change{Kind: ChangeModify, Endpoint: d.Name, Detail: describe(cur) + " -> " + describe(d)})
+		case describe(c) != describe(d):
+			p.changes = append(p.changes, Change{Kind: ChangeModify, Endpoint: d.Name, Detail: describe(c) + " -> " + describe(d)})
 		}
 	}
 	for _, c := range current.Endpoints {
-		if _, ok := desired.Find(c.Name); !ok {
+		if _, ok := want[c.Name]; !ok {
 			p.changes = append(p.changes, Change{Kind: ChangeRemove, Endpoint: c.Name, Detail: describe(c)})
 		}
 	}
@@ -138,6 +141,14 @@
 	return p
 }
 
+func byName(c *Config) map[string]Endpoint {
+	m := make(map[string]Endpoint, len(c.Endpoints))
+	for _, e := range c.Endpoints {
+		m[e.Name] = e
+	}
+	return m
+}
+
 func describe(e Endpoint) string {
 	s := fmt.Sprintf("role=%s sidecar=%s dc=%s", e.Role, e.Sidecar, e.DataCentre)
 	if e.Model != "" {
