Owner checks its own lease before acting; two-owner and stale-fence tests

Cause: an entry never looked at its lease after creating a program.

Ruled out: relying on the sidecar fence alone (it only knows fences it has seen) and renewing on every call (a table write per call; CAPACITY.md shows the table service cannot take that).

Change: holdLease renews with a compare-and-set on the version last written once half the TTL has passed; a conflict means deposed, and the call is refused as not run; a lost ack is read back. The renewed version becomes the program's fence (program.Refence, only upward). TestDeposedOwnerCannotAct: two entries, lease lapses, entry-2 takes over and runs call 1, entry-1 sends call 1. TestSidecarRefusesStaleFence: fence 2 then fence 1 straight at the sidecar over QUIC.

--- a/entry/call.go
+++ b/entry/call.go
@@ -76,11 +76,12 @@
 	start := e.clock.Now()
 	e.metrics.calls.Inc(1)
 	var ans *caller.Answer
-	var err error
-	switch req.Kind {
-	case caller.CallModel:
+	err := e.holdLease(r.Context(), o)
+	switch {
+	case err != nil:
+	case req.Kind == caller.CallModel:
 		ans, err = e.runModelCall(r.Context(), o, &req)
-	case caller.CallTool:
+	case req.Kind == caller.CallTool:
 		ans, err = e.runToolCall(r.Context(), o, &req)
 	default:
 		err = caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "kind %q, want model or tool", req.Kind)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -35,6 +35,10 @@
 			cerr.Write(w)
 			return
 		}
+		if err := e.holdLease(ctx, o); err != nil {
+			apiError(err).Write(w)
+			return
+		}
 		_, _, _, err := e.begin(o, seq, cancel, func([]program.Message) int64 {
 			return engine.PromptTokens(req.Messages) + int64(limit)
 		})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,11 +47,14 @@
 // owned is a program this instance owns, with the lock that serialises
 // its calls and the cancel function of the call in flight.
 type owned struct {
-	mu       sync.Mutex
-	prog     *program.Program
-	cancel   context.CancelFunc
-	last     *lastAnswer
-	leaseVer uint64
+	mu     sync.Mutex
+	prog   *program.Program
+	cancel context.CancelFunc
+	last   *lastAnswer
+	// leaseVer and leaseExpires are the lease record's version (the
+	// fencing token) and end as this instance last wrote them.
+	leaseVer     uint64
+	leaseExpires time.Time
 }
 
 // New returns an entry instance with the settings s.
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -90,7 +90,7 @@
 		apiError(err).Write(w)
 		return
 	}
-	o := &owned{prog: p, leaseVer: fence}
+	o := &owned{prog: p, leaseVer: fence, leaseExpires: e.clock.Now().Add(e.leaseTTL)}
 	e.mu.Lock()
 	e.programs[spec.ID] = o
 	n := len(e.programs)
--- a/program/program.go
+++ b/program/program.go
@@ -86,6 +86,12 @@
 // Fence returns the fencing token of the lease under which it is owned.
 func (p *Program) Fence() uint64 { return p.fence }
 
+// Refence records a new fencing token after the owner renewed its lease.
+// Tokens only grow; a lower one is ignored.
+func (p *Program) Refence(fence uint64) {
+	p.fence = max(p.fence, fence)
+}
+
 // NextSequence returns the sequence number the next call must carry.
 func (p *Program) NextSequence() uint64 { return p.nextSeq }
 
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -36,6 +36,8 @@
 	cfg      config.Config
 	entries  []*entry.Entry
 	entryURL []string
+	// leaseTTL is the lease TTL of entries added from now on.
+	leaseTTL time.Duration
 }
 
 type engineSpec struct{ name, model string }
@@ -62,7 +64,7 @@
 func newBed(t *testing.T, engines []engineSpec, entries int) *bed {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	b := &bed{t: t, ctx: ctx, engines: map[string]*standin.Engine{}, sidecars: map[string]*sidecar.Sidecar{}}
+	b := &bed{t: t, ctx: ctx, engines: map[string]*standin.Engine{}, sidecars: map[string]*sidecar.Sidecar{}, leaseTTL: 10 * time.Second}
 	b.platform = standin.NewPlatform(time.Second, time.Now)
 	b.platURL = serve(t, b.platform.Handler())
 	for _, es := range engines {
@@ -103,7 +105,7 @@
 
 func (b *bed) addEntry(i int) {
 	s := &settings.Entry{Common: settings.Common{InstanceID: "entry-" + string(rune('1'+i))}, Platform: b.platURL,
-		LeaseTTL: 10 * time.Second, ConfigPoll: 50 * time.Millisecond, CallTimeout: 5 * time.Second, DrainTimeout: time.Second}
+		LeaseTTL: b.leaseTTL, ConfigPoll: 50 * time.Millisecond, CallTimeout: 5 * time.Second, DrainTimeout: time.Second}
 	e := entry.New(s, clock.Real{}, quietLog(), tally.NoopScope)
 	done := make(chan error, 1)
 	go e.WatchConfig(b.ctx, done)
--- /dev/null
+++ b/systemtest/owner_test.go
@@ -0,0 +1,72 @@
+package systemtest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/caller"
+	"github.com/wagtaildrum/wagtaildrum/peer"
+)
+
+// TestDeposedOwnerCannotAct: calls of one program run in order even with
+// two entry instances that both believe they own it.
+//
+// Symptom it guards against: a tool runs twice for one call, or two calls
+// of one program run out of order.
+// Sequence: entry-1 creates the program; its lease lapses while it is
+// paused; entry-2 creates the same program, takes the lease (a higher
+// fence) and runs call 1; entry-1 wakes and sends its own call 1.
+// Cause: without fencing, entry-1 still thinks it owns the program.
+func TestDeposedOwnerCannotAct(t *testing.T) {
+	b := newBed(t, defaultEngines, 0)
+	b.leaseTTL = 300 * time.Millisecond
+	b.addEntry(0)
+	b.addEntry(1)
+	spec := caller.CreateProgram{ID: "jur-two-owners", BudgetTokens: 5000}
+	require.Equal(t, 201, createProgram(t, b.entryURL[0], spec))
+	time.Sleep(400 * time.Millisecond) // entry-1 "paused" past its lease
+	require.Equal(t, 201, createProgram(t, b.entryURL[1], spec), "entry-2 takes over the lapsed lease")
+
+	r := programCall(t, b.entryURL[1], spec.ID, toolCall(1, "ledger_usage", `{"voyage": 2611}`))
+	require.Equal(t, 200, r.status, r.err.Message)
+
+	stale := programCall(t, b.entryURL[0], spec.ID, toolCall(1, "ledger_usage", `{"voyage": 2611}`))
+	require.NotEqual(t, 200, stale.status, "the deposed owner must not run the call")
+	require.Equal(t, caller.TypeExists, stale.err.Type, stale.err.Message)
+	require.Equal(t, 1, b.tool.Executions(spec.ID+"/1"), "the call ran exactly once")
+}
+
+// TestSidecarRefusesStaleFence: the sidecar is the last line for endpoints
+// that ignore fencing numbers.
+//
+// Symptom: an engine or tool acts on an order from a deposed owner.
+// Sequence: a call with fence 2 reaches the sidecar; then a call with
+// fence 1 (an owner that was paused mid-call and wakes) arrives.
+// Cause: the endpoint itself does not check fences.
+func TestSidecarRefusesStaleFence(t *testing.T) {
+	b := newBed(t, defaultEngines, 0)
+	ep, ok := b.cfg.Find("tools-1")
+	require.True(t, ok)
+	client := peer.NewClient()
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	send := func(fence, seq uint64) peer.Frame {
+		var last peer.Frame
+		call := &peer.Call{Program: "p", Sequence: seq, Fence: fence, Kind: peer.KindTool, Tool: "dispatch_van",
+			IdempotencyKey: "p/1", Body: []byte(`{}`)}
+		_, err := client.Do(ctx, ep.Sidecar, call, func(f peer.Frame) error { last = f; return nil })
+		require.NoError(t, err)
+		return last
+	}
+	require.Equal(t, peer.FrameEnd, send(2, 1).Type)
+	f := send(1, 1)
+	require.Equal(t, peer.FrameRefused, f.Type)
+	require.Equal(t, "stale_fence", f.Reason)
+	f = send(2, 0)
+	require.Equal(t, peer.FrameRefused, f.Type, "an earlier sequence under the same fence is refused too")
+	require.Equal(t, 1, b.tool.Executions("p/1"))
+}
