--- a/standin/platform.go
+++ b/standin/platform.go
@@ -22,8 +22,11 @@
 	lag      time.Duration
 	outage   bool
 	lostAcks int
-	writes   int
-	reads    int
+	// refuseAfter is how many more writes take effect before every later
+	// write is refused without effect; negative: never.
+	refuseAfter int
+	writes      int
+	reads       int
 }
 
 type instanceChange struct {
@@ -33,7 +36,7 @@
 
 // NewPlatform returns an empty platform whose instance list lags by lag.
 func NewPlatform(lag time.Duration, now func() time.Time) *Platform {
-	return &Platform{now: now, records: map[string]platform.Record{}, objects: map[string]json.RawMessage{}, lag: lag}
+	return &Platform{now: now, records: map[string]platform.Record{}, objects: map[string]json.RawMessage{}, lag: lag, refuseAfter: -1}
 }
 
 // SetOutage makes every call fail with 503 while on is true.
@@ -51,6 +54,26 @@
 	p.lostAcks = n
 }
 
+// RefuseWritesAfter lets the next n writes take effect, then refuses every
+// later write with 503 and no effect (an outage that starts between two
+// writes), until called with a negative n.
+func (p *Platform) RefuseWritesAfter(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuseAfter = n
+}
+
+// refused reports whether the next write is refused, counting it down.
+func (p *Platform) refused() bool {
+	switch {
+	case p.refuseAfter == 0:
+		return true
+	case p.refuseAfter > 0:
+		p.refuseAfter--
+	}
+	return false
+}
+
 // Counts returns the writes and reads served so far.
 func (p *Platform) Counts() (writes, reads int) {
 	p.mu.Lock()
@@ -115,6 +138,11 @@
 		return
 	}
 	p.mu.Lock()
+	if p.refused() {
+		p.mu.Unlock()
+		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"})
+		return
+	}
 	cur := p.records[key]
 	if cur.Version != req.ExpectVersion {
 		p.mu.Unlock()
