--- a/systemtest/drain_test.go
+++ b/systemtest/drain_test.go
@@ -58,7 +58,9 @@
 	spec := caller.CreateProgram{ID: "jur-drain", BudgetTokens: 100000}
 	require.Equal(t, 201, createProgram(t, b.entryURL[0], spec))
 	done := make(chan reply, 1)
-	go func() { done <- programCall(t, b.entryURL[0], spec.ID, modelCall(1, "fleetdesk", "summarise the dispute", 300)) }()
+	go func() {
+		done <- programCall(t, b.entryURL[0], spec.ID, modelCall(1, "fleetdesk", "summarise the dispute", 300))
+	}()
 	require.Eventually(t, func() bool { return b.engineRunning() == 1 }, 2*time.Second, 5*time.Millisecond)
 	var idle <-chan struct{}
 	for name, e := range b.engines {
--- a/systemtest/engine_test.go
+++ b/systemtest/engine_test.go
@@ -38,9 +38,11 @@
 	spec := caller.CreateProgram{ID: "jur-ended", BudgetTokens: 100000}
 	require.Equal(t, 201, createProgram(t, b.entryURL[0], spec))
 	done := make(chan reply, 1)
-	go func() { done <- programCall(t, b.entryURL[0], spec.ID, modelCall(1, "fleetdesk", "reconcile voyage 2611", 5000)) }()
+	go func() {
+		done <- programCall(t, b.entryURL[0], spec.ID, modelCall(1, "fleetdesk", "reconcile voyage 2611", 5000))
+	}()
 	require.Eventually(t, func() bool { return b.engineRunning() == 1 }, 2*time.Second, 5*time.Millisecond)
-	_, err := api(b.entryURL[0]).Delete("v1/programs/"+spec.ID).ReceiveSuccess(nil) //nolint:bodyclose // closed by sling
+	_, err := api(b.entryURL[0]).Delete("v1/programs/" + spec.ID).ReceiveSuccess(nil) //nolint:bodyclose // closed by sling
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return b.engineRunning() == 0 }, time.Second, 5*time.Millisecond,
 		"the engine still runs the ended program's stream")
