Program log: history survives its owner, answers wait for durability

An aborted call also released its whole reservation, so a program whose calls kept breaking off midway spent without limit, and a chat call replayed by sequence was run again outside the budget.

Change: each turn is one immutable object program/{id}/{epoch}/{index} holding the new messages, every 16th the whole history (program.Log, no I/O); the epoch is the lease version at take-over, so two owners never write one name. The answer leaves only after its record is durable and the lease still held (margin of a fifth of the TTL on each side); while the store is down it is withheld as not_durable and given later on the same sequence. Any entry forwards a program's request to its owner over QUIC, with a cache of holders until their lease ends. abort charges what an engine had spent. A stopped peer server closes its connections; idle timeout 5 s -> 3 s.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -26,6 +26,9 @@
 	// TypeUpstreamFailed: an idempotent call failed after it started; it
 	// may be sent again with the same sequence.
 	TypeUpstreamFailed ErrorType = "upstream_failed"
+	// TypeNotDurable: the call ran and its answer is kept, but the record
+	// of it is not durable yet; the same sequence gets the answer later.
+	TypeNotDurable ErrorType = "not_durable"
 	// TypeOutcomeUnknown: a non-idempotent call may have run; it is never
 	// run again. Read the program's state to learn more later.
 	TypeOutcomeUnknown ErrorType = "outcome_unknown"
--- a/caller/message.go
+++ b/caller/message.go
@@ -66,6 +66,7 @@
 	Sequence uint64          `json:"sequence"`
 	Kind     CallKind        `json:"kind"`
 	Content  string          `json:"content,omitempty"`
+	Tool     string          `json:"tool,omitempty"`
 	Result   json.RawMessage `json:"result,omitempty"`
 	Usage    *engine.Usage   `json:"usage,omitempty"`
 	Endpoint string          `json:"endpoint"`
--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
+
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/entry"
+	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/settings"
 )
 
@@ -25,7 +28,23 @@
 	if err := p.serveDebug(ctx, s.Debug, e.State); err != nil {
 		return err
 	}
+	// The peer server outlives the signal: calls of programs owned here
+	// that other instances forwarded finish before it stops.
+	peerCtx, stopPeer := context.WithCancel(context.Background())
+	defer stopPeer()
+	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, p.log)
+	if err != nil {
+		return err
+	}
 	p.goroutine(ctx, e.WatchConfig)
+	p.goroutine(ctx, e.Tidy)
+	p.goroutine(peerCtx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
+	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
+		<-ctx.Done()
+		e.WaitIdle(s.DrainTimeout)
+		stopPeer()
+		done <- nil
+	})
 	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), s.DrainTimeout); err != nil {
 		stop()
 		_ = p.wait(stop)
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,71 +3,91 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/engine"
-	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/program"
-	"github.com/wagtaildrum/wagtaildrum/routing"
 )
 
-// lastAnswer keeps the answer of a program's latest call, so a caller who
-// lost it and sends the same sequence again gets it again instead of a
-// second run.
-type lastAnswer struct {
-	seq    uint64
-	answer caller.Answer
-}
-
 // begin takes the program's next call under the program's lock: it
 // replays the answer of a call that already ran, or checks order and
 // reserves cost(history) tokens, and registers the cancel function that
 // ending the program calls. It returns the history the call runs on, read
 // under the same lock so no other call's turn can slip in between.
-func (e *Entry) begin(o *owned, seq uint64, cancel context.CancelFunc, cost func([]program.Message) int64) (replay *caller.Answer, history []program.Message, reserved int64, err error) {
+//
+// A turn still pending is made durable first: until it is, neither its
+// answer nor a call that builds on it may go out.
+func (e *Entry) begin(ctx context.Context, o *owned, seq uint64, cancel context.CancelFunc, cost func([]program.Message) int64) (replay *caller.Answer, history []program.Message, err error) {
+	if err := e.persist(ctx, o); err != nil {
+		o.mu.Lock()
+		ran := o.last != nil && o.last.seq == seq
+		o.mu.Unlock()
+		if ran {
+			return nil, nil, err
+		}
+		return nil, nil, caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %v", err).RetryAfter(retryAfterUnavailable)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.last != nil && o.last.seq == seq && o.prog.NextSequence() == seq+1 {
+	if o.last != nil && o.last.seq == seq && o.prog.NextSequence() == seq+1 && o.pending == nil {
 		again := o.last.answer
 		again.Replayed = true
-		return &again, nil, 0, nil
+		return &again, nil, nil
 	}
 	history = o.prog.History()
-	reserved = cost(history)
-	if err := o.prog.Begin(seq, reserved, e.clock.Now()); err != nil {
-		return nil, nil, 0, err
+	if err := o.prog.Begin(seq, cost(history), e.clock.Now()); err != nil {
+		return nil, nil, err
 	}
 	o.cancel = cancel
-	return nil, history, reserved, nil
+	return nil, history, nil
 }
 
-func noCost([]program.Message) int64 { return 0 }
-
-func (e *Entry) finish(o *owned, ans caller.Answer, used int64, msgs ...program.Message) {
+// finish settles the call, appends its turn, and makes the turn durable.
+// On an error the answer must not be given yet: the turn is not known to
+// be in the log that a successor would read.
+func (e *Entry) finish(ctx context.Context, o *owned, ans caller.Answer, used int64, msgs ...program.Message) error {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.prog.Finish(ans.Sequence, used, msgs...)
 	o.last = &lastAnswer{seq: ans.Sequence, answer: ans}
 	o.cancel = nil
+	o.stage()
+	o.mu.Unlock()
+	if err := e.persist(ctx, o); err != nil {
+		return err
+	}
+	err := e.confirmLease(ctx, o)
+	var lost *LeaseError
+	if errors.As(err, &lost) {
+		return caller.NewError(http.StatusBadGateway, caller.TypeUpstreamFailed, "the program moved to another instance during the call; send the same sequence again").RetryAfter(time.Second)
+	}
+	if err != nil {
+		return &NotDurableError{program: program.ID(ans.Program), cause: err}
+	}
+	return nil
 }
 
-func (e *Entry) abort(o *owned, seq uint64) {
+// abort ends call seq without a turn, charging the used tokens an engine
+// had already spent on it.
+func (e *Entry) abort(ctx context.Context, o *owned, seq uint64, used int64) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.prog.Abort(seq)
+	o.prog.Abort(seq, used)
 	o.cancel = nil
+	charged := used > 0
+	if charged {
+		o.stage()
+	}
+	o.mu.Unlock()
+	if charged {
+		// If this fails the record stays pending and the next call writes
+		// it first.
+		_ = e.persist(ctx, o)
+	}
 }
 
-func (e *Entry) programCall(w http.ResponseWriter, r *http.Request) {
-	id := program.ID(r.PathValue("id"))
-	o, ok := e.lookup(id)
-	if !ok {
-		caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q here", id).Write(w)
-		return
-	}
+func (e *Entry) programCall(w http.ResponseWriter, r *http.Request, o *owned) {
 	var req caller.Call
 	if cerr := decodeBody(r, &req); cerr != nil {
 		cerr.Write(w)
@@ -76,17 +96,17 @@
 	start := e.clock.Now()
 	e.metrics.calls.Inc(1)
 	var ans *caller.Answer
-	err := e.holdLease(r.Context(), o)
-	switch {
-	case err != nil:
-	case req.Kind == caller.CallModel:
+	var err error
+	switch req.Kind {
+	case caller.CallModel:
 		ans, err = e.runModelCall(r.Context(), o, &req)
-	case req.Kind == caller.CallTool:
+	case caller.CallTool:
 		ans, err = e.runToolCall(r.Context(), o, &req)
 	default:
 		err = caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "kind %q, want model or tool", req.Kind)
 	}
 	e.metrics.latency.Record(e.clock.Now().Sub(start))
+	id := r.PathValue("id")
 	if err != nil {
 		e.metrics.failed.Inc(1)
 		e.log.Info("call refused", "program", id, "seq", req.Sequence, "kind", req.Kind, "err", err)
@@ -113,29 +133,25 @@
 	if limit <= 0 {
 		limit = defaultMaxTokens
 	}
-	p := o.prog
 	user := program.Message{Role: "user", Content: req.Content}
-	ctx, cancel := e.callContext(ctx, p)
+	ctx, cancel := e.callContext(ctx, o.prog)
 	defer cancel()
-	replay, history, reserve, err := e.begin(o, req.Sequence, cancel, func(h []program.Message) int64 {
+	replay, history, err := e.begin(ctx, o, req.Sequence, cancel, func(h []program.Message) int64 {
 		return engine.PromptTokens(h) + engine.PromptTokens([]program.Message{user}) + int64(limit)
 	})
 	if replay != nil || err != nil {
 		return replay, err
 	}
-	messages := append(history, user)
-	got, res := e.modelCall(ctx, p, req.Sequence, req.Model, messages, limit, nil)
+	got, res := e.modelCall(ctx, o, req.Sequence, req.Model, append(history, user), limit, nil)
 	if res.outcome != outcomeDone {
-		e.abort(o, req.Sequence)
+		e.abort(ctx, o, req.Sequence, got.used())
 		return nil, failure(res)
 	}
-	ans := caller.Answer{Program: string(p.ID()), Sequence: req.Sequence, Kind: caller.CallModel,
+	ans := caller.Answer{Program: string(o.prog.ID()), Sequence: req.Sequence, Kind: caller.CallModel,
 		Content: got.content.String(), Usage: got.usage, Endpoint: res.endpoint}
-	used := reserve
-	if got.usage != nil {
-		used = got.usage.TotalTokens
+	if err := e.finish(ctx, o, ans, got.used(), user, program.Message{Role: "assistant", Content: ans.Content}); err != nil {
+		return nil, err
 	}
-	e.finish(o, ans, used, user, program.Message{Role: "assistant", Content: ans.Content})
 	return &ans, nil
 }
 
@@ -148,89 +164,14 @@
 	return caller.NewError(http.StatusBadGateway, caller.TypeUpstreamFailed, "endpoint %s: %v", res.endpoint, res.err).RetryAfter(time.Second)
 }
 
-func (e *Entry) runToolCall(ctx context.Context, o *owned, req *caller.Call) (*caller.Answer, error) {
-	if req.Tool == "" {
-		return nil, caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "a tool call needs tool")
-	}
-	o.mu.Lock()
-	p := o.prog
-	nonIdempotent := p.IsNonIdempotent(req.Tool)
-	o.mu.Unlock()
-	ctx, cancel := e.callContext(ctx, p)
-	defer cancel()
-	if replay, _, _, err := e.begin(o, req.Sequence, cancel, noCost); replay != nil || err != nil {
-		return replay, err
-	}
-	args := req.Arguments
-	if len(args) == 0 {
-		args = json.RawMessage("{}")
-	}
-	call := &peer.Call{Program: string(p.ID()), Sequence: req.Sequence, Fence: p.Fence(), Kind: peer.KindTool,
-		Urgency: int(p.Spec().Urgency), Tool: req.Tool, Body: args,
-		IdempotencyKey: fmt.Sprintf("%s/%d", p.ID(), req.Sequence)}
-	if dl, ok := ctx.Deadline(); ok {
-		call.Deadline = dl.UnixMilli()
-	}
-	var intent claim
-	if nonIdempotent {
-		var err error
-		intent, err = e.claimIntent(ctx, p.ID(), req.Sequence, fmt.Sprintf("%s/%d/%d", e.id, p.Fence(), e.clock.Now().UnixNano()))
-		if err != nil {
-			e.abort(o, req.Sequence)
-			return nil, err
-		}
-		if intent.existing != nil {
-			return e.answerFromIntent(o, req, intent.existing)
-		}
-	}
-	var result []byte
-	res := e.dispatch(ctx, routing.Target{Tool: req.Tool}, string(p.ID()), call, func(data []byte) error {
-		result = append(result, data...)
-		return nil
-	})
-	ans := caller.Answer{Program: string(p.ID()), Sequence: req.Sequence, Kind: caller.CallTool, Result: result, Endpoint: res.endpoint}
-	if nonIdempotent {
-		e.settleIntentAfter(ctx, p.ID(), req.Sequence, intent.version, res, result)
-	}
-	switch res.outcome {
-	case outcomeDone:
-		e.finish(o, ans, 0, program.Message{Role: "tool", Content: req.Tool + ": " + string(result)})
-		return &ans, nil
-	case outcomeUnknown:
-		if nonIdempotent {
-			// Sent and cut off: it may have run. It is never sent again;
-			// the sequence stays taken so the program cannot go on as if
-			// it had not happened.
-			e.abort(o, req.Sequence)
-			return nil, caller.NewError(http.StatusBadGateway, caller.TypeOutcomeUnknown, "%s may have run on %s; it will not be run again: %v", req.Tool, res.endpoint, res.err)
-		}
-	}
-	e.abort(o, req.Sequence)
-	return nil, failure(res)
+func isReason(err error, reason program.Reason) bool {
+	var pe *program.Error
+	return errors.As(err, &pe) && pe.Reason() == reason
 }
 
-func (e *Entry) settleIntentAfter(ctx context.Context, id program.ID, seq, version uint64, res dispatchResult, result []byte) {
-	// The caller's context may have ended; the record must still be
-	// written, so it gets a context of its own.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
-	defer cancel()
-	switch res.outcome {
-	case outcomeDone:
-		e.settleIntent(ctx, id, seq, version, intentRecord{State: intentDone, Endpoint: res.endpoint, Result: result})
-	case outcomeRefused:
-		e.settleIntent(ctx, id, seq, version, intentRecord{State: intentRefused})
+func rawOr(args json.RawMessage, fallback string) json.RawMessage {
+	if len(args) == 0 {
+		return json.RawMessage(fallback)
 	}
-}
-
-// answerFromIntent answers a non-idempotent call that an earlier attempt
-// already claimed: with its recorded result if it finished, otherwise with
-// outcome_unknown. It is never sent again.
-func (e *Entry) answerFromIntent(o *owned, req *caller.Call, rec *intentRecord) (*caller.Answer, error) {
-	if rec.State != intentDone {
-		e.abort(o, req.Sequence)
-		return nil, caller.NewError(http.StatusConflict, caller.TypeOutcomeUnknown, "%s call %d was already sent (%s); it will not be run again", req.Tool, req.Sequence, rec.State)
-	}
-	ans := caller.Answer{Program: string(o.prog.ID()), Sequence: req.Sequence, Kind: caller.CallTool, Result: rec.Result, Endpoint: rec.Endpoint, Replayed: true}
-	e.finish(o, ans, 0, program.Message{Role: "tool", Content: req.Tool + ": " + string(rec.Result)})
-	return &ans, nil
+	return args
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -12,74 +12,89 @@
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
-// chatCompletions serves the OpenAI-compatible POST /v1/chat/completions,
-// so ordinary clients work unchanged. With the program headers set, the
-// call is the program's call of that sequence, checked for order and
-// charged to its budget; without them it is routed on its own.
-func (e *Entry) chatCompletions(w http.ResponseWriter, r *http.Request) {
+// plainChat serves the OpenAI-compatible POST /v1/chat/completions for a
+// call outside any program, so ordinary clients work unchanged.
+func (e *Entry) plainChat(w http.ResponseWriter, r *http.Request) {
 	var req engine.ChatRequest
 	if cerr := decodeChat(r, &req); cerr != nil {
 		cerr.Write(w)
 		return
 	}
-	limit := req.Limit(defaultMaxTokens)
+	e.metrics.calls.Inc(1)
 	ctx, cancel := context.WithTimeout(r.Context(), e.callTimeout)
 	defer cancel()
+	sse := newSSEWriter(w, &req)
+	got, res := e.modelCall(ctx, nil, 0, req.Model, req.Messages, req.Limit(defaultMaxTokens), sse.chunk)
+	if res.outcome != outcomeDone {
+		e.metrics.failed.Inc(1)
+		sse.fail(apiError(failure(res)))
+		return
+	}
+	e.writeChat(w, &req, sse, 0, got.content.String(), got.usage)
+}
+
+// programChat serves POST /v1/chat/completions with the program headers
+// set: the call is the program's call of that sequence, checked for order
+// and charged to its budget.
+func (e *Entry) programChat(w http.ResponseWriter, r *http.Request, o *owned) {
+	var req engine.ChatRequest
+	if cerr := decodeChat(r, &req); cerr != nil {
+		cerr.Write(w)
+		return
+	}
+	seqText := r.Header.Get(caller.SequenceHeader)
+	seq, err := strconv.ParseUint(seqText, 10, 64)
+	if err != nil {
+		caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "%s must be a call sequence number, got %q", caller.SequenceHeader, seqText).Write(w)
+		return
+	}
 	e.metrics.calls.Inc(1)
-	var o *owned
-	var seq uint64
-	if id := r.Header.Get(caller.ProgramHeader); id != "" {
-		var cerr *caller.Error
-		o, seq, cerr = e.programOfChat(id, r.Header.Get(caller.SequenceHeader))
-		if cerr != nil {
-			cerr.Write(w)
-			return
-		}
-		if err := e.holdLease(ctx, o); err != nil {
-			apiError(err).Write(w)
-			return
-		}
-		_, _, _, err := e.begin(o, seq, cancel, func([]program.Message) int64 {
-			return engine.PromptTokens(req.Messages) + int64(limit)
-		})
-		if err != nil {
-			apiError(err).Write(w)
-			return
-		}
-	}
-	var p *program.Program
-	if o != nil {
-		p = o.prog
-	}
-	sse := newSSEWriter(w, req.Stream, req.StreamOptions != nil && req.StreamOptions.IncludeUsage)
-	got, res := e.modelCall(ctx, p, seq, req.Model, req.Messages, limit, sse.chunk)
+	limit := req.Limit(defaultMaxTokens)
+	ctx, cancel := e.callContext(r.Context(), o.prog)
+	defer cancel()
+	replay, _, err := e.begin(ctx, o, seq, cancel, func([]program.Message) int64 {
+		return engine.PromptTokens(req.Messages) + int64(limit)
+	})
+	if err != nil {
+		apiError(err).Write(w)
+		return
+	}
+	sse := newSSEWriter(w, &req)
+	if replay != nil {
+		// The call ran and its answer was lost on the way: give it again.
+		_ = sse.text(&req, replay.Content)
+		e.writeChat(w, &req, sse, seq, replay.Content, replay.Usage)
+		return
+	}
+	got, res := e.modelCall(ctx, o, seq, req.Model, req.Messages, limit, sse.chunk)
 	if res.outcome != outcomeDone {
-		if o != nil {
-			e.abort(o, seq)
-		}
+		e.abort(ctx, o, seq, got.used())
 		e.metrics.failed.Inc(1)
 		sse.fail(apiError(failure(res)))
 		return
 	}
-	if o != nil {
-		used := engine.PromptTokens(req.Messages) + int64(limit)
-		if got.usage != nil {
-			used = got.usage.TotalTokens
-		}
-		last := req.Messages[len(req.Messages)-1]
-		e.finish(o, caller.Answer{Program: string(p.ID()), Sequence: seq, Kind: caller.CallModel, Content: got.content.String(), Endpoint: res.endpoint},
-			used, last, program.Message{Role: "assistant", Content: got.content.String()})
+	ans := caller.Answer{Program: string(o.prog.ID()), Sequence: seq, Kind: caller.CallModel, Content: got.content.String(), Usage: got.usage, Endpoint: res.endpoint}
+	last := req.Messages[len(req.Messages)-1]
+	if err := e.finish(ctx, o, ans, got.used(), last, program.Message{Role: "assistant", Content: ans.Content}); err != nil {
+		sse.fail(apiError(err))
+		return
 	}
+	e.writeChat(w, &req, sse, seq, ans.Content, got.usage)
+}
+
+// writeChat ends a chat answer: the stream's last event, or the whole
+// answer for a caller that does not stream.
+func (e *Entry) writeChat(w http.ResponseWriter, req *engine.ChatRequest, sse *sseWriter, seq uint64, content string, usage *engine.Usage) {
 	if req.Stream {
 		sse.done()
 		return
 	}
 	writeJSON(w, http.StatusOK, engine.ChatResponse{ID: fmt.Sprintf("chatcmpl-%s-%d", e.id, seq), Object: "chat.completion", Model: req.Model,
-		Choices: []engine.Choice{{Message: program.Message{Role: "assistant", Content: got.content.String()}, FinishReason: "length"}}, Usage: got.usage})
+		Choices: []engine.Choice{{Message: program.Message{Role: "assistant", Content: content}, FinishReason: "length"}}, Usage: usage})
 }
 
 func decodeChat(r *http.Request, req *engine.ChatRequest) *caller.Error {
-	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, 8<<20)).Decode(req); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody)).Decode(req); err != nil {
 		return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "body is not a chat request: %v", err)
 	}
 	if req.Model == "" || len(req.Messages) == 0 {
@@ -88,18 +103,6 @@
 	return nil
 }
 
-func (e *Entry) programOfChat(id, seqText string) (*owned, uint64, *caller.Error) {
-	o, ok := e.lookup(program.ID(id))
-	if !ok {
-		return nil, 0, caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q here", id)
-	}
-	seq, err := strconv.ParseUint(seqText, 10, 64)
-	if err != nil {
-		return nil, 0, caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "%s must be a call sequence number, got %q", caller.SequenceHeader, seqText)
-	}
-	return o, seq, nil
-}
-
 // sseWriter relays an engine's chunks to a streaming caller as
 // server-sent events; for a caller that did not ask to stream it does
 // nothing until the whole answer is written.
@@ -110,8 +113,20 @@
 	started      bool
 }
 
-func newSSEWriter(w http.ResponseWriter, stream, includeUsage bool) *sseWriter {
-	return &sseWriter{w: w, stream: stream, includeUsage: includeUsage}
+func newSSEWriter(w http.ResponseWriter, req *engine.ChatRequest) *sseWriter {
+	return &sseWriter{w: w, stream: req.Stream, includeUsage: req.StreamOptions != nil && req.StreamOptions.IncludeUsage}
+}
+
+// text sends a whole answer as one chunk.
+func (s *sseWriter) text(req *engine.ChatRequest, content string) error {
+	stop := "length"
+	c := engine.ChatChunk{Object: "chat.completion.chunk", Model: req.Model,
+		Choices: []engine.ChunkChoice{{Delta: engine.Delta{Role: "assistant", Content: content}, FinishReason: &stop}}}
+	raw, err := json.Marshal(&c)
+	if err != nil {
+		return err
+	}
+	return s.chunk(raw, &c)
 }
 
 func (s *sseWriter) start() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -31,6 +30,11 @@
 	config      atomic.Pointer[config.Config]
 	avoid       *avoidList
 	metrics     metrics
+	peerAddress string
+	handler     http.Handler
+	holders     *holders
+	janitor     *janitor
+	adopting    keyLocks
 
 	mu       sync.Mutex
 	programs map[program.ID]*owned
@@ -44,19 +48,6 @@
 	programs tally.Gauge
 }
 
-// owned is a program this instance owns, with the lock that serialises
-// its calls and the cancel function of the call in flight.
-type owned struct {
-	mu     sync.Mutex
-	prog   *program.Program
-	cancel context.CancelFunc
-	last   *lastAnswer
-	// leaseVer and leaseExpires are the lease record's version (the
-	// fencing token) and end as this instance last wrote them.
-	leaseVer     uint64
-	leaseExpires time.Time
-}
-
 // New returns an entry instance with the settings s.
 func New(s *settings.Entry, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Entry {
 	e := &Entry{
@@ -70,6 +61,9 @@
 		log:         log,
 		avoid:       newAvoidList(clk),
 		programs:    map[program.ID]*owned{},
+		peerAddress: s.PeerListen,
+		holders:     newHolders(clk),
+		janitor:     newJanitor(),
 		metrics: metrics{
 			calls:    scope.Counter("calls"),
 			refused:  scope.Counter("refused"),
@@ -79,17 +73,27 @@
 		},
 	}
 	e.config.Store(&config.Config{})
+	e.handler = e.newHandler()
 	return e
 }
 
 // Handler returns the callers' HTTP API.
-func (e *Entry) Handler() http.Handler {
+func (e *Entry) Handler() http.Handler { return e.handler }
+
+func (e *Entry) newHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/programs", e.createProgram)
-	mux.HandleFunc("GET /v1/programs/{id}", e.getProgram)
-	mux.HandleFunc("DELETE /v1/programs/{id}", e.endProgram)
-	mux.HandleFunc("POST /v1/programs/{id}/calls", e.programCall)
-	mux.HandleFunc("POST /v1/chat/completions", e.chatCompletions)
+	mux.HandleFunc("GET /v1/programs/{id}", e.withOwner(pathID, e.getProgram))
+	mux.HandleFunc("DELETE /v1/programs/{id}", e.withOwner(pathID, e.endProgram))
+	mux.HandleFunc("POST /v1/programs/{id}/calls", e.withOwner(pathID, e.programCall))
+	chatOfProgram := e.withOwner(headerID, e.programChat)
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+		if headerID(r) == "" {
+			e.plainChat(w, r)
+			return
+		}
+		chatOfProgram(w, r)
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
@@ -97,13 +101,6 @@
 // Close closes the peer connections.
 func (e *Entry) Close() { e.peers.Close() }
 
-func (e *Entry) lookup(id program.ID) (*owned, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	o, ok := e.programs[id]
-	return o, ok
-}
-
 // State is the entry instance's state dump.
 type State struct {
 	ID            string            `json:"id"`
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
@@ -15,16 +17,36 @@
 // The record's version is the fencing token: every new holder writes it,
 // so it only grows, and sidecars refuse calls with a lower one.
 type leaseRecord struct {
-	Holder  string `json:"holder"`
+	Holder string `json:"holder"`
+	// Address is the holder's peer address, where other entry instances
+	// forward the program's calls.
+	Address string `json:"address"`
 	Expires int64  `json:"expires_unix_ms"`
 }
 
+// leaseSkew is the share of the TTL left unused on each side of a lease's
+// end: the holder stops acting this long before it, another instance takes
+// over only this long after it. Clocks of two instances may differ; with
+// no margin a slow clock would let the holder answer a turn that its
+// successor, having read the log already, does not know.
+const leaseSkew = 5 // one fifth
+
+func (e *Entry) margin() time.Duration { return e.leaseTTL / leaseSkew }
+
 func leaseKey(id program.ID) string { return "lease/" + string(id) }
 
+// grant is a lease this instance holds: the record version that is its
+// fencing token, and when it ends.
+type grant struct {
+	version uint64
+	expires time.Time
+}
+
 // LeaseError says a program's lease is held by another live instance.
 type LeaseError struct {
 	program program.ID
 	holder  string
+	address string
 	expires time.Time
 }
 
@@ -44,26 +66,50 @@
 // check a deposed owner could act on a sidecar that has not yet seen the
 // new owner's fence. The renewal's new version becomes the fence.
 func (e *Entry) holdLease(ctx context.Context, o *owned) error {
+	return e.renewLease(ctx, o, e.leaseTTL/2)
+}
+
+// confirmLease is holdLease for the moment before an answer leaves: the
+// lease must have lasted past the write of the turn's record, so that a
+// successor, which reads the log only after the lease ended, has seen it.
+func (e *Entry) confirmLease(ctx context.Context, o *owned) error {
+	return e.renewLease(ctx, o, e.margin())
+}
+
+// renewLease renews o's lease unless more than left of it remains.
+func (e *Entry) renewLease(ctx context.Context, o *owned, left time.Duration) error {
 	o.mu.Lock()
 	id, ver, expires := o.prog.ID(), o.leaseVer, o.leaseExpires
 	o.mu.Unlock()
 	now := e.clock.Now()
-	if now.Before(expires.Add(-e.leaseTTL / 2)) {
+	if now.Before(expires.Add(-left)) {
 		return nil
 	}
-	want := leaseRecord{Holder: e.id, Expires: now.Add(e.leaseTTL).UnixMilli()}
+	want := e.leaseUntil(now.Add(e.leaseTTL))
 	newVer, err := e.platform.Put(ctx, leaseKey(id), want, ver)
 	if platform.Is(err, platform.FailureUnavailable) {
 		newVer, err = e.readBackLease(ctx, id, want, ver)
 	}
 	var lost *LeaseError
-	if platform.Is(err, platform.FailureConflict) || errors.As(err, &lost) {
-		e.log.Warn("lease lost", "program", id, "fence", ver)
-		return &LeaseError{program: id, holder: "another instance"}
-	}
-	if err != nil {
+	switch {
+	case platform.Is(err, platform.FailureConflict):
+		// A concurrent call of the same program may have renewed it.
+		o.mu.Lock()
+		renewed := o.leaseVer > ver
+		o.mu.Unlock()
+		if renewed {
+			return nil
+		}
+		lost = &LeaseError{program: id, holder: "another instance"}
+	case errors.As(err, &lost):
+	case err != nil:
 		return err
 	}
+	if lost != nil {
+		e.log.Warn("lease lost", "program", id, "fence", ver)
+		e.depose(id, o)
+		return lost
+	}
 	o.mu.Lock()
 	o.leaseVer, o.leaseExpires = newVer, time.UnixMilli(want.Expires)
 	o.prog.Refence(newVer)
@@ -71,6 +117,10 @@
 	return nil
 }
 
+func (e *Entry) leaseUntil(t time.Time) leaseRecord {
+	return leaseRecord{Holder: e.id, Address: e.peerAddress, Expires: t.UnixMilli()}
+}
+
 // readBackLease resolves a lease write whose answer was lost: if the
 // record holds what we wrote at the next version, the write took.
 func (e *Entry) readBackLease(ctx context.Context, id program.ID, want leaseRecord, prev uint64) (uint64, error) {
@@ -85,9 +135,15 @@
 	if back.Version == prev {
 		return 0, &LeaseUnsettledError{program: id}
 	}
-	return 0, &LeaseError{program: id, holder: got.Holder, expires: time.UnixMilli(got.Expires)}
+	return 0, &LeaseError{program: id, holder: got.Holder, address: got.Address, expires: time.UnixMilli(got.Expires)}
 }
 
+// ExistsError says a program id was used before.
+type ExistsError struct{ program program.ID }
+
+// Error names the program.
+func (e *ExistsError) Error() string { return fmt.Sprintf("program %s exists", e.program) }
+
 // LeaseUnsettledError says a lease write was not taken and the platform
 // failed to answer; nothing was done and the caller should come back.
 type LeaseUnsettledError struct{ program program.ID }
@@ -97,37 +153,57 @@
 	return fmt.Sprintf("program %s: lease write not taken, platform unavailable", e.program)
 }
 
-// acquireLease takes the lease on id for this instance and returns its
-// fencing token. It fails with a *LeaseError if another instance holds an
-// unexpired lease, and with a platform error if the platform is down.
+// acquireLease takes the lease on id for this instance. It fails with a
+// *LeaseError if another instance holds an unexpired lease, and with a
+// platform error if the platform is down.
 //
 // A put whose answer was lost may still have taken effect: the lease is
 // then read back, and if it names this instance at the version we wrote,
 // it is ours. Without the read-back a lost ack would leave the program
 // without an owner until the lease expired.
-func (e *Entry) acquireLease(ctx context.Context, id program.ID) (uint64, error) {
+//
+// With fresh set, the program must never have existed: a lease record
+// means the id is taken, even a lapsed one, unless the program has no log
+// (its creation failed half way and was never acknowledged). Re-creating a
+// program whose owner died would otherwise start it again with an empty
+// history over its log.
+func (e *Entry) acquireLease(ctx context.Context, id program.ID, fresh bool) (grant, error) {
 	key := leaseKey(id)
 	now := e.clock.Now()
 	cur, err := e.platform.Get(ctx, key)
 	if err != nil && !platform.Is(err, platform.FailureNotFound) {
-		return 0, err
+		return grant{}, err
+	}
+	if cur.Version == 0 && !fresh {
+		return grant{}, caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q", id)
+	}
+	if cur.Version > 0 && fresh {
+		names, err := e.platform.ListObjects(ctx, logPrefix(id))
+		if err != nil {
+			return grant{}, err
+		}
+		if len(names) > 0 {
+			return grant{}, &ExistsError{program: id}
+		}
 	}
 	if cur.Version > 0 {
 		var held leaseRecord
-		if json.Unmarshal(cur.Value, &held) == nil && held.Holder != e.id && now.UnixMilli() < held.Expires {
-			return 0, &LeaseError{program: id, holder: held.Holder, expires: time.UnixMilli(held.Expires)}
+		if json.Unmarshal(cur.Value, &held) == nil && held.Holder != e.id && now.UnixMilli() < held.Expires+e.margin().Milliseconds() {
+			return grant{}, &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
 		}
 	}
-	want := leaseRecord{Holder: e.id, Expires: now.Add(e.leaseTTL).UnixMilli()}
-	ver, err := e.platform.Put(ctx, key, want, cur.Version)
+	want := e.leaseUntil(now.Add(e.leaseTTL))
+	got := grant{expires: time.UnixMilli(want.Expires)}
+	got.version, err = e.platform.Put(ctx, key, want, cur.Version)
 	if err == nil {
-		return ver, nil
+		return got, nil
 	}
 	if !platform.Is(err, platform.FailureUnavailable) {
-		return 0, err
+		return grant{}, err
 	}
-	if ver, rerr := e.readBackLease(ctx, id, want, cur.Version); rerr == nil {
-		return ver, nil
+	var rerr error
+	if got.version, rerr = e.readBackLease(ctx, id, want, cur.Version); rerr == nil {
+		return got, nil
 	}
-	return 0, err
+	return grant{}, err
 }
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -10,12 +10,16 @@
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
+// maxBody bounds a request's body: a history of 250,000 tokens and room to
+// spare.
+const maxBody = 8 << 20
+
 // retryAfterUnavailable is when a caller refused because the platform is
 // down should come back.
 const retryAfterUnavailable = 2 * time.Second
 
 func decodeBody(r *http.Request, v any) *caller.Error {
-	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, 8<<20))
+	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "body: %v", err)
@@ -54,9 +58,17 @@
 			return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "%s", pe.Error())
 		}
 	}
+	var nd *NotDurableError
+	if errors.As(err, &nd) {
+		return caller.NewError(http.StatusBadGateway, caller.TypeNotDurable, "%s; send the same sequence again", nd.Error()).RetryAfter(retryAfterUnavailable)
+	}
+	var ee *ExistsError
+	if errors.As(err, &ee) {
+		return caller.NewError(http.StatusConflict, caller.TypeExists, "%s", ee.Error())
+	}
 	var le *LeaseError
 	if errors.As(err, &le) {
-		return caller.NewError(http.StatusConflict, caller.TypeExists, "%s", le.Error())
+		return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %s", le.Error()).RetryAfter(time.Second)
 	}
 	return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "platform: %v", err).RetryAfter(retryAfterUnavailable)
 }
@@ -76,27 +88,34 @@
 		apiError(err).Write(w)
 		return
 	}
+	unlock := e.adopting.lock(string(spec.ID))
+	defer unlock()
 	if _, ok := e.lookup(spec.ID); ok {
-		caller.NewError(http.StatusConflict, caller.TypeExists, "program %q exists", spec.ID).Write(w)
+		apiError(&ExistsError{program: spec.ID}).Write(w)
 		return
 	}
-	fence, err := e.acquireLease(r.Context(), spec.ID)
+	lease, err := e.acquireLease(r.Context(), spec.ID, true)
+	var held *LeaseError
+	if errors.As(err, &held) {
+		err = &ExistsError{program: spec.ID}
+	}
 	if err != nil {
 		apiError(err).Write(w)
 		return
 	}
-	p, err := program.New(spec, e.clock.Now(), fence)
+	p, err := program.New(spec, e.clock.Now(), lease.version)
 	if err != nil {
 		apiError(err).Write(w)
 		return
 	}
-	o := &owned{prog: p, leaseVer: fence, leaseExpires: e.clock.Now().Add(e.leaseTTL)}
-	e.mu.Lock()
-	e.programs[spec.ID] = o
-	n := len(e.programs)
-	e.mu.Unlock()
-	e.metrics.programs.Update(float64(n))
-	e.log.Info("program created", "program", spec.ID, "urgency", spec.Urgency, "budget", spec.BudgetTokens, "fence", fence)
+	o := &owned{prog: p, epoch: lease.version, leaseVer: lease.version, leaseExpires: lease.expires}
+	o.stage()
+	if err := e.persist(r.Context(), o); err != nil {
+		caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not created: %v", err).RetryAfter(retryAfterUnavailable).Write(w)
+		return
+	}
+	e.keep(spec.ID, o)
+	e.log.Info("program created", "program", spec.ID, "urgency", spec.Urgency, "budget", spec.BudgetTokens, "fence", lease.version)
 	writeJSON(w, http.StatusCreated, e.stateOf(o))
 }
 
@@ -123,12 +142,7 @@
 		HistoryTurns: len(p.History()), Owner: e.id, Fence: p.Fence()}
 }
 
-func (e *Entry) getProgram(w http.ResponseWriter, r *http.Request) {
-	o, ok := e.lookup(program.ID(r.PathValue("id")))
-	if !ok {
-		caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q here", r.PathValue("id")).Write(w)
-		return
-	}
+func (e *Entry) getProgram(w http.ResponseWriter, _ *http.Request, o *owned) {
 	o.mu.Lock()
 	st := e.stateOf(o)
 	o.mu.Unlock()
@@ -137,21 +151,29 @@
 
 // endProgram ends a program: its call in flight, if any, is cancelled,
 // which cancels the engine's stream through the sidecar, so no engine
-// memory stays held by it.
-func (e *Entry) endProgram(w http.ResponseWriter, r *http.Request) {
-	o, ok := e.lookup(program.ID(r.PathValue("id")))
-	if !ok {
-		caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q here", r.PathValue("id")).Write(w)
-		return
-	}
+// memory stays held by it. The end is durable before it is answered, so no
+// later owner takes the program up again.
+func (e *Entry) endProgram(w http.ResponseWriter, r *http.Request, o *owned) {
 	o.mu.Lock()
 	o.prog.End()
+	o.endedAt = e.clock.Now()
 	cancel := o.cancel
 	st := e.stateOf(o)
 	o.mu.Unlock()
 	if cancel != nil {
 		cancel()
 	}
+	err := e.persist(r.Context(), o) // a turn still pending
+	if err == nil {
+		o.mu.Lock()
+		o.stage()
+		o.mu.Unlock()
+		err = e.persist(r.Context(), o)
+	}
+	if err != nil {
+		apiError(err).Write(w)
+		return
+	}
 	e.log.Info("program ended", "program", st.ID, "spent", st.SpentTokens)
 	writeJSON(w, http.StatusOK, st)
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -81,7 +81,7 @@
 		if err := recv(f); err != nil {
 			return true, err
 		}
-		if f.Type != FrameData {
+		if f.Type.Ends() {
 			return true, nil
 		}
 	}
--- a/peer/frametype_string.go
+++ b/peer/frametype_string.go
@@ -12,11 +12,12 @@
 	_ = x[FrameEnd-1]
 	_ = x[FrameRefused-2]
 	_ = x[FrameFailed-3]
+	_ = x[FrameHead-4]
 }
 
-const _FrameType_name = "DataEndRefusedFailed"
+const _FrameType_name = "DataEndRefusedFailedHead"
 
-var _FrameType_index = [...]uint8{0, 4, 7, 14, 20}
+var _FrameType_index = [...]uint8{0, 4, 7, 14, 20, 24}
 
 func (i FrameType) String() string {
 	idx := int(i) - 0
--- a/peer/kind_string.go
+++ b/peer/kind_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[KindEngine-0]
 	_ = x[KindTool-1]
+	_ = x[KindForward-2]
 }
 
-const _Kind_name = "EngineTool"
+const _Kind_name = "EngineToolForward"
 
-var _Kind_index = [...]uint8{0, 6, 10}
+var _Kind_index = [...]uint8{0, 6, 10, 17}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,6 +11,9 @@
 const (
 	KindEngine Kind = iota
 	KindTool
+	// KindForward is a caller's request passed from one entry instance to
+	// the one that owns the program; Body is an encoded Forward.
+	KindForward
 )
 
 // FrameType says what a Frame carries.
@@ -19,7 +22,8 @@
 //go:generate stringer -type=FrameType -trimprefix=Frame
 
 // Frame types. A reply is zero or more FrameData, then exactly one FrameEnd
-// or FrameRefused or FrameFailed.
+// or FrameRefused or FrameFailed. The reply to a forwarded request starts
+// with a FrameHead.
 const (
 	// FrameData carries one piece of the endpoint's answer: for an engine,
 	// the data of one server-sent event; for a tool, the whole body.
@@ -32,8 +36,27 @@
 	// FrameFailed says the call started and then failed; whether it took
 	// effect is unknown.
 	FrameFailed
+	// FrameHead opens the answer to a forwarded request: an encoded Head.
+	FrameHead
 )
 
+// Ends reports whether a frame of this type is a reply's last.
+func (f FrameType) Ends() bool { return f != FrameData && f != FrameHead }
+
+// Forward is a caller's HTTP request on its way to the program's owner.
+type Forward struct {
+	Method string            `msgpack:"m"`
+	Path   string            `msgpack:"p"`
+	Header map[string]string `msgpack:"h"`
+	Body   []byte            `msgpack:"b"`
+}
+
+// Head is the status and header of the answer to a Forward.
+type Head struct {
+	Status int               `msgpack:"s"`
+	Header map[string]string `msgpack:"h"`
+}
+
 // Call is one request from an entry instance to a sidecar.
 type Call struct {
 	Program  string `msgpack:"p"`
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -10,7 +10,7 @@
 // dropped. Keep-alives go every KeepAlive, so only a connection that has
 // lost its far end reaches it.
 const (
-	IdleTimeout = 5 * time.Second
+	IdleTimeout = 3 * time.Second
 	KeepAlive   = time.Second
 )
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -55,7 +55,11 @@
 	}
 }
 
+// serveConn serves conn's calls until ctx ends, then closes it. Left open,
+// it would go on answering keep-alives for a server that takes no more
+// calls, and callers would send into it until their deadlines.
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
+	defer func() { _ = conn.CloseWithError(0, "server stopped") }()
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
--- a/program/program.go
+++ b/program/program.go
@@ -154,12 +154,16 @@
 	p.history = append(p.history, messages...)
 }
 
-// Abort releases the reservation of call seq without charging it or moving
-// the sequence on; the caller may send the same call again.
-func (p *Program) Abort(seq uint64) {
+// Abort ends call seq without a turn: used tokens (what an engine already
+// generated before the call broke off) are charged, the rest of the
+// reservation is released, and the caller may send the same call again.
+// Without the charge a program whose calls keep breaking off midway would
+// spend without limit.
+func (p *Program) Abort(seq uint64, used int64) {
 	if !p.inFlight || seq != p.nextSeq {
 		return
 	}
+	p.spent += min(used, p.reserved)
 	p.reserved = 0
 	p.inFlight = false
 }
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -98,6 +98,7 @@
 instance_id = "entry-1"
 data_centre = "riga-a"
 listen = "127.0.0.1:18080"
+peer_listen = "127.0.0.1:18082"
 debug = "127.0.0.1:18081"
 platform = "http://127.0.0.1:17000"
 lease_ttl = "10s"
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -13,6 +13,7 @@
 instance_id = "entry-1"
 data_centre = "riga-a"
 listen = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8082"
 debug = "127.0.0.1:8081"
 platform = "http://127.0.0.1:7000"
 lease_ttl = "10s"
--- a/settings/roles.go
+++ b/settings/roles.go
@@ -21,6 +21,9 @@
 	Common
 	// Listen is the callers' HTTP address, host:port.
 	Listen string `toml:"listen"`
+	// PeerListen is the QUIC address, host:port, on which other entry
+	// instances forward requests for programs that this one owns.
+	PeerListen string `toml:"peer_listen"`
 	// Platform is the base URL of the platform's table service.
 	Platform string `toml:"platform"`
 	// LeaseTTL is how long a program lease lasts without renewal.
@@ -38,6 +41,7 @@
 func (s *Entry) Check(c *Checker) {
 	s.check(c)
 	c.HostPort("listen", s.Listen)
+	c.HostPort("peer_listen", s.PeerListen)
 	c.URL("platform", s.Platform)
 	c.Positive("lease_ttl", s.LeaseTTL)
 	c.Positive("config_poll", s.ConfigPoll)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -89,6 +89,8 @@
 	mux.HandleFunc("GET /scan", p.scan)
 	mux.HandleFunc("GET /objects", p.getObject)
 	mux.HandleFunc("PUT /objects", p.putObject)
+	mux.HandleFunc("DELETE /objects", p.dropObject)
+	mux.HandleFunc("GET /object-names", p.listObjects)
 	mux.HandleFunc("GET /instances", p.instances)
 	mux.HandleFunc("PUT /instances", p.setInstance)
 	return p.faults(mux)
@@ -197,6 +199,11 @@
 		return
 	}
 	p.mu.Lock()
+	if p.refused() {
+		p.mu.Unlock()
+		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"})
+		return
+	}
 	p.objects[key] = raw
 	lost := p.ackLost()
 	p.mu.Unlock()
@@ -207,6 +214,29 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+func (p *Platform) dropObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	delete(p.objects, r.URL.Query().Get("key"))
+	p.writes++
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	p.mu.Lock()
+	p.reads++
+	names := []string{}
+	for k := range p.objects {
+		if strings.HasPrefix(k, prefix) {
+			names = append(names, k)
+		}
+	}
+	p.mu.Unlock()
+	slices.Sort(names)
+	writeJSON(w, http.StatusOK, platform.ObjectsResponse{Names: names})
+}
+
 // instances answers the list as it stood lag ago: the real list lags.
 func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
