--- a/standin/tool.go
+++ b/standin/tool.go
@@ -67,8 +67,14 @@
 	t.counts[r.Header.Get(IdempotencyHeader)]++
 	t.total++
 	t.mu.Unlock()
+	writeJSON(w, http.StatusOK, ToolAnswer(name, args))
+}
+
+// ToolAnswer returns what the stand-in answers when it runs tool name with
+// args; it depends on nothing else.
+func ToolAnswer(name string, args []byte) ToolResult {
 	sum := xxhash.Sum64(append([]byte(name+":"), args...))
-	writeJSON(w, http.StatusOK, ToolResult{Tool: name, Result: fmt.Sprintf("%s-ok-%04x", name, sum%0x10000)})
+	return ToolResult{Tool: name, Result: fmt.Sprintf("%s-ok-%04x", name, sum%0x10000)}
 }
 
 func (t *Tool) executions(w http.ResponseWriter, _ *http.Request) {
--- a/systemtest/api_test.go
+++ b/systemtest/api_test.go
@@ -33,16 +33,24 @@
 	return resp.StatusCode
 }
 
-func programCall(t *testing.T, url, id string, c caller.Call) reply {
+// tryCall sends one program call; the error is the connection's.
+func tryCall(url, id string, c caller.Call) (reply, error) {
 	var r reply
 	var fail caller.ErrorBody
 	resp, err := api(url).Post("v1/programs/"+id+"/calls").BodyJSON(c).Receive(&r.answer, &fail) //nolint:bodyclose // closed by sling
-	// Called from goroutines too: assert marks the test failed without
-	// FailNow, which only the test's own goroutine may call.
-	if !assert.NoError(t, err) {
-		return r
+	if err != nil {
+		return r, err
 	}
 	r.status, r.err, r.retryAfter = resp.StatusCode, fail.Error, resp.Header.Get("Retry-After")
+	return r, nil
+}
+
+// programCall is tryCall for an entry that must answer.
+func programCall(t *testing.T, url, id string, c caller.Call) reply {
+	r, err := tryCall(url, id, c)
+	// Called from goroutines too: assert marks the test failed without
+	// FailNow, which only the test's own goroutine may call.
+	assert.NoError(t, err)
 	return r
 }
 
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,10 +37,14 @@
 	cfg      config.Config
 	entries  []*entry.Entry
 	entryURL []string
-	// stopEntry ends entry i's goroutines and listeners.
+	// stopEntry ends entry i's goroutines and listeners; alive[i] is false
+	// once it was killed.
 	stopEntry []context.CancelFunc
+	alive     []*atomic.Bool
 	// leaseTTL is the lease TTL of entries added from now on.
 	leaseTTL time.Duration
+	// callTimeout bounds calls of entries added from now on.
+	callTimeout time.Duration
 }
 
 type engineSpec struct{ name, model string }
@@ -66,7 +71,7 @@
 func newBed(t *testing.T, engines []engineSpec, entries int) *bed {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	b := &bed{t: t, ctx: ctx, engines: map[string]*standin.Engine{}, sidecars: map[string]*sidecar.Sidecar{}, leaseTTL: 10 * time.Second}
+	b := &bed{t: t, ctx: ctx, engines: map[string]*standin.Engine{}, sidecars: map[string]*sidecar.Sidecar{}, leaseTTL: 10 * time.Second, callTimeout: 5 * time.Second}
 	b.platform = standin.NewPlatform(time.Second, time.Now)
 	b.platURL = serve(t, b.platform.Handler())
 	for _, es := range engines {
@@ -106,8 +111,13 @@
 }
 
 func (b *bed) addEntry(i int) {
-	s := &settings.Entry{Common: settings.Common{InstanceID: "entry-" + string(rune('1'+i))}, Platform: b.platURL, PeerListen: freeUDP(b.t),
-		LeaseTTL: b.leaseTTL, ConfigPoll: 50 * time.Millisecond, CallTimeout: 5 * time.Second, DrainTimeout: time.Second}
+	// A killed entry neither hears nor says anything: its callers' side and
+	// its way to the platform go through switches.
+	alive := &atomic.Bool{}
+	alive.Store(true)
+	b.alive = append(b.alive, alive)
+	s := &settings.Entry{Common: settings.Common{InstanceID: "entry-" + string(rune('1'+i))}, Platform: serve(b.t, whileAlive(alive, b.platform.Handler())), PeerListen: freeUDP(b.t),
+		LeaseTTL: b.leaseTTL, ConfigPoll: 50 * time.Millisecond, CallTimeout: b.callTimeout, DrainTimeout: time.Second}
 	e := entry.New(s, clock.Real{}, quietLog(), tally.NoopScope)
 	ctx, stop := context.WithCancel(b.ctx)
 	b.stopEntry = append(b.stopEntry, stop)
@@ -118,12 +128,26 @@
 	go func() { _ = srv.Serve(ctx) }()
 	b.t.Cleanup(e.Close)
 	b.entries = append(b.entries, e)
-	b.entryURL = append(b.entryURL, serve(b.t, e.Handler()))
+	b.entryURL = append(b.entryURL, serve(b.t, whileAlive(alive, e.Handler())))
 	require.Eventually(b.t, func() bool {
 		return e.State().(entry.State).ConfigVersion > 0
 	}, 5*time.Second, 10*time.Millisecond, "entry never read the configuration")
 }
 
+// whileAlive serves h until alive turns false, then cuts every connection
+// that asks.
+func whileAlive(alive *atomic.Bool, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !alive.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+		if !alive.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
 // freeUDP returns a loopback address with a UDP port that was free a
 // moment ago.
 func freeUDP(t *testing.T) string {
@@ -132,3 +156,9 @@
 	defer func() { _ = conn.Close() }()
 	return conn.LocalAddr().String()
 }
+
+// gateStats returns the calls running and waiting at a sidecar's gate.
+func (b *bed) gateStats(name string) (running, waiting int) {
+	st := b.sidecars[name].State().(sidecar.State)
+	return st.Running, st.Waiting
+}
--- a/systemtest/history_test.go
+++ b/systemtest/history_test.go
@@ -66,9 +66,10 @@
 	}
 }
 
-// kill ends entry i as a crash would: its peer connections close and
-// nothing more reaches it.
+// kill ends entry i as a crash would: its peer connections close, and
+// nothing more reaches it or leaves it.
 func (b *bed) kill(i int) {
+	b.alive[i].Store(false)
 	b.stopEntry[i]()
 	b.entries[i].Close()
 }
@@ -128,7 +129,9 @@
 	require.Equal(t, 201, createProgram(t, b.entryURL[0], caller.CreateProgram{ID: id, BudgetTokens: 1 << 30}))
 	history := ref.turn(b.entryURL[0], id, 1, nil, "first")
 	late := make(chan reply, 1)
-	go func() { late <- programCall(t, b.entryURL[0], id, modelCall(2, "fleetdesk", "from the deposed owner", 900)) }()
+	go func() {
+		late <- programCall(t, b.entryURL[0], id, modelCall(2, "fleetdesk", "from the deposed owner", 900))
+	}()
 	time.Sleep(450 * time.Millisecond) // the call outlasts the lease
 	history = ref.turn(b.entryURL[1], id, 2, history, "from the new owner")
 	r := <-late
