--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/entry"
@@ -9,6 +10,10 @@
 	"github.com/wagtaildrum/wagtaildrum/settings"
 )
 
+// releaseTimeout bounds how long a stopping entry spends on giving up its
+// leases.
+const releaseTimeout = 5 * time.Second
+
 type entryCommand struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
 }
@@ -42,6 +47,9 @@
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		<-ctx.Done()
 		e.WaitIdle(s.DrainTimeout)
+		release, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		e.ReleaseLeases(release)
+		cancel()
 		stopPeer()
 		done <- nil
 	})
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -24,6 +24,12 @@
 	Expires int64  `json:"expires_unix_ms"`
 }
 
+// live reports whether the lease may still be acted on by its holder; a
+// released lease has no end and is not.
+func (l leaseRecord) live(now time.Time, margin time.Duration) bool {
+	return l.Expires > 0 && now.UnixMilli() < l.Expires+margin.Milliseconds()
+}
+
 // leaseSkew is the share of the TTL left unused on each side of a lease's
 // end: the holder stops acting this long before it, another instance takes
 // over only this long after it. Clocks of two instances may differ; with
@@ -188,7 +194,7 @@
 	}
 	if cur.Version > 0 {
 		var held leaseRecord
-		if json.Unmarshal(cur.Value, &held) == nil && held.Holder != e.id && now.UnixMilli() < held.Expires+e.margin().Milliseconds() {
+		if json.Unmarshal(cur.Value, &held) == nil && held.Holder != e.id && held.live(now, e.margin()) {
 			return grant{}, &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
 		}
 	}
@@ -207,3 +213,37 @@
 	}
 	return grant{}, err
 }
+
+// releasePause spaces the writes of ReleaseLeases, so that a stopping
+// instance with many programs leaves the table service room for others.
+const releasePause = 2 * time.Millisecond
+
+// ReleaseLeases gives up the leases of this instance's programs, so that
+// other instances adopt them at once instead of waiting for the leases to
+// lapse. A planned stop calls it last, when no call is in flight. It stops
+// at the first failure or when ctx ends: what is left lapses by itself.
+func (e *Entry) ReleaseLeases(ctx context.Context) {
+	e.mu.Lock()
+	all := make(map[program.ID]*owned, len(e.programs))
+	for id, o := range e.programs {
+		all[id] = o
+	}
+	e.mu.Unlock()
+	released := 0
+	for id, o := range all {
+		o.mu.Lock()
+		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil
+		o.mu.Unlock()
+		if !idle {
+			continue
+		}
+		if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id}, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
+			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
+			return
+		}
+		e.depose(id, o)
+		released++
+		time.Sleep(releasePause)
+	}
+	e.log.Info("leases released", "released", released)
+}
