--- a/cmd/wagtaildrum/standin.go
+++ b/cmd/wagtaildrum/standin.go
@@ -20,7 +20,8 @@
 	p := newProcess("engine", s.InstanceID)
 	ctx, stop := signalled()
 	defer stop()
-	eng := standin.NewEngine(s.Model, s.Step, s.MaxBatch, s.CacheBlocks, s.BlockTokens)
+	eng := standin.NewEngine(standin.EngineSpec{Model: s.Model, Step: s.Step, StepPerSequence: s.StepPerSequence, MaxBatch: s.MaxBatch,
+		PrefillTokens: s.PrefillTokens, CacheBlocks: s.CacheBlocks, BlockTokens: s.BlockTokens, ReportLag: s.ReportLag, EventLossPercent: s.EventLossPercent})
 	p.goroutine(ctx, eng.Run)
 	if err := p.serveDebug(ctx, s.Debug, eng.State); err != nil {
 		return err
@@ -45,7 +46,7 @@
 	p := newProcess("tool", s.InstanceID)
 	ctx, stop := signalled()
 	defer stop()
-	t := standin.NewTool(s.Hang)
+	t := standin.NewTool(s.Hang, s.Work)
 	if err := p.serveDebug(ctx, s.Debug, t.State); err != nil {
 		return err
 	}
--- a/settings/roles.go
+++ b/settings/roles.go
@@ -101,6 +101,10 @@
 	Model string `toml:"model"`
 	// Step is the time of one batch step.
 	Step time.Duration `toml:"step"`
+	// StepPerSequence is added to the step for each sequence in the batch.
+	StepPerSequence time.Duration `toml:"step_per_sequence"`
+	// PrefillTokens is how many prompt tokens one step reads; 0: no bound.
+	PrefillTokens int `toml:"prefill_tokens"`
 	// MaxBatch is how many sequences one step advances.
 	MaxBatch int `toml:"max_batch"`
 	// CacheBlocks is the prefix cache size, in blocks of BlockTokens.
@@ -123,6 +127,7 @@
 	c.AtLeast("cache_blocks", s.CacheBlocks, 1)
 	c.AtLeast("block_tokens", s.BlockTokens, 1)
 	c.Positive("report_lag", s.ReportLag)
+	c.AtLeast("prefill_tokens", s.PrefillTokens, 0)
 	c.AtLeast("event_loss_percent", s.EventLossPercent, 0)
 }
 
@@ -132,6 +137,8 @@
 	Listen string `toml:"listen"`
 	// Hang lists tools whose calls never answer until cancelled.
 	Hang []string `toml:"hang"`
+	// Work is how long a call takes.
+	Work time.Duration `toml:"work"`
 }
 
 // Check implements Validator.
--- a/standin/tool.go
+++ b/standin/tool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,14 +22,15 @@
 type Tool struct {
 	mu     sync.Mutex
 	hang   []string
+	work   time.Duration
 	counts map[string]int
 	total  int
 }
 
-// NewTool returns a tool service whose tools named in hang never answer
-// until the caller gives up.
-func NewTool(hang []string) *Tool {
-	return &Tool{hang: slices.Clone(hang), counts: map[string]int{}}
+// NewTool returns a tool service whose calls take work each, and whose
+// tools named in hang never answer until the caller gives up.
+func NewTool(hang []string, work time.Duration) *Tool {
+	return &Tool{hang: slices.Clone(hang), work: work, counts: map[string]int{}}
 }
 
 // ToolResult is the answer of a tool call.
@@ -67,6 +69,7 @@
 	t.counts[r.Header.Get(IdempotencyHeader)]++
 	t.total++
 	t.mu.Unlock()
+	time.Sleep(t.work)
 	writeJSON(w, http.StatusOK, ToolAnswer(name, args))
 }
 
