Policy core: cache-aware routing, program order at the gate, retry budget

Ruled out: background load and cache reports from every sidecar to every entry (10,000 x E messages per period at the target); keeping every block of every prompt (800 per prompt; the anchors keep about 11).

Change: routing.Router[P Policy] (affinity, and least loaded, round robin, rendezvous as baselines). Affinity minimises the expected time to the first token: unread prompt after what calls before it still read, plus the wait for a slot. What an endpoint holds is an index of prompt anchors, corrected by reports that ride on each reply's last frame (load, removed blocks); the sidecar follows the engine's late and gappy cache events and reads the whole list at a gap. admission.Gate[O Order] (arrival, least attained service, oldest program) with places kept for urgent calls, displacement from a full queue, and a refusal at once for calls that would miss their deadline. retry.Budget and jittered Backoff. A broken-off answer is resumed after its last piece; the sidecar cancels a program's older stream when a newer one is admitted. Fence marks are swept. TestSilentConnectionIsReplaced is stricter: the caller now gets the whole answer, before it got upstream_failed.

--- a/admission/refusal_string.go
+++ b/admission/refusal_string.go
@@ -11,11 +11,13 @@
 	_ = x[RefusalQueueFull-0]
 	_ = x[RefusalDraining-1]
 	_ = x[RefusalGaveUp-2]
+	_ = x[RefusalDisplaced-3]
+	_ = x[RefusalTooLate-4]
 }
 
-const _Refusal_name = "QueueFullDrainingGaveUp"
+const _Refusal_name = "QueueFullDrainingGaveUpDisplacedTooLate"
 
-var _Refusal_index = [...]uint8{0, 9, 17, 23}
+var _Refusal_index = [...]uint8{0, 9, 17, 23, 32, 39}
 
 func (i Refusal) String() string {
 	idx := int(i) - 0
--- a/cmd/wagtaildrum/sidecar.go
+++ b/cmd/wagtaildrum/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/settings"
@@ -29,7 +30,7 @@
 	// (refusing as draining) until calls in flight are done.
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	sc := sidecar.New(s, p.log, p.metrics.Scope())
+	sc := sidecar.New(s, clock.Real{}, p.log, p.metrics.Scope())
 	srv, err := peer.Listen(s.Listen, sc.Handle, p.log)
 	if err != nil {
 		return err
@@ -38,6 +39,7 @@
 		return err
 	}
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
+	p.goroutine(ctx, sc.Run)
 	pc := platform.NewClient(s.Platform, 2*time.Second)
 	self := platform.Instance{ID: s.InstanceID, Address: srv.Addr(), State: platform.InstanceLive}
 	if err := pc.SetInstance(ctx, self); err != nil {
--- a/entry/avoid.go
+++ b/entry/avoid.go
@@ -14,32 +14,40 @@
 // signal that an endpoint is leaving.
 const avoidFor = 5 * time.Second
 
+// avoidance is why and how long an endpoint is routed around.
+type avoidance struct {
+	until time.Time
+	// busy: it refused as overloaded; urgent calls may still try it, since
+	// they go before what fills its queue.
+	busy bool
+}
+
 // avoidList holds endpoints to route around until a time.
 type avoidList struct {
 	clock clock.Clock
 	mu    sync.Mutex
-	until map[string]time.Time
+	until map[string]avoidance
 }
 
 func newAvoidList(clk clock.Clock) *avoidList {
-	return &avoidList{clock: clk, until: map[string]time.Time{}}
+	return &avoidList{clock: clk, until: map[string]avoidance{}}
 }
 
-func (a *avoidList) add(name string, d time.Duration) {
+func (a *avoidList) add(name string, d time.Duration, busy bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.until[name] = a.clock.Now().Add(d)
+	a.until[name] = avoidance{until: a.clock.Now().Add(d), busy: busy}
 }
 
-func (a *avoidList) has(name string) bool {
+func (a *avoidList) has(name string, urgent bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	t, ok := a.until[name]
-	if ok && a.clock.Now().After(t) {
+	v, ok := a.until[name]
+	if ok && a.clock.Now().After(v.until) {
 		delete(a.until, name)
 		return false
 	}
-	return ok
+	return ok && !(urgent && v.busy)
 }
 
 func (a *avoidList) names() []string {
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -12,14 +12,16 @@
 	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/retry"
 )
 
 // persistFor bounds how long one checkpoint is retried before the caller
-// is told to come back for the answer; persistPause is the first pause
-// between tries, doubled after each.
+// is told to come back for the answer; persistPause and persistMostPause
+// bound the pauses between tries.
 const (
-	persistFor   = 2 * time.Second
-	persistPause = 20 * time.Millisecond
+	persistFor       = 2 * time.Second
+	persistPause     = 20 * time.Millisecond
+	persistMostPause = 500 * time.Millisecond
 )
 
 // Checkpoint records live in the object store under
@@ -63,7 +65,8 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), persistFor)
 	defer cancel()
 	key := recordKey(rec.Spec.ID, epoch, rec.Index)
-	for pause := persistPause; ; pause *= 2 {
+	pauses := retry.Backoff{First: persistPause, Most: persistMostPause}
+	for {
 		err := e.platform.PutObject(ctx, key, rec)
 		if err == nil {
 			e.committed(o, rec)
@@ -73,7 +76,7 @@
 		case <-ctx.Done():
 			e.log.Warn("checkpoint failed", "program", rec.Spec.ID, "index", rec.Index, "err", err)
 			return &NotDurableError{program: rec.Spec.ID, cause: err}
-		case <-time.After(pause):
+		case <-time.After(pauses.Next()):
 		}
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,8 @@
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/retry"
+	"github.com/wagtaildrum/wagtaildrum/routing"
 	"github.com/wagtaildrum/wagtaildrum/settings"
 )
 
@@ -30,6 +32,9 @@
 	config      atomic.Pointer[config.Config]
 	avoid       *avoidList
 	metrics     metrics
+	router      *routing.Router[routing.Policy]
+	retries     *retry.Budget
+	blockTokens int
 	peerAddress string
 	handler     http.Handler
 	holders     *holders
@@ -48,7 +53,8 @@
 	programs tally.Gauge
 }
 
-// New returns an entry instance with the settings s.
+// New returns an entry instance with the settings s, which must have been
+// checked.
 func New(s *settings.Entry, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Entry {
 	e := &Entry{
 		id:          s.InstanceID,
@@ -72,6 +78,13 @@
 			programs: scope.Gauge("programs"),
 		},
 	}
+	policy, err := routing.NewPolicy(s.Routing, float64(s.PrefillRate))
+	if err != nil {
+		policy = &routing.Affinity{TokensPerSecond: settings.DefaultPrefillRate}
+	}
+	e.router = routing.NewRouter(policy, clk)
+	e.retries = retry.NewBudget(retryShare, retryReserve)
+	e.blockTokens = max(s.BlockTokens, 1)
 	e.config.Store(&config.Config{})
 	e.handler = e.newHandler()
 	return e
@@ -107,6 +120,7 @@
 	ConfigVersion uint64            `json:"config_version"`
 	Endpoints     []config.Endpoint `json:"endpoints"`
 	Avoided       []string          `json:"avoided_endpoints"`
+	Routing       routing.View      `json:"routing"`
 	Programs      []ProgramDump     `json:"programs"`
 }
 
@@ -124,7 +138,7 @@
 // State returns a snapshot for the state dump.
 func (e *Entry) State() any {
 	cfg := e.config.Load()
-	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names()}
+	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names(), Routing: e.router.View()}
 	e.mu.Lock()
 	all := make([]*owned, 0, len(e.programs))
 	for _, o := range e.programs {
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -28,6 +28,9 @@
 	leaseVer     uint64
 	leaseExpires time.Time
 	endedAt      time.Time
+	// promptBlocks is the depth of the latest model call's prompt, in cache
+	// blocks.
+	promptBlocks int
 }
 
 // fence returns the fencing token to send with the program's calls.
--- a/entry/toolcall.go
+++ b/entry/toolcall.go
@@ -75,21 +75,28 @@
 }
 
 func (e *Entry) sendTool(ctx context.Context, o *owned, req *caller.Call) ([]byte, dispatchResult) {
-	id := string(o.prog.ID())
-	call := &peer.Call{Program: id, Sequence: req.Sequence, Fence: o.fence(), Kind: peer.KindTool,
-		Urgency: int(o.prog.Spec().Urgency), Tool: req.Tool, Body: rawOr(req.Arguments, "{}"),
-		IdempotencyKey: fmt.Sprintf("%s/%d", id, req.Sequence)}
+	call := &peer.Call{Sequence: req.Sequence, Kind: peer.KindTool, Tool: req.Tool, Body: rawOr(req.Arguments, "{}"),
+		IdempotencyKey: fmt.Sprintf("%s/%d", o.prog.ID(), req.Sequence)}
+	o.describe(call)
 	if dl, ok := ctx.Deadline(); ok {
 		call.Deadline = dl.UnixMilli()
 	}
-	var result []byte
-	res := e.dispatch(ctx, routing.Target{Tool: req.Tool}, id, call, func(data []byte) error {
-		result = append(result, data...)
-		return nil
-	})
+	var result toolResult
+	route := &routing.Request{Target: routing.Target{Tool: req.Tool}, Key: call.Program}
+	res := e.dispatch(ctx, route, call, &result, map[string]bool{})
 	return result, res
 }
 
+// toolResult is a tool call's answer as it is assembled.
+type toolResult []byte
+
+func (t *toolResult) data(piece []byte) error {
+	*t = append(*t, piece...)
+	return nil
+}
+
+func (t *toolResult) cached() int { return 0 }
+
 func toolAnswer(o *owned, req *caller.Call, result []byte, endpoint string) caller.Answer {
 	return caller.Answer{Program: string(o.prog.ID()), Sequence: req.Sequence, Kind: caller.CallTool, Tool: req.Tool, Result: result, Endpoint: endpoint}
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -49,6 +49,7 @@
 			return false
 		}
 		if e.config.CompareAndSwap(cur, cfg) {
+			e.router.Update(cfg.Endpoints)
 			return true
 		}
 	}
--- a/fencing/table.go
+++ b/fencing/table.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
 )
 
 // Error is a call refused as stale.
@@ -20,17 +23,21 @@
 	return fmt.Sprintf("program %s: call %d behind call %d", e.program, e.sequence, e.after)
 }
 
-type mark struct{ fence, sequence uint64 }
+type mark struct {
+	fence, sequence uint64
+	seen            time.Time
+}
 
 // Table holds the marks of each program. The zero value is not usable;
 // call NewTable.
 type Table struct {
+	clock clock.Clock
 	mu    sync.Mutex
 	marks map[string]mark
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{marks: map[string]mark{}} }
+func NewTable(clk clock.Clock) *Table { return &Table{clock: clk, marks: map[string]mark{}} }
 
 // Admit records (fence, sequence) for program and returns an *Error if the
 // call is behind what was seen: a lower fence, or under the same fence an
@@ -43,15 +50,21 @@
 	if fence < m.fence || (fence == m.fence && sequence < m.sequence) {
 		return &Error{program: program, fence: fence, seen: m.fence, sequence: sequence, after: m.sequence}
 	}
-	t.marks[program] = mark{fence: fence, sequence: sequence}
+	t.marks[program] = mark{fence: fence, sequence: sequence, seen: t.clock.Now()}
 	return nil
 }
 
-// Forget drops the marks of an ended program.
-func (t *Table) Forget(program string) {
+// Sweep drops the marks of programs without a call for longer than idle;
+// without it the table would grow with every program that ever called.
+func (t *Table) Sweep(idle time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.marks, program)
+	cutoff := t.clock.Now().Add(-idle)
+	for program, m := range t.marks {
+		if m.seen.Before(cutoff) {
+			delete(t.marks, program)
+		}
+	}
 }
 
 // Len returns the number of programs with marks.
--- a/peer/message.go
+++ b/peer/message.go
@@ -71,6 +71,19 @@
 	Tool string `msgpack:"t,omitempty"`
 	// IdempotencyKey is passed to tool services that honour it.
 	IdempotencyKey string `msgpack:"i,omitempty"`
+	// Started and Attained are when the program began, as Unix
+	// milliseconds, and the tokens spent on it: what the sidecar orders
+	// waiting calls by.
+	Started  int64 `msgpack:"b0,omitempty"`
+	Attained int64 `msgpack:"at,omitempty"`
+	// Resume is the number of the last event received of an answer that
+	// broke off; the endpoint goes on after it. 0: from the start.
+	Resume int `msgpack:"re,omitempty"`
+	// Anchors are blocks of the prompt whose removal from the endpoint's
+	// prefix cache the sidecar shall report, and SeenReport the number of
+	// the last report this instance saw.
+	Anchors    []uint64 `msgpack:"an,omitempty"`
+	SeenReport uint64   `msgpack:"sr,omitempty"`
 	// Deadline is when the caller stops waiting, as Unix milliseconds.
 	Deadline int64  `msgpack:"d"`
 	Body     []byte `msgpack:"b"`
@@ -89,4 +102,17 @@
 	Message string `msgpack:"m,omitempty"`
 	// RetryAfter is when to send a refused call again, in milliseconds.
 	RetryAfter int64 `msgpack:"a,omitempty"`
+	// Report travels on the last frame of a sidecar's reply: what routing
+	// needs to know comes with the calls and costs no message of its own.
+	Report *Report `msgpack:"w,omitempty"`
+}
+
+// Report is what a sidecar says of its endpoint.
+type Report struct {
+	Running  int      `msgpack:"r"`
+	Waiting  int      `msgpack:"w"`
+	Limit    int      `msgpack:"l"`
+	Sequence uint64   `msgpack:"s"`
+	Removed  []uint64 `msgpack:"x,omitempty"`
+	Reset    bool     `msgpack:"z,omitempty"`
 }
--- a/program/program.go
+++ b/program/program.go
@@ -83,6 +83,9 @@
 // State returns whether the program runs or has ended.
 func (p *Program) State() State { return p.state }
 
+// Created returns when the program began.
+func (p *Program) Created() time.Time { return p.created }
+
 // Fence returns the fencing token of the lease under which it is owned.
 func (p *Program) Fence() uint64 { return p.fence }
 
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -1,6 +1,7 @@
-// Package routing picks the endpoint for a call. It uses rendezvous
-// (highest random weight) hashing of the program against each eligible
-// endpoint, so a program's calls keep landing on the engine that holds
-// its prefix in cache, and when an endpoint leaves only its programs move.
-// It does no input or output.
+// Package routing decides which endpoint takes a call. It does no input or
+// output: the entry package tells it the endpoints of the configuration,
+// asks it to pick one for each call, and reports how the call went.
+//
+// What an endpoint holds in its prefix cache is known from the calls sent
+// to it, and corrected by what its answers and its sidecar's reports say.
 package routing
--- a/settings/roles.go
+++ b/settings/roles.go
@@ -1,6 +1,11 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/admission"
+	"github.com/wagtaildrum/wagtaildrum/routing"
+)
 
 // Common holds the keys every process has.
 type Common struct {
@@ -35,8 +40,22 @@
 	// DrainTimeout bounds how long a planned stop waits for calls in
 	// flight.
 	DrainTimeout time.Duration `toml:"drain_timeout"`
+	// Routing names the routing policy; affinity if empty.
+	Routing string `toml:"routing"`
+	// PrefillRate is how many prompt tokens a second an engine reads; the
+	// affinity policy weighs cache against load with it. 0: DefaultPrefillRate.
+	PrefillRate int `toml:"prefill_rate"`
+	// BlockTokens is the block size of the engines' prefix caches. 0:
+	// DefaultBlockTokens.
+	BlockTokens int `toml:"block_tokens"`
 }
 
+// Defaults of the optional keys.
+const (
+	DefaultPrefillRate = 100_000
+	DefaultBlockTokens = 16
+)
+
 // Check implements Validator.
 func (s *Entry) Check(c *Checker) {
 	s.check(c)
@@ -47,6 +66,18 @@
 	c.Positive("config_poll", s.ConfigPoll)
 	c.Positive("call_timeout", s.CallTimeout)
 	c.Positive("drain_timeout", s.DrainTimeout)
+	if s.Routing == "" {
+		s.Routing = routing.NameAffinity
+	}
+	c.OneOf("routing", s.Routing, routing.PolicyNames...)
+	c.AtLeast("prefill_rate", s.PrefillRate, 0)
+	if s.PrefillRate == 0 {
+		s.PrefillRate = DefaultPrefillRate
+	}
+	c.AtLeast("block_tokens", s.BlockTokens, 0)
+	if s.BlockTokens == 0 {
+		s.BlockTokens = DefaultBlockTokens
+	}
 }
 
 // Sidecar is the settings of the process beside one endpoint.
@@ -70,6 +101,11 @@
 	// MaxQueued is how many calls may wait; beyond that calls are refused
 	// at once with a time to come back.
 	MaxQueued int `toml:"max_queued"`
+	// UrgentOnly of the max_concurrent places are kept for urgent calls.
+	UrgentOnly int `toml:"urgent_only"`
+	// Order names the order of waiting calls within an urgency class;
+	// oldest_program if empty.
+	Order string `toml:"order"`
 }
 
 // Check implements Validator.
@@ -82,6 +118,12 @@
 	c.Positive("drain_timeout", s.DrainTimeout)
 	c.AtLeast("max_concurrent", s.MaxConcurrent, 1)
 	c.AtLeast("max_queued", s.MaxQueued, 0)
+	c.AtLeast("urgent_only", s.UrgentOnly, 0)
+	c.AtLeast("max_concurrent", s.MaxConcurrent, s.UrgentOnly+1)
+	if s.Order == "" {
+		s.Order = admission.NameOldestProgram
+	}
+	c.OneOf("order", s.Order, admission.OrderNames...)
 }
 
 // Ctl is the settings of the operator's command.
