--- a/caller/errors.go
+++ b/caller/errors.go
@@ -75,6 +75,8 @@
 	Message string    `json:"message"`
 	// RetryAfterSeconds repeats the Retry-After header, when set.
 	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// RetryAfterMillis is the same, not rounded up to whole seconds.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 }
 
 // Write answers the error at once.
@@ -84,6 +86,7 @@
 		secs := int(math.Ceil(e.retryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.Itoa(secs))
 		body.Error.RetryAfterSeconds = secs
+		body.Error.RetryAfterMillis = e.retryAfter.Milliseconds()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(e.status)
--- a/cmd/wagtaildrum/main.go
+++ b/cmd/wagtaildrum/main.go
@@ -37,6 +37,7 @@
 	must(standin.AddCommand("engine", "model engine stand-in", "", &engineCommand{}))
 	must(standin.AddCommand("tool", "tool service stand-in", "", &toolCommand{}))
 	must(standin.AddCommand("platform", "platform stand-in (table, objects, instance list)", "", &platformCommand{}))
+	addLoadCommands(parser)
 	must(parser.AddCommand("play", "play workload files against an entry instance", "Prints each program's outcome and whole-program latency.", &playCommand{}))
 
 	_, err = parser.ParseArgs(args)
--- /dev/null
+++ b/load/plot.go
@@ -0,0 +1,86 @@
+package load
+
+import (
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Sizes of the plots.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+// PlotLatency draws the distribution of whole-program latency of each run
+// to a PNG file. Failed programs never end: a curve stops below 1.
+func PlotLatency(path string, x *Experiment, runs []*Result) error {
+	p := plot.New()
+	p.Title.Text = x.Name + ": whole-program latency"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "share of programs ended"
+	var lines []any
+	for _, r := range runs {
+		lines = append(lines, r.Label, latencyCurve(r))
+	}
+	return save(p, path, lines)
+}
+
+func latencyCurve(r *Result) plotter.XYs {
+	var ended []float64
+	for i := range r.Programs {
+		if r.Programs[i].Failure == "" {
+			ended = append(ended, r.Programs[i].Latency.Seconds())
+		}
+	}
+	slices.Sort(ended)
+	xys := make(plotter.XYs, len(ended))
+	for i, s := range ended {
+		xys[i] = plotter.XY{X: s, Y: float64(i+1) / float64(len(r.Programs))}
+	}
+	return xys
+}
+
+// PlotWasted draws the share of reusable prompt tokens that were read
+// again, second by second, of each run to a PNG file.
+func PlotWasted(path string, x *Experiment, runs []*Result) error {
+	p := plot.New()
+	p.Title.Text = x.Name + ": wasted prefix cache"
+	p.X.Label.Text, p.Y.Label.Text = "seconds since the start", "share of reusable tokens read again"
+	var lines []any
+	for _, r := range runs {
+		lines = append(lines, r.Label, wastedCurve(r))
+	}
+	return save(p, path, lines)
+}
+
+func wastedCurve(r *Result) plotter.XYs {
+	sums := map[int]*tokenSample{}
+	last := 0
+	for _, s := range r.ByTime {
+		second := int(s.Seconds)
+		if sums[second] == nil {
+			sums[second] = &tokenSample{}
+		}
+		sums[second].Reusable += s.Reusable
+		sums[second].Wasted += s.Wasted
+		last = max(last, second)
+	}
+	var xys plotter.XYs
+	for second := range last + 1 {
+		if s := sums[second]; s != nil && s.Reusable > 0 {
+			xys = append(xys, plotter.XY{X: float64(second), Y: float64(s.Wasted) / float64(s.Reusable)})
+		}
+	}
+	return xys
+}
+
+func save(p *plot.Plot, path string, lines []any) error {
+	p.Legend.Top, p.Legend.Left = false, false
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// Between records ProblemBadValue unless lowest <= n <= highest.
+func (c *Checker) Between(key string, n, lowest, highest int) {
+	if n < lowest || n > highest {
+		c.fail(key, ProblemBadValue, "must be from %d to %d, got %d", lowest, highest, n)
+	}
+}
+
+// AtMost records ProblemBadValue unless d <= longest.
+func (c *Checker) AtMost(key string, d, longest time.Duration) {
+	if d > longest {
+		c.fail(key, ProblemBadValue, "must be at most %s, got %s", longest, d)
+	}
+}
+
+// True records ProblemBadValue, described by format, unless ok.
+func (c *Checker) True(key string, ok bool, format string, args ...any) {
+	if !ok {
+		c.fail(key, ProblemBadValue, format, args...)
+	}
+}
+
 // OneOf records ProblemBadValue unless value is one of allowed.
 func (c *Checker) OneOf(key, value string, allowed ...string) {
 	for _, a := range allowed {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -67,8 +67,7 @@
 	served   int64
 	canceled int64
 	prefill  int64
-	steps    int64
-	busyStep int64
+	busy     time.Duration
 	// lastLoad is the load as last reported, thisLoad what is reported
 	// next, from nextReport on.
 	lastLoad, thisLoad engine.Load
@@ -145,12 +144,11 @@
 		e.start(e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
-	e.steps++
 	if len(e.running) == 0 {
 		return e.spec.Step, true
 	}
-	e.busyStep++
 	d = e.spec.Step + time.Duration(len(e.running))*e.spec.StepPerSequence
+	e.busy += d
 	budget := e.spec.PrefillTokens
 	kept := e.running[:0]
 	for _, s := range e.running {
@@ -359,11 +357,10 @@
 	Evicted     int64  `json:"evicted_blocks"`
 	Served      int64  `json:"served"`
 	Canceled    int64  `json:"canceled"`
-	// Prefill counts the prompt tokens read, Steps and BusySteps the batch
-	// steps made and those with work in them.
-	Prefill   int64 `json:"prefill_tokens"`
-	Steps     int64 `json:"steps"`
-	BusySteps int64 `json:"busy_steps"`
+	// Prefill counts the prompt tokens read; Busy is the time of the steps
+	// made.
+	Prefill int64         `json:"prefill_tokens"`
+	Busy    time.Duration `json:"busy_ns"`
 }
 
 // State returns a snapshot for the state dump.
@@ -371,7 +368,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return EngineState{Model: e.spec.Model, Running: len(e.running), Waiting: len(e.waiting), CacheBlocks: e.cache.len(),
-		Evicted: e.cache.evicted, Served: e.served, Canceled: e.canceled, Prefill: e.prefill, Steps: e.steps, BusySteps: e.busyStep}
+		Evicted: e.cache.evicted, Served: e.served, Canceled: e.canceled, Prefill: e.prefill, Busy: e.busy}
 }
 
 type apiErrorBody struct {
