--- a/entry/call.go
+++ b/entry/call.go
@@ -53,7 +53,7 @@
 	o.prog.Finish(ans.Sequence, used, msgs...)
 	o.last = &lastAnswer{seq: ans.Sequence, answer: ans}
 	o.cancel = nil
-	o.stage()
+	e.stageTurn(o)
 	o.mu.Unlock()
 	if err := e.persist(ctx, o); err != nil {
 		return err
@@ -64,7 +64,7 @@
 		return caller.NewError(http.StatusBadGateway, caller.TypeUpstreamFailed, "the program moved to another instance during the call; send the same sequence again").RetryAfter(time.Second)
 	}
 	if err != nil {
-		return &NotDurableError{program: program.ID(ans.Program), cause: err}
+		return &NotDurableError{program: program.ID(ans.Program)}
 	}
 	return nil
 }
@@ -75,9 +75,9 @@
 	o.mu.Lock()
 	o.prog.Abort(seq, used)
 	o.cancel = nil
-	charged := used > 0
+	charged := used > 0 && o.pending == nil
 	if charged {
-		o.stage()
+		e.stageTurn(o)
 	}
 	o.mu.Unlock()
 	if charged {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +14,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/config"
+	"github.com/wagtaildrum/wagtaildrum/journal"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
@@ -38,8 +42,10 @@
 	peerAddress string
 	handler     http.Handler
 	holders     *holders
-	janitor     *janitor
-	adopting    keyLocks
+	// journal is this process's own; journals reads others'.
+	journal  *journal.Writer
+	journals *journal.Reader
+	adopting keyLocks
 
 	mu       sync.Mutex
 	programs map[program.ID]*owned
@@ -69,7 +75,6 @@
 		programs:    map[program.ID]*owned{},
 		peerAddress: s.PeerListen,
 		holders:     newHolders(clk),
-		janitor:     newJanitor(),
 		metrics: metrics{
 			calls:    scope.Counter("calls"),
 			refused:  scope.Counter("refused"),
@@ -82,6 +87,8 @@
 	if err != nil {
 		policy = &routing.Affinity{TokensPerSecond: settings.DefaultPrefillRate}
 	}
+	e.journal = journal.NewWriter(journalName(s.InstanceID, clk), e.platform, s.JournalInterval, log)
+	e.journals = journal.NewReader(e.platform, clk)
 	e.router = routing.NewRouter(policy, clk)
 	e.retries = retry.NewBudget(retryShare, retryReserve)
 	e.blockTokens = max(s.BlockTokens, 1)
@@ -90,6 +97,16 @@
 	return e
 }
 
+// journalName returns a journal name that no other process has: an instance
+// that restarts writes a new journal.
+func journalName(instance string, clk clock.Clock) string {
+	return fmt.Sprintf("%s-%x-%08x", instance, clk.Now().UnixMilli(), rand.Uint32())
+}
+
+// WriteJournal makes staged turns durable until ctx ends, then reports on
+// done. It must outlive the calls in flight.
+func (e *Entry) WriteJournal(ctx context.Context, done chan<- error) { e.journal.Run(ctx, done) }
+
 // Handler returns the callers' HTTP API.
 func (e *Entry) Handler() http.Handler { return e.handler }
 
@@ -121,6 +138,7 @@
 	Endpoints     []config.Endpoint `json:"endpoints"`
 	Avoided       []string          `json:"avoided_endpoints"`
 	Routing       routing.View      `json:"routing"`
+	Journal       journal.Stats     `json:"journal"`
 	Programs      []ProgramDump     `json:"programs"`
 }
 
@@ -138,7 +156,7 @@
 // State returns a snapshot for the state dump.
 func (e *Entry) State() any {
 	cfg := e.config.Load()
-	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names(), Routing: e.router.View()}
+	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names(), Routing: e.router.View(), Journal: e.journal.Stats()}
 	e.mu.Lock()
 	all := make([]*owned, 0, len(e.programs))
 	for _, o := range e.programs {
--- a/entry/janitor.go
+++ b/entry/janitor.go
@@ -7,45 +7,26 @@
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
-// The janitor's limits. A full queue drops names: a record left behind
-// costs room in the store, never correctness, and the whole program's
-// records go when the program has ended.
 const (
-	janitorQueue  = 4096
-	janitorPeriod = time.Second
+	tidyPeriod = time.Second
 	// endedFor is how long an ended program stays in memory, so that late
 	// callers get "program ended" without a read of the store.
 	endedFor = time.Minute
 )
 
-// janitor deletes log records no longer needed, off the call path.
-type janitor struct{ names chan string }
-
-func newJanitor() *janitor { return &janitor{names: make(chan string, janitorQueue)} }
-
-func (j *janitor) drop(name string) {
-	select {
-	case j.names <- name:
-	default:
-	}
-}
-
-// Tidy deletes log records that newer whole records replaced, and forgets
-// programs that ended a while ago, until ctx ends; then it reports on done.
+// Tidy keeps this instance's memory and journal small until ctx ends, then
+// reports on done.
 func (e *Entry) Tidy(ctx context.Context, done chan<- error) {
-	ticker := time.NewTicker(janitorPeriod)
+	ticker := time.NewTicker(tidyPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			done <- nil
 			return
-		case name := <-e.janitor.names:
-			if err := e.platform.DropObject(ctx, name); err != nil && ctx.Err() == nil {
-				e.log.Info("record not dropped", "name", name, "err", err)
-			}
 		case <-ticker.C:
 			e.forgetEnded()
+			e.catchUp()
 		}
 	}
 }
@@ -65,3 +46,22 @@
 		}
 	}
 }
+
+// catchUp writes whole records of programs that have been quiet for so long
+// that their last ones lie far back in the journal: they would keep all
+// batches since from being dropped, and a successor would have to read
+// them.
+func (e *Entry) catchUp() {
+	for _, id := range e.journal.Lagging() {
+		o, ok := e.lookup(id)
+		if !ok {
+			e.journal.Release(id)
+			continue
+		}
+		o.mu.Lock()
+		if o.pending == nil {
+			e.stageWhole(o)
+		}
+		o.mu.Unlock()
+	}
+}
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
@@ -22,6 +23,17 @@
 	// forward the program's calls.
 	Address string `json:"address"`
 	Expires int64  `json:"expires_unix_ms"`
+	// Journals are those that may hold the program's records: the holder's
+	// own, last, and until its first record is durable its predecessors'.
+	Journals []string `json:"journals"`
+	// Ended: the program has ended; its id is not used again.
+	Ended bool `json:"ended,omitempty"`
+}
+
+// heldBy reports whether the holder is the process that writes journal. An
+// instance that restarted is another holder under the same name.
+func (l leaseRecord) heldBy(journal string) bool {
+	return len(l.Journals) > 0 && l.Journals[len(l.Journals)-1] == journal
 }
 
 // live reports whether the lease may still be acted on by its holder; a
@@ -30,6 +42,10 @@
 	return l.Expires > 0 && now.UnixMilli() < l.Expires+margin.Milliseconds()
 }
 
+func (l leaseRecord) equal(m leaseRecord) bool {
+	return l.Holder == m.Holder && l.Expires == m.Expires && slices.Equal(l.Journals, m.Journals)
+}
+
 // leaseSkew is the share of the TTL left unused on each side of a lease's
 // end: the holder stops acting this long before it, another instance takes
 // over only this long after it. Clocks of two instances may differ; with
@@ -46,6 +62,8 @@
 type grant struct {
 	version uint64
 	expires time.Time
+	// journals are those to read the program's log from.
+	journals []string
 }
 
 // LeaseError says a program's lease is held by another live instance.
@@ -124,7 +142,7 @@
 }
 
 func (e *Entry) leaseUntil(t time.Time) leaseRecord {
-	return leaseRecord{Holder: e.id, Address: e.peerAddress, Expires: t.UnixMilli()}
+	return leaseRecord{Holder: e.id, Address: e.peerAddress, Expires: t.UnixMilli(), Journals: []string{e.journal.Name()}}
 }
 
 // readBackLease resolves a lease write whose answer was lost: if the
@@ -135,7 +153,7 @@
 		return 0, err
 	}
 	var got leaseRecord
-	if json.Unmarshal(back.Value, &got) == nil && got == want && back.Version == prev+1 {
+	if json.Unmarshal(back.Value, &got) == nil && got.equal(want) && back.Version == prev+1 {
 		return back.Version, nil
 	}
 	if back.Version == prev {
@@ -183,23 +201,18 @@
 	if cur.Version == 0 && !fresh {
 		return grant{}, caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q", id)
 	}
-	if cur.Version > 0 && fresh {
-		names, err := e.platform.ListObjects(ctx, logPrefix(id))
-		if err != nil {
+	var held leaseRecord
+	if cur.Version > 0 {
+		if err := json.Unmarshal(cur.Value, &held); err != nil {
 			return grant{}, err
 		}
-		if len(names) > 0 {
-			return grant{}, &ExistsError{program: id}
-		}
-	}
-	if cur.Version > 0 {
-		var held leaseRecord
-		if json.Unmarshal(cur.Value, &held) == nil && held.Holder != e.id && held.live(now, e.margin()) {
-			return grant{}, &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
+		if err := e.takeable(ctx, id, &held, fresh, now); err != nil {
+			return grant{}, err
 		}
 	}
 	want := e.leaseUntil(now.Add(e.leaseTTL))
-	got := grant{expires: time.UnixMilli(want.Expires)}
+	want.Journals = append(slices.DeleteFunc(slices.Clone(held.Journals), func(j string) bool { return j == e.journal.Name() }), e.journal.Name())
+	got := grant{expires: time.UnixMilli(want.Expires), journals: want.Journals}
 	got.version, err = e.platform.Put(ctx, key, want, cur.Version)
 	if err == nil {
 		return got, nil
@@ -214,6 +227,44 @@
 	return grant{}, err
 }
 
+// takeable returns nil if this instance may take over the program whose
+// lease is held, or, with fresh set, create it.
+func (e *Entry) takeable(ctx context.Context, id program.ID, held *leaseRecord, fresh bool, now time.Time) error {
+	if held.Ended && fresh {
+		return &ExistsError{program: id}
+	}
+	if held.Ended {
+		return program.Ended(id)
+	}
+	if !held.heldBy(e.journal.Name()) && held.live(now, e.margin()) {
+		return &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
+	}
+	if !fresh {
+		return nil
+	}
+	records, err := e.readLog(ctx, id, held.Journals)
+	if err == nil && len(records) > 0 {
+		err = &ExistsError{program: id}
+	}
+	return err
+}
+
+// endLease marks the program's lease as ended, so that the program's
+// records can be dropped and its id is still known to be used. If the mark
+// cannot be written, the records stay.
+func (e *Entry) endLease(ctx context.Context, o *owned) {
+	o.mu.Lock()
+	id, ver := o.prog.ID(), o.leaseVer
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
+	defer cancel()
+	if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, Ended: true}, ver); err != nil {
+		e.log.Warn("end of program not marked", "program", id, "err", err)
+		return
+	}
+	e.journal.Release(id)
+}
+
 // releasePause spaces the writes of ReleaseLeases, so that a stopping
 // instance with many programs leaves the table service room for others.
 const releasePause = 2 * time.Millisecond
@@ -232,12 +283,12 @@
 	released := 0
 	for id, o := range all {
 		o.mu.Lock()
-		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil
+		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil && o.prog.State() == program.StateRunning
 		o.mu.Unlock()
 		if !idle {
 			continue
 		}
-		if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id}, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
+		if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}}, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
 			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
 			return
 		}
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
+	"github.com/wagtaildrum/wagtaildrum/journal"
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
@@ -22,7 +23,7 @@
 	// owner writes under, and the record not yet known to be durable.
 	log     program.Log
 	epoch   uint64
-	pending *program.Checkpoint
+	pending *journal.Pending
 	// leaseVer and leaseExpires are the lease record's version (the
 	// fencing token) and end as this instance last wrote them.
 	leaseVer     uint64
@@ -78,6 +79,7 @@
 		delete(e.programs, id)
 	}
 	e.mu.Unlock()
+	e.journal.Release(id)
 	o.mu.Lock()
 	cancel := o.cancel
 	o.mu.Unlock()
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -109,7 +109,7 @@
 		return
 	}
 	o := &owned{prog: p, epoch: lease.version, leaseVer: lease.version, leaseExpires: lease.expires}
-	o.stage()
+	e.stageTurn(o)
 	if err := e.persist(r.Context(), o); err != nil {
 		caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not created: %v", err).RetryAfter(retryAfterUnavailable).Write(w)
 		return
@@ -166,7 +166,9 @@
 	err := e.persist(r.Context(), o) // a turn still pending
 	if err == nil {
 		o.mu.Lock()
-		o.stage()
+		if o.pending == nil {
+			e.stageTurn(o)
+		}
 		o.mu.Unlock()
 		err = e.persist(r.Context(), o)
 	}
@@ -174,6 +176,7 @@
 		apiError(err).Write(w)
 		return
 	}
+	e.endLease(r.Context(), o)
 	e.log.Info("program ended", "program", st.ID, "spent", st.SpentTokens)
 	writeJSON(w, http.StatusOK, st)
 }
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -20,6 +20,11 @@
 	eventLoss     = 5
 	dataCentres   = 3
 	entryCallTime = 15 * time.Second
+	// The platform's limits, as both deployments have them today.
+	storeWrites = 800
+	storeReads  = 2000
+	storeTable  = 4 * time.Millisecond
+	storeObject = 25 * time.Millisecond
 )
 
 // FleetOptions are what may differ between two runs of an experiment.
@@ -50,7 +55,8 @@
 	f := &fleet{dir: dir, port: opts.BasePort}
 	platformAddr, platformDebug := f.addr(), f.addr()
 	platformURL := "http://" + platformAddr
-	err := f.process("platform", "standin platform", platformDebug, map[string]any{"listen": platformAddr, "instance_lag": "3s"})
+	err := f.process("platform", "standin platform", platformDebug, map[string]any{"listen": platformAddr, "instance_lag": "3s",
+		"writes_per_second": storeWrites, "reads_per_second": storeReads, "table_time": storeTable.String(), "object_time": storeObject.String()})
 	if err != nil {
 		return err
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -13,14 +13,14 @@
 	p.line("## %s\n", x.Name)
 	p.line("%s quiet, %s burst at %g times the rate, %s after; %d entry instances; seed %d. A program that failed counts as never ended.\n",
 		x.Quiet, x.Burst, x.BurstFactor, x.After, x.Entries, x.Seed)
-	p.line("| run | programs | failed | p50 ms | p95 ms | p99 ms | burst p95 ms | urgent p95 ms | in time | refusals | wasted cache | engines busy | blocks evicted | platform writes/s | reads/s |")
-	p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	p.line("| run | programs | failed | p50 ms | p95 ms | p99 ms | burst p95 ms | urgent p95 ms | in time | refusals | wasted cache | engines busy | blocks evicted | platform writes/s | reads/s | over rate |")
+	p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, r := range runs {
 		f := figuresOf(x, r)
-		p.line("| %s | %d | %d | %s | %s | %s | %s | %s | %.1f %% | %d | %.1f %% | %.0f %% | %d | %.0f | %.0f |", r.Label, f.all.Count, f.all.Failed,
+		p.line("| %s | %d | %d | %s | %s | %s | %s | %s | %.1f %% | %d | %.1f %% | %.0f %% | %d | %.0f | %.0f | %d |", r.Label, f.all.Count, f.all.Failed,
 			millis(f.all.P50), millis(f.all.P95), millis(f.all.P99), millis(f.burst.P95), millis(f.urgent.P95),
 			100*float64(f.all.InTime)/float64(max(1, f.all.Count)), f.all.Refusals, 100*r.WastedShare(), 100*r.Utilisation, r.Evicted,
-			float64(r.Writes)/r.Elapsed.Seconds(), float64(r.Reads)/r.Elapsed.Seconds())
+			float64(r.Writes)/r.Elapsed.Seconds(), float64(r.Reads)/r.Elapsed.Seconds(), r.OverRate)
 	}
 	p.line("\nRatios of %s to the others; below 1 it is better:\n", runs[0].Label)
 	p.line("| against | p50 | p95 | p99 | burst p95 | urgent p95 | wasted cache |")
--- a/load/result.go
+++ b/load/result.go
@@ -43,6 +43,8 @@
 	// Writes and Reads count calls to the platform.
 	Writes int `json:"platform_writes"`
 	Reads  int `json:"platform_reads"`
+	// OverRate counts the calls the platform refused for coming too fast.
+	OverRate int `json:"platform_over_rate"`
 }
 
 // observation is the stand-ins' counters at one time.
@@ -77,7 +79,8 @@
 
 func (r *runner) result(label string, elapsed time.Duration, before, after *observation) *Result {
 	res := &Result{Experiment: r.x.Name, Label: label, Elapsed: elapsed, Programs: r.results, Tokens: r.ledger.tokens, ByTime: r.ledger.byTime,
-		Writes: after.platform.Writes - before.platform.Writes, Reads: after.platform.Reads - before.platform.Reads}
+		Writes: after.platform.Writes - before.platform.Writes, Reads: after.platform.Reads - before.platform.Reads,
+		OverRate: after.platform.OverRate - before.platform.OverRate}
 	var busy time.Duration
 	for i := range after.engines {
 		res.Prefill += after.engines[i].Prefill - before.engines[i].Prefill
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
@@ -19,8 +22,18 @@
 	listener *quic.Listener
 	handler  Handler
 	log      *slog.Logger
+	// streams counts the calls whose caller has not yet confirmed the end
+	// of the reply.
+	streams atomic.Int64
 }
 
+// confirmFor bounds how long the server waits for a caller to confirm the
+// end of a reply, and confirmPoll is how often a stopping server looks.
+const (
+	confirmFor  = 2 * time.Second
+	confirmPoll = 5 * time.Millisecond
+)
+
 // Listen opens a QUIC listener on addr (host:port).
 func Listen(addr string, handler Handler, log *slog.Logger) (*Server, error) {
 	tlsConf, err := serverTLS()
@@ -37,12 +50,16 @@
 // Addr returns the address the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Serve accepts connections until ctx ends, then closes the listener.
+// Serve accepts connections until ctx ends, then closes the listener and,
+// once the replies under way have arrived, the connections.
 func (s *Server) Serve(ctx context.Context) error {
 	go func() {
 		<-ctx.Done()
 		_ = s.listener.Close()
 	}()
+	conns, closeConns := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeConns()
+	defer s.waitConfirmed()
 	for {
 		conn, err := s.listener.Accept(ctx)
 		if err != nil {
@@ -51,7 +68,17 @@
 			}
 			return eris.Wrap(err, "accept peer connection")
 		}
-		go s.serveConn(ctx, conn)
+		go s.serveConn(conns, conn)
+	}
+}
+
+// waitConfirmed waits for the callers of the replies under way to confirm
+// their end. A connection closed before then takes the last pieces of a
+// reply with it, although the call itself is done: a planned stop would
+// cut off answers.
+func (s *Server) waitConfirmed() {
+	for end := time.Now().Add(confirmFor); s.streams.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(confirmPoll)
 	}
 }
 
@@ -65,12 +92,16 @@
 		if err != nil {
 			return
 		}
-		go s.serveStream(stream)
+		s.streams.Add(1)
+		go func() {
+			defer s.streams.Add(-1)
+			s.serveStream(stream)
+		}()
 	}
 }
 
 func (s *Server) serveStream(stream *quic.Stream) {
-	defer func() { _ = stream.Close() }()
+	defer confirm(stream)
 	var call Call
 	if err := msgpack.NewDecoder(stream).Decode(&call); err != nil {
 		s.log.Warn("peer call undecodable", "err", err)
@@ -83,5 +114,13 @@
 	enc := msgpack.NewEncoder(stream)
 	send := func(f Frame) error { return enc.Encode(&f) }
 	s.handler(ctx, &call, send)
+}
+
+// confirm ends a reply and waits until its caller, having read it whole,
+// closes its side of the stream too.
+func confirm(stream *quic.Stream) {
+	_ = stream.Close()
+	_ = stream.SetReadDeadline(time.Now().Add(confirmFor))
+	_, _ = io.Copy(io.Discard, stream)
 	stream.CancelRead(0)
 }
--- a/program/errors.go
+++ b/program/errors.go
@@ -31,6 +31,10 @@
 	return &Error{reason: reason, program: id, detail: fmt.Sprintf(format, args...)}
 }
 
+// Ended returns the failure of an operation on a program that has ended and
+// is no longer kept.
+func Ended(id ID) error { return newError(ReasonEnded, id, "program has ended") }
+
 // Reason returns why the operation was refused.
 func (e *Error) Reason() Reason { return e.reason }
 
--- a/program/log.go
+++ b/program/log.go
@@ -13,9 +13,9 @@
 // 250,000 tokens again on each of 180 turns.
 const wholeEvery = 16
 
-// Checkpoint is one record of a program's durable log. Records are written
-// once under (program, epoch, Index) and never changed, so a write that is
-// delayed and lands late cannot put an older state over a newer one.
+// Checkpoint is one record of a program's durable log. Records are known by
+// (program, epoch, Index) and never changed, so a write that is delayed and
+// lands late cannot put an older state over a newer one.
 type Checkpoint struct {
 	// Index is the record's place in the log, from 0.
 	Index uint64 `json:"index"`
@@ -48,6 +48,16 @@
 // Record returns the record that brings the log up to p. The log moves on
 // only when Committed is called, after the record is durable.
 func (l *Log) Record(p *Program, answer json.RawMessage) Checkpoint {
+	return l.record(p, answer, l.next == 0 || l.next-l.base >= wholeEvery)
+}
+
+// RecordWhole is Record with a whole record, which makes all before it
+// superfluous.
+func (l *Log) RecordWhole(p *Program, answer json.RawMessage) Checkpoint {
+	return l.record(p, answer, true)
+}
+
+func (l *Log) record(p *Program, answer json.RawMessage, whole bool) Checkpoint {
 	c := Checkpoint{Index: l.next, Base: l.base, Spec: p.spec, Created: p.created, State: p.state,
 		NextSeq: p.nextSeq, Spent: p.spent, Answer: answer}
 	if p.state == StateEnded {
@@ -55,7 +65,7 @@
 		c.Base = l.next
 		return c
 	}
-	if l.next == 0 || l.next-l.base >= wholeEvery {
+	if whole {
 		c.Base = l.next
 		c.Messages = slices.Clone(p.history)
 		return c
@@ -64,19 +74,15 @@
 	return c
 }
 
-// Committed moves the log past record c of p, now durable. It returns the
-// indexes [from, to) of records no longer needed.
-func (l *Log) Committed(c *Checkpoint) (from, to uint64) {
-	from, to = l.base, l.base
+// Committed moves the log past record c, now durable.
+func (l *Log) Committed(c *Checkpoint) {
 	if c.Whole() {
 		l.logged = len(c.Messages)
-		to = c.Index
 	} else {
 		l.logged += len(c.Messages)
 	}
 	l.base = c.Base
 	l.next = c.Index + 1
-	return from, to
 }
 
 // LogError says a program's log cannot be replayed.
--- a/program/log_test.go
+++ b/program/log_test.go
@@ -26,9 +26,10 @@
 	write := func() program.Checkpoint {
 		c := log.Record(p, nil)
 		store[c.Index] = c
-		from, to := log.Committed(&c)
-		for i := from; i < to; i++ {
-			delete(store, i)
+		log.Committed(&c)
+		if c.Whole() {
+			clear(store)
+			store[c.Index] = c
 		}
 		return c
 	}
--- a/settings/roles.go
+++ b/settings/roles.go
@@ -40,6 +40,9 @@
 	// DrainTimeout bounds how long a planned stop waits for calls in
 	// flight.
 	DrainTimeout time.Duration `toml:"drain_timeout"`
+	// JournalInterval is the shortest time between two writes of the
+	// programs' turns to the store. 0: DefaultJournalInterval.
+	JournalInterval time.Duration `toml:"journal_interval"`
 	// Routing names the routing policy; affinity if empty.
 	Routing string `toml:"routing"`
 	// PrefillRate is how many prompt tokens a second an engine reads; the
@@ -54,6 +57,9 @@
 const (
 	DefaultPrefillRate = 100_000
 	DefaultBlockTokens = 16
+	// DefaultJournalInterval allows 50 writes a second, and as many
+	// deletions: a dozen entry instances within a store's several hundred.
+	DefaultJournalInterval = 20 * time.Millisecond
 )
 
 // Check implements Validator.
@@ -66,6 +72,10 @@
 	c.Positive("config_poll", s.ConfigPoll)
 	c.Positive("call_timeout", s.CallTimeout)
 	c.Positive("drain_timeout", s.DrainTimeout)
+	if s.JournalInterval == 0 {
+		s.JournalInterval = DefaultJournalInterval
+	}
+	c.Positive("journal_interval", s.JournalInterval)
 	if s.Routing == "" {
 		s.Routing = routing.NameAffinity
 	}
@@ -195,6 +205,12 @@
 	Listen string `toml:"listen"`
 	// InstanceLag is how far the instance list lags behind the truth.
 	InstanceLag time.Duration `toml:"instance_lag"`
+	// WritesPerSecond and ReadsPerSecond bound the calls taken; 0: no bound.
+	WritesPerSecond int `toml:"writes_per_second"`
+	ReadsPerSecond  int `toml:"reads_per_second"`
+	// TableTime and ObjectTime are how long a call to each service takes.
+	TableTime  time.Duration `toml:"table_time"`
+	ObjectTime time.Duration `toml:"object_time"`
 }
 
 // Check implements Validator.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/wagtaildrum/wagtaildrum/platform"
 )
 
@@ -25,6 +27,10 @@
 	// refuseAfter is how many more writes take effect before every later
 	// write is refused without effect; negative: never.
 	refuseAfter int
+	limits      Limits
+	writeRate   *rate.Limiter
+	readRate    *rate.Limiter
+	overRate    int
 	writes      int
 	reads       int
 }
@@ -86,6 +92,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /table", p.get)
 	mux.HandleFunc("PUT /table", p.put)
+	mux.HandleFunc("DELETE /table", p.delete)
 	mux.HandleFunc("GET /scan", p.scan)
 	mux.HandleFunc("GET /objects", p.getObject)
 	mux.HandleFunc("PUT /objects", p.putObject)
@@ -96,6 +103,54 @@
 	return p.faults(mux)
 }
 
+// Limits are how fast the platform answers and how much it takes. The zero
+// value answers at once and takes everything.
+type Limits struct {
+	// WritesPerSecond and ReadsPerSecond are taken; more are answered 503.
+	WritesPerSecond, ReadsPerSecond int
+	// Table and Object are the times of a call to each service.
+	Table, Object time.Duration
+}
+
+// SetLimits sets the platform's limits.
+func (p *Platform) SetLimits(l Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = l
+	p.writeRate = rate.NewLimiter(limitOf(l.WritesPerSecond), max(1, l.WritesPerSecond/4))
+	p.readRate = rate.NewLimiter(limitOf(l.ReadsPerSecond), max(1, l.ReadsPerSecond/4))
+}
+
+func limitOf(perSecond int) rate.Limit {
+	if perSecond == 0 {
+		return rate.Inf
+	}
+	return rate.Limit(perSecond)
+}
+
+// pace holds a call for as long as its service takes, and reports whether
+// the call is within the rates.
+func (p *Platform) pace(r *http.Request) bool {
+	p.mu.Lock()
+	limits, limiter := p.limits, p.readRate
+	if r.Method != http.MethodGet {
+		limiter = p.writeRate
+	}
+	p.mu.Unlock()
+	if limiter != nil && !limiter.Allow() {
+		p.mu.Lock()
+		p.overRate++
+		p.mu.Unlock()
+		return false
+	}
+	if strings.HasPrefix(r.URL.Path, "/object") {
+		time.Sleep(limits.Object)
+	} else {
+		time.Sleep(limits.Table)
+	}
+	return true
+}
+
 func (p *Platform) faults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
@@ -105,6 +160,10 @@
 			writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"})
 			return
 		}
+		if !p.pace(r) {
+			writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "too many calls"})
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -214,6 +273,14 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	delete(p.records, r.URL.Query().Get("key"))
+	p.writes++
+	p.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
 func (p *Platform) dropObject(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	delete(p.objects, r.URL.Query().Get("key"))
@@ -276,11 +343,13 @@
 	Writes  int  `json:"writes"`
 	Reads   int  `json:"reads"`
 	Outage  bool `json:"outage"`
+	// OverRate counts calls refused for coming too fast.
+	OverRate int `json:"over_rate"`
 }
 
 // State returns a snapshot for the state dump.
 func (p *Platform) State() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return PlatformState{Records: len(p.records), Objects: len(p.objects), Writes: p.writes, Reads: p.reads, Outage: p.outage}
+	return PlatformState{Records: len(p.records), Objects: len(p.objects), Writes: p.writes, Reads: p.reads, Outage: p.outage, OverRate: p.overRate}
 }
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -126,12 +126,13 @@
 	b.alive = append(b.alive, alive)
 	s := &settings.Entry{Common: settings.Common{InstanceID: "entry-" + string(rune('1'+i))}, Platform: serve(b.t, whileAlive(alive, b.platform.Handler())), PeerListen: freeUDP(b.t),
 		LeaseTTL: b.leaseTTL, ConfigPoll: 50 * time.Millisecond, CallTimeout: b.callTimeout, DrainTimeout: time.Second,
-		Routing: routing.NameAffinity, PrefillRate: settings.DefaultPrefillRate, BlockTokens: settings.DefaultBlockTokens}
+		JournalInterval: 2 * time.Millisecond, Routing: routing.NameAffinity, PrefillRate: settings.DefaultPrefillRate, BlockTokens: settings.DefaultBlockTokens}
 	e := entry.New(s, clock.Real{}, quietLog(), tally.NoopScope)
 	ctx, stop := context.WithCancel(b.ctx)
 	b.stopEntry = append(b.stopEntry, stop)
 	go e.WatchConfig(ctx, make(chan error, 1))
 	go e.Tidy(ctx, make(chan error, 1))
+	go e.WriteJournal(ctx, make(chan error, 1))
 	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, quietLog())
 	require.NoError(b.t, err)
 	go func() { _ = srv.Serve(ctx) }()
