--- a/journal/writer.go
+++ b/journal/writer.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
@@ -20,6 +22,18 @@
 	// batchBytes is about how much one batch holds at most, so that no
 	// write takes so long that those behind it miss their deadlines.
 	batchBytes = 2 << 20
+	// smallRecord is the size from which a record counts as large.
+	smallRecord = 12 << 10
+	// largeEvery is how many intervals lie between two batches of large
+	// records: these take the store longer, and cost as many of its writes.
+	largeEvery = 3
+	// deletesPerSecond bounds the deletion of batches that nobody needs. It
+	// may lag behind a burst, whose writes the store has to take first.
+	deletesPerSecond = 10
+	// mostInFlight bounds the batches on their way at once.
+	mostInFlight = 8
+	// finishFor bounds how long a stopping writer goes on.
+	finishFor = 2 * time.Second
 	// span is how many batches behind the newest a program's records may
 	// lie before it should write a whole record, so that a journal stays
 	// short enough to be read in a moment.
@@ -51,19 +65,25 @@
 
 	mu      sync.Mutex
 	waiting []*Pending
-	// current is the batch being written. Until the store has taken it, its
-	// name and content stay as they are: a try that seemed to fail may
-	// still land.
-	current *encoded
+	// writing counts the records on their way.
+	writing int
+	// next numbers batches, from 1.
 	next    uint64
 	pins    *pins
 	unused  []uint64
+	largeAt time.Time
+	deletes *rate.Limiter
 	inStore map[uint64]place
 	stats   Stats
 }
 
-// encoded is a batch as it is written.
+// encoded is a batch as it is written. Until the store has taken it, its
+// name and content stay as they are: a try that seemed to fail may still
+// land. Its records are of different programs than those of all other
+// batches on their way, since a program has one record pending at most; so
+// batches may overtake each other.
 type encoded struct {
+	number  uint64
 	records []*Pending
 	raw     json.RawMessage
 }
@@ -91,7 +111,7 @@
 // process may use. A batch goes out at once when none went for interval;
 // under load one goes out each interval.
 func NewWriter(name string, pc *platform.Client, interval time.Duration, log *slog.Logger) *Writer {
-	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), pins: newPins(), inStore: map[uint64]place{}}
+	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), pins: newPins(), deletes: rate.NewLimiter(deletesPerSecond, 1), inStore: map[uint64]place{}}
 }
 
 // Name returns the journal's name.
@@ -105,11 +125,15 @@
 	w.mu.Lock()
 	w.waiting = append(w.waiting, p)
 	w.mu.Unlock()
+	w.signal()
+	return p
+}
+
+func (w *Writer) signal() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return p
 }
 
 // Release notes that the program's records are needed no more.
@@ -135,97 +159,138 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.stats
-	s.Live, s.Waiting = len(w.inStore), len(w.waiting)
-	if w.current != nil {
-		s.Waiting += len(w.current.records)
-	}
+	s.Live, s.Waiting = len(w.inStore), len(w.waiting)+w.writing
 	return s
 }
 
-// Run writes batches until ctx ends and then what still waits, if the
-// store takes it at once; then it reports on done.
+// Run writes batches until ctx ends, finishes what waits if the store takes
+// it soon, and then reports on done.
 func (w *Writer) Run(ctx context.Context, done chan<- error) {
-	for {
+	writes, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	written := make(chan struct{}, mostInFlight)
+	inFlight := 0
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			w.flush(context.WithoutCancel(ctx), 1)
-			done <- nil
-			return
+		case <-written:
+			inFlight--
+			continue
 		case <-w.wake:
 		}
-		start := time.Now()
-		w.flush(ctx, 0)
-		w.sweep(ctx)
+		for inFlight >= mostInFlight-1 {
+			<-written
+			inFlight--
+		}
+		inFlight += w.send(writes, written)
 		// The first record after a pause goes out at once; under load the
 		// records of one interval share a batch.
 		select {
 		case <-ctx.Done():
-		case <-time.After(w.interval - time.Since(start)):
+		case <-time.After(w.interval):
 		}
 	}
+	defer time.AfterFunc(finishFor, stop).Stop()
+	for inFlight += w.send(writes, written); inFlight > 0; inFlight-- {
+		<-written
+	}
+	done <- nil
 }
 
-// flush writes everything that waits, trying each batch at most tries
-// times (0: until ctx ends).
-func (w *Writer) flush(ctx context.Context, tries int) {
-	for {
-		batch := w.take()
-		if batch == nil || !w.write(ctx, batch.raw, tries) {
-			return
-		}
-		w.committed(batch.records)
+// send starts writing the batches now due and returns how many they are.
+func (w *Writer) send(ctx context.Context, written chan<- struct{}) int {
+	batches := w.take()
+	for _, b := range batches {
+		go func() {
+			if w.write(ctx, b) {
+				w.committed(b)
+				w.sweep(ctx)
+			}
+			written <- struct{}{}
+		}()
 	}
+	return len(batches)
 }
 
-// take returns the batch to write: the current one, or the next records
-// off the queue; nil if none wait.
-func (w *Writer) take() *encoded {
+// take takes waiting records off the queue as at most two batches: the
+// small ones that fit into a row, which the table service takes in a moment,
+// and apart from them the large ones, so that a new program's long prompt
+// does not hold up everybody's next turn.
+func (w *Writer) take() []*encoded {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.current != nil || len(w.waiting) == 0 {
-		return w.current
+	var small, large, left []*Pending
+	smallBytes, largeBytes := 0, 0
+	largeDue := time.Since(w.largeAt) >= largeEvery*w.interval
+	for _, p := range w.waiting {
+		n := sizeOf(&p.record)
+		switch {
+		case n < smallRecord && smallBytes+n < rowBytes:
+			small, smallBytes = append(small, p), smallBytes+n
+		case n >= smallRecord && largeDue && largeBytes < batchBytes:
+			large, largeBytes = append(large, p), largeBytes+n
+		default:
+			left = append(left, p)
+		}
+	}
+	w.waiting = left
+	if len(large) > 0 {
+		w.largeAt = time.Now()
+	}
+	if len(left) > 0 {
+		w.signal()
 	}
-	size := 0
-	n := 0
-	for n < len(w.waiting) && (n == 0 || size < batchBytes) {
-		for _, m := range w.waiting[n].record.Checkpoint.Messages {
-			size += len(m.Content)
+	var out []*encoded
+	for _, records := range [][]*Pending{small, large} {
+		if len(records) > 0 {
+			out = append(out, w.encode(records))
 		}
-		n++
 	}
-	batch := w.waiting[:n:n]
-	w.waiting = w.waiting[n:]
-	out := Batch{Records: make([]Record, n)}
-	for i, p := range batch {
-		out.Records[i] = p.record
+	return out
+}
+
+func (w *Writer) encode(records []*Pending) *encoded {
+	b := Batch{Records: make([]Record, len(records))}
+	for i, p := range records {
+		b.Records[i] = p.record
 	}
-	raw, err := json.Marshal(&out)
+	raw, err := json.Marshal(&b)
 	if err != nil {
 		// Nothing in a record can fail to encode.
 		w.log.Error("journal batch not encoded", "err", err)
 	}
-	w.current = &encoded{records: batch, raw: raw}
-	return w.current
+	w.next++
+	w.writing += len(records)
+	return &encoded{number: w.next, records: records, raw: raw}
 }
 
-// write writes one batch. A try whose answer was lost may have taken
-// effect, or may yet: the next try has the same name and content, so
-// writing it twice is harmless.
-func (w *Writer) write(ctx context.Context, raw json.RawMessage, tries int) bool {
-	key := batchKey(w.name, w.next)
+// recordOverhead is about what a record takes besides its texts.
+const recordOverhead = 400
+
+// sizeOf estimates a record's encoded size in bytes.
+func sizeOf(r *Record) int {
+	n := recordOverhead + len(r.Checkpoint.Answer)
+	for _, m := range r.Checkpoint.Messages {
+		n += len(m.Content) + len(m.Role) + 30
+	}
+	return n
+}
+
+// write writes one batch and reports whether the store took it before ctx
+// ended. A try whose answer was lost may have taken effect, or may yet: the
+// next try has the same name and content, so writing it twice is harmless.
+func (w *Writer) write(ctx context.Context, b *encoded) bool {
+	key := batchKey(w.name, b.number)
 	pauses := retry.Backoff{First: retryFirst, Most: retryMost}
 	for try := 1; ; try++ {
-		at, err := w.put(ctx, key, raw)
+		at, err := w.put(ctx, key, b.raw)
 		if err == nil {
 			w.mu.Lock()
-			w.inStore[w.next] = at
+			w.inStore[b.number] = at
 			w.mu.Unlock()
 			return true
 		}
-		w.log.Warn("journal batch not taken", "batch", key, "bytes", len(raw), "try", try, "err", err)
-		if try == tries {
-			return false
-		}
+		w.log.Warn("journal batch not taken", "batch", key, "bytes", len(b.raw), "try", try, "err", err)
 		select {
 		case <-ctx.Done():
 			return false
@@ -247,35 +312,35 @@
 	return placeTable, err
 }
 
-func (w *Writer) committed(batch []*Pending) {
-	records := make([]Record, len(batch))
-	for i, p := range batch {
+func (w *Writer) committed(b *encoded) {
+	records := make([]Record, len(b.records))
+	for i, p := range b.records {
 		records[i] = p.record
 	}
 	w.mu.Lock()
+	w.writing -= len(records)
 	w.stats.Batches++
-	w.stats.Records += len(batch)
-	if w.inStore[w.next] == placeObject {
+	w.stats.Records += len(records)
+	if w.inStore[b.number] == placeObject {
 		w.stats.Objects++
 	}
-	w.unused = append(w.unused, w.pins.add(w.next, records)...)
-	w.next++
-	w.current = nil
+	w.unused = append(w.unused, w.pins.add(b.number, records)...)
 	w.mu.Unlock()
-	for _, p := range batch {
+	for _, p := range b.records {
 		close(p.durable)
 	}
 }
 
-// sweep deletes one batch that nobody needs, if there is one: one for each
-// written keeps pace, and leaves the store's writes to the records.
+// sweep deletes one batch that nobody needs, if there is one and its turn
+// has come.
 func (w *Writer) sweep(ctx context.Context) {
 	w.mu.Lock()
-	if len(w.unused) == 0 {
+	if len(w.unused) == 0 || !w.deletes.Allow() {
 		w.mu.Unlock()
 		return
 	}
 	number := w.unused[0]
+	w.unused = w.unused[1:]
 	at := w.inStore[number]
 	w.mu.Unlock()
 	key := batchKey(w.name, number)
@@ -285,12 +350,12 @@
 	} else {
 		err = w.platform.Delete(ctx, key)
 	}
-	if err != nil {
-		return // tried again after the next batch
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.unused = w.unused[1:]
+	if err != nil {
+		w.unused = append(w.unused, number) // tried again after a later batch
+		return
+	}
 	delete(w.inStore, number)
 	w.pins.forget([]uint64{number})
 }
