--- a/journal/writer.go
+++ b/journal/writer.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
@@ -27,9 +25,11 @@
 	// largeEvery is how many intervals lie between two batches of large
 	// records: these take the store longer, and cost as many of its writes.
 	largeEvery = 3
-	// deletesPerSecond bounds the deletion of batches that nobody needs. It
-	// may lag behind a burst, whose writes the store has to take first.
-	deletesPerSecond = 10
+	// Each sweepPeriod at most sweepRows rows that nobody needs are deleted,
+	// in one transaction, and sweepObjects objects: more than are written.
+	sweepPeriod  = 250 * time.Millisecond
+	sweepRows    = 64
+	sweepObjects = 6
 	// mostInFlight bounds the batches on their way at once.
 	mostInFlight = 8
 	// finishFor bounds how long a stopping writer goes on.
@@ -72,7 +72,6 @@
 	pins    *pins
 	unused  []uint64
 	largeAt time.Time
-	deletes *rate.Limiter
 	inStore map[uint64]place
 	stats   Stats
 }
@@ -111,7 +110,7 @@
 // process may use. A batch goes out at once when none went for interval;
 // under load one goes out each interval.
 func NewWriter(name string, pc *platform.Client, interval time.Duration, log *slog.Logger) *Writer {
-	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), pins: newPins(), deletes: rate.NewLimiter(deletesPerSecond, 1), inStore: map[uint64]place{}}
+	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), pins: newPins(), inStore: map[uint64]place{}}
 }
 
 // Name returns the journal's name.
@@ -168,6 +167,9 @@
 func (w *Writer) Run(ctx context.Context, done chan<- error) {
 	writes, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	swept := make(chan struct{}, 1)
+	go w.sweep(ctx, swept)
+	defer func() { <-swept }()
 	written := make(chan struct{}, mostInFlight)
 	inFlight := 0
 	for ctx.Err() == nil {
@@ -204,7 +206,6 @@
 		go func() {
 			if w.write(ctx, b) {
 				w.committed(b)
-				w.sweep(ctx)
 			}
 			written <- struct{}{}
 		}()
@@ -331,31 +332,66 @@
 	}
 }
 
-// sweep deletes one batch that nobody needs, if there is one and its turn
-// has come.
-func (w *Writer) sweep(ctx context.Context) {
-	w.mu.Lock()
-	if len(w.unused) == 0 || !w.deletes.Allow() {
-		w.mu.Unlock()
-		return
+// sweep deletes batches that nobody needs until ctx ends, then reports on
+// done.
+func (w *Writer) sweep(ctx context.Context, done chan<- struct{}) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- struct{}{}
+			return
+		case <-ticker.C:
+			w.sweepOnce(ctx)
+		}
 	}
-	number := w.unused[0]
-	w.unused = w.unused[1:]
-	at := w.inStore[number]
-	w.mu.Unlock()
-	key := batchKey(w.name, number)
-	var err error
-	if at == placeObject {
-		err = w.platform.DropObject(ctx, key)
-	} else {
-		err = w.platform.Delete(ctx, key)
+}
+
+// sweepOnce deletes the rows that are due in one transaction, and some of
+// the objects. What fails is tried again later.
+func (w *Writer) sweepOnce(ctx context.Context) {
+	rows, objects := w.due()
+	if len(rows) > 0 {
+		keys := make([]string, len(rows))
+		for i, number := range rows {
+			keys[i] = batchKey(w.name, number)
+		}
+		w.swept(rows, w.platform.Delete(ctx, keys...))
+	}
+	for _, number := range objects {
+		w.swept([]uint64{number}, w.platform.DropObject(ctx, batchKey(w.name, number)))
 	}
+}
+
+// due takes the batches to delete now off the list.
+func (w *Writer) due() (rows, objects []uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var left []uint64
+	for _, number := range w.unused {
+		switch at := w.inStore[number]; {
+		case at == placeTable && len(rows) < sweepRows:
+			rows = append(rows, number)
+		case at == placeObject && len(objects) < sweepObjects:
+			objects = append(objects, number)
+		default:
+			left = append(left, number)
+		}
+	}
+	w.unused = left
+	return rows, objects
+}
+
+func (w *Writer) swept(numbers []uint64, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		w.unused = append(w.unused, number) // tried again after a later batch
+		w.unused = append(w.unused, numbers...)
 		return
 	}
-	delete(w.inStore, number)
-	w.pins.forget([]uint64{number})
+	for _, number := range numbers {
+		delete(w.inStore, number)
+	}
+	w.pins.forget(numbers)
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -275,7 +275,9 @@
 
 func (p *Platform) delete(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
-	delete(p.records, r.URL.Query().Get("key"))
+	for _, key := range r.URL.Query()["key"] {
+		delete(p.records, key)
+	}
 	p.writes++
 	p.mu.Unlock()
 	writeJSON(w, http.StatusOK, struct{}{})
