Configuration by deltas; unused peer connections close

Every entry read the whole configuration at each poll (1.08 MB a second at 10,000 endpoints, against 5 KB/s for control), and kept a connection, with its keep-alives, to every sidecar it had ever called (11 KB/s per sidecar at 100 entries).

Peer connections without a call for 30 s close.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	peers       *peer.Client
 	log         *slog.Logger
 	config      atomic.Pointer[config.Config]
+	configMu    sync.Mutex
 	avoid       *avoidList
 	metrics     metrics
 	router      *routing.Router[routing.Policy]
@@ -69,7 +70,7 @@
 		callTimeout: s.CallTimeout,
 		clock:       clk,
 		platform:    platform.NewClient(s.Platform, 2*time.Second),
-		peers:       peer.NewClient(),
+		peers:       peer.NewClient(clk),
 		log:         log,
 		avoid:       newAvoidList(clk),
 		programs:    map[program.ID]*owned{},
@@ -138,6 +139,7 @@
 	Endpoints     []config.Endpoint `json:"endpoints"`
 	Avoided       []string          `json:"avoided_endpoints"`
 	Routing       routing.View      `json:"routing"`
+	Peers         int               `json:"peer_connections"`
 	Journal       journal.Stats     `json:"journal"`
 	Programs      []ProgramDump     `json:"programs"`
 }
@@ -156,7 +158,7 @@
 // State returns a snapshot for the state dump.
 func (e *Entry) State() any {
 	cfg := e.config.Load()
-	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names(), Routing: e.router.View(), Journal: e.journal.Stats()}
+	st := State{ID: e.id, ConfigVersion: cfg.Version, Endpoints: cfg.Endpoints, Avoided: e.avoid.names(), Routing: e.router.View(), Peers: e.peers.Len(), Journal: e.journal.Stats()}
 	e.mu.Lock()
 	all := make([]*owned, 0, len(e.programs))
 	for _, o := range e.programs {
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/BurntSushi/toml"
@@ -66,27 +67,68 @@
 // version, and returns the new version. A write whose answer was lost is
 // read back: if the record holds desired at base+1, it was ours.
 func Apply(ctx context.Context, pc *platform.Client, plan *config.Plan, desired *config.Config) (uint64, error) {
-	ver, err := pc.Put(ctx, config.Key, desired, plan.Base())
+	current, err := Current(ctx, pc)
+	if err != nil {
+		return 0, err
+	}
+	if current.Version != plan.Base() {
+		return 0, &StaleError{planned: plan.Base(), current: current.Version}
+	}
+	ops, err := changeOps(current, desired)
+	if err != nil {
+		return 0, err
+	}
+	next := plan.Base() + 1
+	err = pc.Tx(ctx, ops...)
+	var pe *platform.Error
 	switch {
 	case err == nil:
-		return ver, nil
-	case platform.Is(err, platform.FailureConflict):
-		var pe *platform.Error
-		if e, ok := err.(*platform.Error); ok {
-			pe = e
-		}
+		return next, nil
+	case platform.Is(err, platform.FailureConflict) && errors.As(err, &pe):
 		return 0, &StaleError{planned: plan.Base(), current: pe.Current()}
 	case platform.Is(err, platform.FailureUnavailable):
-		cur, rerr := Current(ctx, pc)
-		if rerr != nil {
-			return 0, err
-		}
-		if cur.Version == plan.Base()+1 && len(config.MakePlan(cur, desired).Changes()) == 0 {
-			return cur.Version, nil
-		}
-		if cur.Version != plan.Base() {
-			return 0, &StaleError{planned: plan.Base(), current: cur.Version}
-		}
+		return next, readBack(ctx, pc, plan, desired, err)
 	}
 	return 0, err
 }
+
+// changeOps returns the steps of the transaction that turns current into
+// desired: the whole, the delta, the head, and an old delta's deletion.
+func changeOps(current, desired *config.Config) ([]platform.TxOp, error) {
+	base, next := current.Version, current.Version+1
+	var ops []platform.TxOp
+	for _, r := range []struct {
+		key    string
+		value  any
+		expect uint64
+	}{
+		{config.Key, desired, base},
+		{config.DeltaKey(next), config.MakeDelta(current, desired), 0},
+		{config.HeadKey, struct{}{}, base},
+	} {
+		op, err := platform.PutOp(r.key, r.value, r.expect)
+		if err != nil {
+			return nil, err
+		}
+		ops = append(ops, op)
+	}
+	if key, ok := config.ExpiredDelta(next); ok {
+		ops = append(ops, platform.TxOp{Key: key, Delete: true})
+	}
+	return ops, nil
+}
+
+// readBack finds out what became of a write whose answer was lost; it
+// returns nil if it took effect.
+func readBack(ctx context.Context, pc *platform.Client, plan *config.Plan, desired *config.Config, lost error) error {
+	current, err := Current(ctx, pc)
+	switch {
+	case err != nil:
+		return lost
+	case current.Version == plan.Base()+1 && len(config.MakePlan(current, desired).Changes()) == 0:
+		return nil
+	case current.Version != plan.Base():
+		return &StaleError{planned: plan.Base(), current: current.Version}
+	}
+	return lost
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
 )
 
 // TruncatedError is returned by Client.Do when a reply ended without a
@@ -25,32 +28,96 @@
 // Unwrap returns the cause.
 func (e *TruncatedError) Unwrap() error { return e.cause }
 
-// Client sends calls to sidecars, keeping one connection per address.
+// UnusedFor is how long a connection is kept without a call. Keep-alives
+// cost about 110 bytes a second each; an entry instance that keeps one to
+// every sidecar it ever called would spend more on them than on control.
+const UnusedFor = 30 * time.Second
+
+// Client sends calls to sidecars and entry instances, keeping one
+// connection per address in use.
 type Client struct {
+	clock clock.Clock
 	mu    sync.Mutex
-	conns map[string]*quic.Conn
+	conns map[string]*clientConn
+	// sweepAt is when unused connections are next looked for.
+	sweepAt time.Time
+}
+
+// clientConn is a connection and its use.
+type clientConn struct {
+	conn  *quic.Conn
+	calls int
+	last  time.Time
 }
 
 // NewClient returns a Client with no connections yet.
-func NewClient() *Client { return &Client{conns: make(map[string]*quic.Conn)} }
+func NewClient(clk clock.Clock) *Client {
+	return &Client{clock: clk, conns: make(map[string]*clientConn)}
+}
 
-func (c *Client) conn(ctx context.Context, addr string) (*quic.Conn, error) {
-	c.mu.Lock()
-	conn, ok := c.conns[addr]
-	c.mu.Unlock()
-	// A connection closed by its idle timeout (its far end went silent)
-	// has a done context; it is dropped and redialled here.
-	if ok && conn.Context().Err() == nil {
-		return conn, nil
+// conn returns a connection to addr and the function that ends its use by
+// one call.
+func (c *Client) conn(ctx context.Context, addr string) (*quic.Conn, func(), error) {
+	if cc := c.open(addr); cc != nil {
+		return cc.conn, func() { c.unuse(cc) }, nil
 	}
 	conn, err := quic.DialAddr(ctx, addr, clientTLS(), quicConfig())
 	if err != nil {
-		return nil, eris.Wrapf(err, "dial peer %s", addr)
+		return nil, nil, eris.Wrapf(err, "dial peer %s", addr)
+	}
+	cc := &clientConn{conn: conn, calls: 1}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other, ok := c.conns[addr]; ok && other.conn.Context().Err() == nil && other.calls == 0 {
+		_ = other.conn.CloseWithError(0, "replaced")
+	}
+	c.conns[addr] = cc
+	return conn, func() { c.unuse(cc) }, nil
+}
+
+// open returns the open connection to addr, counting a call on it; nil if
+// there is none. A connection closed by its idle timeout (its far end went
+// silent) has a done context; it is dropped and dialled anew.
+func (c *Client) open(addr string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sweep()
+	cc, ok := c.conns[addr]
+	if !ok || cc.conn.Context().Err() != nil {
+		return nil
 	}
+	cc.calls++
+	return cc
+}
+
+func (c *Client) unuse(cc *clientConn) {
 	c.mu.Lock()
-	c.conns[addr] = conn
-	c.mu.Unlock()
-	return conn, nil
+	defer c.mu.Unlock()
+	cc.calls--
+	cc.last = c.clock.Now()
+}
+
+// sweep closes connections without a call for UnusedFor. The caller holds
+// c.mu.
+func (c *Client) sweep() {
+	now := c.clock.Now()
+	if now.Before(c.sweepAt) {
+		return
+	}
+	c.sweepAt = now.Add(UnusedFor / 10)
+	for addr, cc := range c.conns {
+		if cc.calls == 0 && now.Sub(cc.last) > UnusedFor {
+			_ = cc.conn.CloseWithError(0, "unused")
+			delete(c.conns, addr)
+		}
+	}
+}
+
+// Len returns the number of connections kept.
+func (c *Client) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
 }
 
 // Do sends call to the sidecar at addr and passes each frame of the reply
@@ -58,10 +125,11 @@
 // could not be sent (it was then not run) or the reply was cut short
 // (*TruncatedError: the outcome is unknown).
 func (c *Client) Do(ctx context.Context, addr string, call *Call, recv func(Frame) error) (sent bool, err error) {
-	conn, err := c.conn(ctx, addr)
+	conn, unuse, err := c.conn(ctx, addr)
 	if err != nil {
 		return false, err
 	}
+	defer unuse()
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return false, eris.Wrapf(err, "open stream to %s", addr)
@@ -91,8 +159,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, conn := range c.conns {
-		_ = conn.CloseWithError(0, "closing")
+	for addr, cc := range c.conns {
+		_ = cc.conn.CloseWithError(0, "closing")
 		delete(c.conns, addr)
 	}
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -93,6 +93,7 @@
 	mux.HandleFunc("GET /table", p.get)
 	mux.HandleFunc("PUT /table", p.put)
 	mux.HandleFunc("DELETE /table", p.delete)
+	mux.HandleFunc("POST /tx", p.tx)
 	mux.HandleFunc("GET /scan", p.scan)
 	mux.HandleFunc("GET /objects", p.getObject)
 	mux.HandleFunc("PUT /objects", p.putObject)
@@ -221,6 +222,41 @@
 	writeJSON(w, http.StatusOK, platform.PutResponse{Version: rec.Version})
 }
 
+// tx applies all steps or none; it counts as one write.
+func (p *Platform) tx(w http.ResponseWriter, r *http.Request) {
+	var req platform.TxRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Ops) == 0 {
+		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a JSON body with ops"})
+		return
+	}
+	status, answer := p.applyTx(req.Ops)
+	writeJSON(w, status, answer)
+}
+
+func (p *Platform) applyTx(ops []platform.TxOp) (int, platform.ErrorBody) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refused() {
+		return http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"}
+	}
+	for _, op := range ops {
+		if cur := p.records[op.Key]; !op.Delete && cur.Version != op.ExpectVersion {
+			return http.StatusConflict, platform.ErrorBody{Error: "version conflict", Version: cur.Version}
+		}
+	}
+	for _, op := range ops {
+		if op.Delete {
+			delete(p.records, op.Key)
+			continue
+		}
+		p.records[op.Key] = platform.Record{Key: op.Key, Value: op.Value, Version: op.ExpectVersion + 1}
+	}
+	if p.ackLost() {
+		return http.StatusServiceUnavailable, platform.ErrorBody{Error: "answer lost"}
+	}
+	return http.StatusOK, platform.ErrorBody{}
+}
+
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	p.mu.Lock()
--- a/systemtest/owner_test.go
+++ b/systemtest/owner_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 )
 
@@ -53,7 +54,7 @@
 	b := newBed(t, defaultEngines, 0)
 	ep, ok := b.cfg.Find("tools-1")
 	require.True(t, ok)
-	client := peer.NewClient()
+	client := peer.NewClient(clock.Real{})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
