A program's creation is one write; urgent turns do not wait for a batch

Change: the lease holds what a program was created with until its first record is durable, so creation is one conditional write (a conflict is read back only then); the outcome of an intent and the turn's record are written at the same time; a record of an urgent program ends the pause between two batches.

Ruled out: taking over a lapsed lease of an equal creation made elsewhere (TestDeposedOwnerCannotAct rightly wants 409: the id is taken).

--- a/config/config_bench_test.go
+++ b/config/config_bench_test.go
@@ -54,3 +54,28 @@
 		})
 	}
 }
+
+// BenchmarkDelta measures what one changed endpoint costs a watcher as the
+// configuration grows: the bytes of the delta, against those of the whole,
+// and the time to apply it.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			held := sized(n)
+			want := &Config{Endpoints: append([]Endpoint(nil), held.Endpoints...)}
+			want.Endpoints[n/2].Draining = true
+			d := MakeDelta(held, want)
+			raw, err := json.Marshal(d)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := held.With(d); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "bytes/delta")
+		})
+	}
+}
--- a/config/delta.go
+++ b/config/delta.go
@@ -5,12 +5,13 @@
 	"slices"
 )
 
-// The configuration lives in the table service as three kinds of record,
-// written together in one transaction: the whole under Key, what a version
-// changed under DeltaKey, and an empty record under HeadKey. The versions
-// of the first and the last are the configuration's. Watchers read the head
-// and the deltas they lack; the whole, a megabyte at 10,000 endpoints, only
-// when they start or have missed too many.
+// HeadKey is the table key of an empty record that is written with each
+// version. The configuration lives in the table service as three kinds of
+// record, written together in one transaction: the whole under Key, what a
+// version changed under DeltaKey, and the head. The versions of the first
+// and the last are the configuration's. Watchers read the head and the
+// deltas they lack; the whole, a megabyte at 10,000 endpoints, only when
+// they start or have missed too many.
 const HeadKey = "config-head"
 
 // keepDeltas is how many versions back deltas are kept.
--- a/entry/avoid.go
+++ b/entry/avoid.go
@@ -47,7 +47,7 @@
 		delete(a.until, name)
 		return false
 	}
-	return ok && !(urgent && v.busy)
+	return ok && (!urgent || !v.busy)
 }
 
 func (a *avoidList) names() []string {
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -25,7 +25,8 @@
 	if o.last != nil {
 		answer, _ = json.Marshal(&o.last.answer)
 	}
-	o.pending = e.journal.Append(journal.Record{Program: o.prog.ID(), Epoch: o.epoch, Checkpoint: record(&o.log, answer)})
+	o.pending = e.journal.Append(journal.Record{Program: o.prog.ID(), Epoch: o.epoch, Checkpoint: record(&o.log, answer),
+		Urgent: o.prog.Spec().Urgency >= program.UrgencyUrgent})
 }
 
 // stageTurn stages what changed since the last record.
@@ -92,7 +93,7 @@
 	if o, ok := e.lookup(id); ok {
 		return o, nil
 	}
-	lease, err := e.acquireLease(ctx, id, false)
+	lease, err := e.acquireLease(ctx, id)
 	if err != nil {
 		return nil, err
 	}
@@ -100,10 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(records) == 0 {
-		return nil, notFound(id)
-	}
-	p, answer, err := program.Replay(id, records, lease.version)
+	p, answer, err := restore(id, records, &lease)
 	if err != nil {
 		return nil, err
 	}
@@ -123,6 +121,19 @@
 	return o, nil
 }
 
+// restore returns the program as its records describe it, or as it was
+// created if it has none.
+func restore(id program.ID, records []program.Checkpoint, lease *grant) (*program.Program, json.RawMessage, error) {
+	if len(records) > 0 {
+		return program.Replay(id, records, lease.version)
+	}
+	if lease.created == nil {
+		return nil, nil, notFound(id)
+	}
+	p, err := program.New(lease.created.Spec, lease.created.Created, lease.version)
+	return p, nil, err
+}
+
 func notFound(id program.ID) error {
 	return caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q", id)
 }
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
-	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
@@ -26,10 +24,19 @@
 	// Journals are those that may hold the program's records: the holder's
 	// own, last, and until its first record is durable its predecessors'.
 	Journals []string `json:"journals"`
+	// New is what the program was created with, as long as no journal may
+	// hold a record of it.
+	New *newProgram `json:"new,omitempty"`
 	// Ended: the program has ended; its id is not used again.
 	Ended bool `json:"ended,omitempty"`
 }
 
+// newProgram is what a program is created with.
+type newProgram struct {
+	Spec    program.Spec `json:"spec"`
+	Created time.Time    `json:"created"`
+}
+
 // heldBy reports whether the holder is the process that writes journal. An
 // instance that restarted is another holder under the same name.
 func (l leaseRecord) heldBy(journal string) bool {
@@ -62,8 +69,10 @@
 type grant struct {
 	version uint64
 	expires time.Time
-	// journals are those to read the program's log from.
+	// journals are those to read the program's log from; created is what it
+	// was created with, if it may have none.
 	journals []string
+	created  *newProgram
 }
 
 // LeaseError says a program's lease is held by another live instance.
@@ -103,13 +112,14 @@
 // renewLease renews o's lease unless more than left of it remains.
 func (e *Entry) renewLease(ctx context.Context, o *owned, left time.Duration) error {
 	o.mu.Lock()
-	id, ver, expires := o.prog.ID(), o.leaseVer, o.leaseExpires
+	id, ver, expires, created := o.prog.ID(), o.leaseVer, o.leaseExpires, o.unlogged()
 	o.mu.Unlock()
 	now := e.clock.Now()
 	if now.Before(expires.Add(-left)) {
 		return nil
 	}
 	want := e.leaseUntil(now.Add(e.leaseTTL))
+	want.New = created
 	newVer, err := e.platform.Put(ctx, leaseKey(id), want, ver)
 	if platform.Is(err, platform.FailureUnavailable) {
 		newVer, err = e.readBackLease(ctx, id, want, ver)
@@ -177,42 +187,84 @@
 	return fmt.Sprintf("program %s: lease write not taken, platform unavailable", e.program)
 }
 
-// acquireLease takes the lease on id for this instance. It fails with a
-// *LeaseError if another instance holds an unexpired lease, and with a
+// createLease takes the first lease on a new program, in one write that
+// also holds what the program was created with: until its first turn it has
+// no record in a journal. It fails with an *ExistsError if the id is taken.
+//
+// A creation whose answer was lost, and could not be read back, is found
+// again when its caller retries here: the lease is this process's, and holds
+// the same program without a turn.
+func (e *Entry) createLease(ctx context.Context, created *newProgram) (grant, error) {
+	id := created.Spec.ID
+	want := e.leaseUntil(e.clock.Now().Add(e.leaseTTL))
+	want.New = created
+	got := grant{expires: time.UnixMilli(want.Expires)}
+	var err error
+	got.version, err = e.platform.Put(ctx, leaseKey(id), want, 0)
+	switch {
+	case platform.Is(err, platform.FailureUnavailable):
+		var rerr error
+		if got.version, rerr = e.readBackLease(ctx, id, want, 0); rerr != nil {
+			return grant{}, err
+		}
+	case platform.Is(err, platform.FailureConflict):
+		return e.createAgain(ctx, created)
+	case err != nil:
+		return grant{}, err
+	}
+	return got, nil
+}
+
+// createAgain takes the lease of a program that this process created, if it
+// is the same and has run no turn; programs kept here never get so far.
+func (e *Entry) createAgain(ctx context.Context, created *newProgram) (grant, error) {
+	id := created.Spec.ID
+	rec, err := e.platform.Get(ctx, leaseKey(id))
+	if err != nil {
+		return grant{}, err
+	}
+	var held leaseRecord
+	if err := json.Unmarshal(rec.Value, &held); err != nil {
+		return grant{}, err
+	}
+	if held.Ended || !held.heldBy(e.journal.Name()) || held.New == nil || !held.New.Spec.Equal(&created.Spec) {
+		return grant{}, &ExistsError{program: id}
+	}
+	return e.acquireLease(ctx, id)
+}
+
+// acquireLease takes over the lease on id for this instance. It fails with
+// a *LeaseError if another instance holds an unexpired lease, and with a
 // platform error if the platform is down.
 //
 // A put whose answer was lost may still have taken effect: the lease is
 // then read back, and if it names this instance at the version we wrote,
 // it is ours. Without the read-back a lost ack would leave the program
 // without an owner until the lease expired.
-//
-// With fresh set, the program must never have existed: a lease record
-// means the id is taken, even a lapsed one, unless the program has no log
-// (its creation failed half way and was never acknowledged). Re-creating a
-// program whose owner died would otherwise start it again with an empty
-// history over its log.
-func (e *Entry) acquireLease(ctx context.Context, id program.ID, fresh bool) (grant, error) {
+func (e *Entry) acquireLease(ctx context.Context, id program.ID) (grant, error) {
 	key := leaseKey(id)
 	now := e.clock.Now()
 	cur, err := e.platform.Get(ctx, key)
-	if err != nil && !platform.Is(err, platform.FailureNotFound) {
-		return grant{}, err
+	if platform.Is(err, platform.FailureNotFound) {
+		return grant{}, notFound(id)
 	}
-	if cur.Version == 0 && !fresh {
-		return grant{}, caller.NewError(http.StatusNotFound, caller.TypeNotFound, "no program %q", id)
+	if err != nil {
+		return grant{}, err
 	}
 	var held leaseRecord
-	if cur.Version > 0 {
-		if err := json.Unmarshal(cur.Value, &held); err != nil {
-			return grant{}, err
-		}
-		if err := e.takeable(ctx, id, &held, fresh, now); err != nil {
-			return grant{}, err
-		}
+	if err := json.Unmarshal(cur.Value, &held); err != nil {
+		return grant{}, err
+	}
+	if held.Ended {
+		return grant{}, program.Ended(id)
+	}
+	if !held.heldBy(e.journal.Name()) && held.live(now, e.margin()) {
+		return grant{}, &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
 	}
 	want := e.leaseUntil(now.Add(e.leaseTTL))
 	want.Journals = append(slices.DeleteFunc(slices.Clone(held.Journals), func(j string) bool { return j == e.journal.Name() }), e.journal.Name())
-	got := grant{expires: time.UnixMilli(want.Expires), journals: want.Journals}
+	want.New = held.New
+	got := grant{expires: time.UnixMilli(want.Expires), journals: want.Journals, created: held.New}
 	got.version, err = e.platform.Put(ctx, key, want, cur.Version)
 	if err == nil {
 		return got, nil
@@ -227,28 +279,6 @@
 	return grant{}, err
 }
 
-// takeable returns nil if this instance may take over the program whose
-// lease is held, or, with fresh set, create it.
-func (e *Entry) takeable(ctx context.Context, id program.ID, held *leaseRecord, fresh bool, now time.Time) error {
-	if held.Ended && fresh {
-		return &ExistsError{program: id}
-	}
-	if held.Ended {
-		return program.Ended(id)
-	}
-	if !held.heldBy(e.journal.Name()) && held.live(now, e.margin()) {
-		return &LeaseError{program: id, holder: held.Holder, address: held.Address, expires: time.UnixMilli(held.Expires)}
-	}
-	if !fresh {
-		return nil
-	}
-	records, err := e.readLog(ctx, id, held.Journals)
-	if err == nil && len(records) > 0 {
-		err = &ExistsError{program: id}
-	}
-	return err
-}
-
 // endLease marks the program's lease as ended, so that the program's
 // records can be dropped and its id is still known to be used. If the mark
 // cannot be written, the records stay.
@@ -284,11 +314,12 @@
 	for id, o := range all {
 		o.mu.Lock()
 		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil && o.prog.State() == program.StateRunning
+		free := leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, New: o.unlogged()}
 		o.mu.Unlock()
 		if !idle {
 			continue
 		}
-		if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}}, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
+		if _, err := e.platform.Put(ctx, leaseKey(id), free, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
 			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
 			return
 		}
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -41,6 +41,15 @@
 	return o.prog.Fence()
 }
 
+// unlogged returns what the program was created with if no record of it is
+// known to be durable yet, else nil. The caller holds o.mu.
+func (o *owned) unlogged() *newProgram {
+	if o.log.Started() {
+		return nil
+	}
+	return &newProgram{Spec: o.prog.Spec(), Created: o.prog.Created()}
+}
+
 // passed reports whether the program is past call seq.
 func (o *owned) passed(seq uint64) bool {
 	o.mu.Lock()
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -94,26 +94,18 @@
 		apiError(&ExistsError{program: spec.ID}).Write(w)
 		return
 	}
-	lease, err := e.acquireLease(r.Context(), spec.ID, true)
-	var held *LeaseError
-	if errors.As(err, &held) {
-		err = &ExistsError{program: spec.ID}
-	}
+	created := newProgram{Spec: spec, Created: e.clock.Now()}
+	lease, err := e.createLease(r.Context(), &created)
 	if err != nil {
 		apiError(err).Write(w)
 		return
 	}
-	p, err := program.New(spec, e.clock.Now(), lease.version)
+	p, err := program.New(spec, created.Created, lease.version)
 	if err != nil {
 		apiError(err).Write(w)
 		return
 	}
 	o := &owned{prog: p, epoch: lease.version, leaseVer: lease.version, leaseExpires: lease.expires}
-	e.stageTurn(o)
-	if err := e.persist(r.Context(), o); err != nil {
-		caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not created: %v", err).RetryAfter(retryAfterUnavailable).Write(w)
-		return
-	}
 	e.keep(spec.ID, o)
 	e.log.Info("program created", "program", spec.ID, "urgency", spec.Urgency, "budget", spec.BudgetTokens, "fence", lease.version)
 	writeJSON(w, http.StatusCreated, e.stateOf(o))
--- a/entry/toolcall.go
+++ b/entry/toolcall.go
@@ -60,7 +60,14 @@
 		return e.answerFromIntent(ctx, o, req, intent.existing)
 	}
 	result, res := e.sendTool(ctx, o, req)
-	e.settleIntentAfter(ctx, id, req.Sequence, intent.version, res, result)
+	// The record of the outcome and that of the turn are written at once;
+	// the answer waits for both.
+	settled := make(chan struct{})
+	go func() {
+		e.settleIntentAfter(ctx, id, req.Sequence, intent.version, res, result)
+		close(settled)
+	}()
+	defer func() { <-settled }()
 	switch res.outcome {
 	case outcomeDone:
 		return e.finishTool(ctx, o, toolAnswer(o, req, result, res.endpoint))
--- a/journal/batch.go
+++ b/journal/batch.go
@@ -15,6 +15,8 @@
 	Program    program.ID         `json:"program"`
 	Epoch      uint64             `json:"epoch"`
 	Checkpoint program.Checkpoint `json:"checkpoint"`
+	// Urgent records do not wait for the next interval.
+	Urgent bool `json:"-"`
 }
 
 // Batch is what is written at once.
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -62,6 +62,8 @@
 	interval time.Duration
 	log      *slog.Logger
 	wake     chan struct{}
+	// hurry ends the pause between two batches.
+	hurry chan struct{}
 
 	mu      sync.Mutex
 	waiting []*Pending
@@ -108,9 +110,9 @@
 
 // NewWriter returns the writer of the journal called name, which no other
 // process may use. A batch goes out at once when none went for interval;
-// under load one goes out each interval.
+// under load one goes out each interval, and at once for urgent records.
 func NewWriter(name string, pc *platform.Client, interval time.Duration, log *slog.Logger) *Writer {
-	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), pins: newPins(), inStore: map[uint64]place{}}
+	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), pins: newPins(), inStore: map[uint64]place{}}
 }
 
 // Name returns the journal's name.
@@ -125,6 +127,12 @@
 	w.waiting = append(w.waiting, p)
 	w.mu.Unlock()
 	w.signal()
+	if r.Urgent {
+		select {
+		case w.hurry <- struct{}{}:
+		default:
+		}
+	}
 	return p
 }
 
@@ -189,6 +197,7 @@
 		// records of one interval share a batch.
 		select {
 		case <-ctx.Done():
+		case <-w.hurry:
 		case <-time.After(w.interval):
 		}
 	}
--- a/load/draw.go
+++ b/load/draw.go
@@ -70,12 +70,12 @@
 		rng := rand.New(rand.NewPCG(x.Seed, uint64(i)))
 		at := time.Duration(0)
 		for n := 0; ; n++ {
-			phase, rate := x.rateAt(at, shape.PerSecond)
+			_, rate := x.rateAt(at, shape.PerSecond)
 			at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 			if at >= x.Quiet+x.Burst+x.After {
 				break
 			}
-			phase, _ = x.rateAt(at, shape.PerSecond)
+			phase, _ := x.rateAt(at, shape.PerSecond)
 			out = append(out, x.drawOne(rng, shape, fmt.Sprintf("%s-%d", shape.Name, n), phase, at))
 		}
 	}
--- a/program/log.go
+++ b/program/log.go
@@ -45,6 +45,9 @@
 	logged int
 }
 
+// Started reports whether a record is durable.
+func (l *Log) Started() bool { return l.next > 0 }
+
 // Record returns the record that brings the log up to p. The log moves on
 // only when Committed is called, after the record is durable.
 func (l *Log) Record(p *Program, answer json.RawMessage) Checkpoint {
--- a/program/program.go
+++ b/program/program.go
@@ -43,6 +43,12 @@
 	return nil
 }
 
+// Equal reports whether t asks for the same program.
+func (s *Spec) Equal(t *Spec) bool {
+	return s.ID == t.ID && s.BudgetTokens == t.BudgetTokens && s.Urgency == t.Urgency && s.Deadline == t.Deadline &&
+		slices.Equal(s.NonIdempotentTools, t.NonIdempotentTools)
+}
+
 // Message is one turn of conversation history, in the chat roles of the
 // engines' protocol ("system", "user", "assistant", "tool").
 type Message struct {
--- a/routing/router_bench_test.go
+++ b/routing/router_bench_test.go
@@ -102,3 +102,34 @@
 		})
 	}
 }
+
+// BenchmarkRoutePrograms measures a decision of the affinity policy at
+// 10,000 endpoints as the programs under way grow to the target's 3 M, each
+// call being of any of them. Prompts are of 64 blocks, 16 of them shared.
+func BenchmarkRoutePrograms(b *testing.B) {
+	for _, n := range []uint64{1000, 30_000, 3_000_000} {
+		b.Run(fmt.Sprintf("programs=%d", n), func(b *testing.B) {
+			r := NewRouter(&Affinity{TokensPerSecond: 100_000}, clock.Real{})
+			r.Update(endpoints(10_000, 6))
+			rng := rand.New(rand.NewPCG(1, 2))
+			prompt := make([]uint64, 64)
+			out := Outcome{Ran: true, Report: &Report{Running: 4, Limit: 12}}
+			b.ReportAllocs()
+			for b.Loop() {
+				program := rng.Uint64N(n)
+				for i := range prompt {
+					prompt[i] = uint64(i + 1)
+					if i >= 16 {
+						prompt[i] |= (program + 1) << 16
+					}
+				}
+				c, ok := r.Pick(&Request{Target: Target{Model: "model-1"}, Key: strconv.FormatUint(program, 10), Prompt: prompt, Tokens: 1024, BlockTokens: 16}, nil)
+				if !ok {
+					b.Fatal("no endpoint")
+				}
+				r.First(c)
+				r.Done(c, out)
+			}
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -95,7 +95,7 @@
 	if s.role == "engine" {
 		watched := make(chan error, 1)
 		go s.cache.run(ctx, watched)
-		defer func() { <-watched }()
+		defer func() { _ = <-watched }()
 	}
 	sweep := time.NewTicker(sweepPeriod)
 	defer sweep.Stop()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -24,6 +24,8 @@
 	lag      time.Duration
 	outage   bool
 	lostAcks int
+	// failReads is how many more reads of leases fail.
+	failReads int
 	// refuseAfter is how many more writes take effect before every later
 	// write is refused without effect; negative: never.
 	refuseAfter int
@@ -60,6 +62,13 @@
 	p.lostAcks = n
 }
 
+// FailReads makes the next n reads of leases fail with 503.
+func (p *Platform) FailReads(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failReads = n
+}
+
 // RefuseWritesAfter lets the next n writes take effect, then refuses every
 // later write with 503 and no effect (an outage that starts between two
 // writes), until called with a negative n.
@@ -184,7 +193,15 @@
 	p.mu.Lock()
 	p.reads++
 	rec, ok := p.records[key]
+	fail := p.failReads > 0 && strings.HasPrefix(key, "lease/")
+	if fail {
+		p.failReads--
+	}
 	p.mu.Unlock()
+	if fail {
+		writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"})
+		return
+	}
 	if !ok {
 		writeJSON(w, http.StatusNotFound, platform.ErrorBody{Error: "no such key"})
 		return
--- a/systemtest/owner_test.go
+++ b/systemtest/owner_test.go
@@ -74,3 +74,28 @@
 	require.Equal(t, peer.FrameRefused, f.Type, "an earlier sequence under the same fence is refused too")
 	require.Equal(t, 1, b.tool.Executions("p/1"))
 }
+
+// TestLostCreationIsFoundAgain: a creation whose answer was lost twice over
+// is neither lost nor made twice.
+//
+// Symptom: a caller is told its program exists, though it was also told it
+// was not created; or one id starts two programs.
+// Sequence: the store takes the creation and loses its answer, and is down
+// when the entry reads it back; the caller retries when the store is well;
+// then somebody else asks for the id.
+// Cause: a conditional write that cannot tell its own earlier try from
+// another's.
+func TestLostCreationIsFoundAgain(t *testing.T) {
+	b := newBed(t, oneEngine, 2)
+	spec := caller.CreateProgram{ID: "jur-lost-creation", BudgetTokens: 5000}
+	b.platform.LoseAcks(1)
+	b.platform.FailReads(1)
+	require.Equal(t, 503, createProgram(t, b.entryURL[0], spec))
+	require.Equal(t, 201, createProgram(t, b.entryURL[0], spec))
+	require.Equal(t, 409, createProgram(t, b.entryURL[0], spec))
+	require.Equal(t, 409, createProgram(t, b.entryURL[1], spec))
+	other := spec
+	other.BudgetTokens = 7
+	require.Equal(t, 409, createProgram(t, b.entryURL[1], other))
+	b.newReference("fleetdesk").turn(b.entryURL[1], spec.ID, 1, nil, "first")
+}
