--- a/entry/lease.go
+++ b/entry/lease.go
@@ -31,12 +31,6 @@
 	Ended bool `json:"ended,omitempty"`
 }
 
-// newProgram is what a program is created with.
-type newProgram struct {
-	Spec    program.Spec `json:"spec"`
-	Created time.Time    `json:"created"`
-}
-
 // heldBy reports whether the holder is the process that writes journal. An
 // instance that restarted is another holder under the same name.
 func (l leaseRecord) heldBy(journal string) bool {
@@ -172,12 +166,6 @@
 	return 0, &LeaseError{program: id, holder: got.Holder, address: got.Address, expires: time.UnixMilli(got.Expires)}
 }
 
-// ExistsError says a program id was used before.
-type ExistsError struct{ program program.ID }
-
-// Error names the program.
-func (e *ExistsError) Error() string { return fmt.Sprintf("program %s exists", e.program) }
-
 // LeaseUnsettledError says a lease write was not taken and the platform
 // failed to answer; nothing was done and the caller should come back.
 type LeaseUnsettledError struct{ program program.ID }
@@ -187,52 +175,6 @@
 	return fmt.Sprintf("program %s: lease write not taken, platform unavailable", e.program)
 }
 
-// createLease takes the first lease on a new program, in one write that
-// also holds what the program was created with: until its first turn it has
-// no record in a journal. It fails with an *ExistsError if the id is taken.
-//
-// A creation whose answer was lost, and could not be read back, is found
-// again when its caller retries here: the lease is this process's, and holds
-// the same program without a turn.
-func (e *Entry) createLease(ctx context.Context, created *newProgram) (grant, error) {
-	id := created.Spec.ID
-	want := e.leaseUntil(e.clock.Now().Add(e.leaseTTL))
-	want.New = created
-	got := grant{expires: time.UnixMilli(want.Expires)}
-	var err error
-	got.version, err = e.platform.Put(ctx, leaseKey(id), want, 0)
-	switch {
-	case platform.Is(err, platform.FailureUnavailable):
-		var rerr error
-		if got.version, rerr = e.readBackLease(ctx, id, want, 0); rerr != nil {
-			return grant{}, err
-		}
-	case platform.Is(err, platform.FailureConflict):
-		return e.createAgain(ctx, created)
-	case err != nil:
-		return grant{}, err
-	}
-	return got, nil
-}
-
-// createAgain takes the lease of a program that this process created, if it
-// is the same and has run no turn; programs kept here never get so far.
-func (e *Entry) createAgain(ctx context.Context, created *newProgram) (grant, error) {
-	id := created.Spec.ID
-	rec, err := e.platform.Get(ctx, leaseKey(id))
-	if err != nil {
-		return grant{}, err
-	}
-	var held leaseRecord
-	if err := json.Unmarshal(rec.Value, &held); err != nil {
-		return grant{}, err
-	}
-	if held.Ended || !held.heldBy(e.journal.Name()) || held.New == nil || !held.New.Spec.Equal(&created.Spec) {
-		return grant{}, &ExistsError{program: id}
-	}
-	return e.acquireLease(ctx, id)
-}
-
 // acquireLease takes over the lease on id for this instance. It fails with
 // a *LeaseError if another instance holds an unexpired lease, and with a
 // platform error if the platform is down.
@@ -278,54 +220,3 @@
 	}
 	return grant{}, err
 }
-
-// endLease marks the program's lease as ended, so that the program's
-// records can be dropped and its id is still known to be used. If the mark
-// cannot be written, the records stay.
-func (e *Entry) endLease(ctx context.Context, o *owned) {
-	o.mu.Lock()
-	id, ver := o.prog.ID(), o.leaseVer
-	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
-	defer cancel()
-	if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, Ended: true}, ver); err != nil {
-		e.log.Warn("end of program not marked", "program", id, "err", err)
-		return
-	}
-	e.journal.Release(id)
-}
-
-// releasePause spaces the writes of ReleaseLeases, so that a stopping
-// instance with many programs leaves the table service room for others.
-const releasePause = 2 * time.Millisecond
-
-// ReleaseLeases gives up the leases of this instance's programs, so that
-// other instances adopt them at once instead of waiting for the leases to
-// lapse. A planned stop calls it last, when no call is in flight. It stops
-// at the first failure or when ctx ends: what is left lapses by itself.
-func (e *Entry) ReleaseLeases(ctx context.Context) {
-	e.mu.Lock()
-	all := make(map[program.ID]*owned, len(e.programs))
-	for id, o := range e.programs {
-		all[id] = o
-	}
-	e.mu.Unlock()
-	released := 0
-	for id, o := range all {
-		o.mu.Lock()
-		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil && o.prog.State() == program.StateRunning
-		free := leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, New: o.unlogged()}
-		o.mu.Unlock()
-		if !idle {
-			continue
-		}
-		if _, err := e.platform.Put(ctx, leaseKey(id), free, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
-			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
-			return
-		}
-		e.depose(id, o)
-		released++
-		time.Sleep(releasePause)
-	}
-	e.log.Info("leases released", "released", released)
-}
--- /dev/null
+++ b/entry/leaseend.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/program"
+)
+
+// endLease marks the program's lease as ended, so that the program's
+// records can be dropped and its id is still known to be used. If the mark
+// cannot be written, the records stay.
+func (e *Entry) endLease(ctx context.Context, o *owned) {
+	o.mu.Lock()
+	id, ver := o.prog.ID(), o.leaseVer
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
+	defer cancel()
+	if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, Ended: true}, ver); err != nil {
+		e.log.Warn("end of program not marked", "program", id, "err", err)
+		return
+	}
+	e.journal.Release(id)
+}
+
+// releasePause spaces the writes of ReleaseLeases, so that a stopping
+// instance with many programs leaves the table service room for others.
+const releasePause = 2 * time.Millisecond
+
+// ReleaseLeases gives up the leases of this instance's programs, so that
+// other instances adopt them at once instead of waiting for the leases to
+// lapse. A planned stop calls it last, when no call is in flight. It stops
+// at the first failure or when ctx ends: what is left lapses by itself.
+func (e *Entry) ReleaseLeases(ctx context.Context) {
+	e.mu.Lock()
+	all := make(map[program.ID]*owned, len(e.programs))
+	for id, o := range e.programs {
+		all[id] = o
+	}
+	e.mu.Unlock()
+	released := 0
+	for id, o := range all {
+		o.mu.Lock()
+		ver, idle := o.leaseVer, o.cancel == nil && o.pending == nil && o.prog.State() == program.StateRunning
+		free := leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, New: o.unlogged()}
+		o.mu.Unlock()
+		if !idle {
+			continue
+		}
+		if _, err := e.platform.Put(ctx, leaseKey(id), free, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
+			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
+			return
+		}
+		e.depose(id, o)
+		released++
+		time.Sleep(releasePause)
+	}
+	e.log.Info("leases released", "released", released)
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -25,11 +25,6 @@
 	// largeEvery is how many intervals lie between two batches of large
 	// records: these take the store longer, and cost as many of its writes.
 	largeEvery = 3
-	// Each sweepPeriod at most sweepRows rows that nobody needs are deleted,
-	// in one transaction, and sweepObjects objects: more than are written.
-	sweepPeriod  = 250 * time.Millisecond
-	sweepRows    = 64
-	sweepObjects = 6
 	// mostInFlight bounds the batches on their way at once.
 	mostInFlight = 8
 	// finishFor bounds how long a stopping writer goes on.
@@ -340,67 +335,3 @@
 		close(p.durable)
 	}
 }
-
-// sweep deletes batches that nobody needs until ctx ends, then reports on
-// done.
-func (w *Writer) sweep(ctx context.Context, done chan<- struct{}) {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			done <- struct{}{}
-			return
-		case <-ticker.C:
-			w.sweepOnce(ctx)
-		}
-	}
-}
-
-// sweepOnce deletes the rows that are due in one transaction, and some of
-// the objects. What fails is tried again later.
-func (w *Writer) sweepOnce(ctx context.Context) {
-	rows, objects := w.due()
-	if len(rows) > 0 {
-		keys := make([]string, len(rows))
-		for i, number := range rows {
-			keys[i] = batchKey(w.name, number)
-		}
-		w.swept(rows, w.platform.Delete(ctx, keys...))
-	}
-	for _, number := range objects {
-		w.swept([]uint64{number}, w.platform.DropObject(ctx, batchKey(w.name, number)))
-	}
-}
-
-// due takes the batches to delete now off the list.
-func (w *Writer) due() (rows, objects []uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var left []uint64
-	for _, number := range w.unused {
-		switch at := w.inStore[number]; {
-		case at == placeTable && len(rows) < sweepRows:
-			rows = append(rows, number)
-		case at == placeObject && len(objects) < sweepObjects:
-			objects = append(objects, number)
-		default:
-			left = append(left, number)
-		}
-	}
-	w.unused = left
-	return rows, objects
-}
-
-func (w *Writer) swept(numbers []uint64, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err != nil {
-		w.unused = append(w.unused, numbers...)
-		return
-	}
-	for _, number := range numbers {
-		delete(w.inStore, number)
-	}
-	w.pins.forget(numbers)
-}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -92,17 +92,18 @@
 // Run follows the endpoint's cache events, if it is an engine, and forgets
 // old fence marks, until ctx ends; then it reports on done.
 func (s *Sidecar) Run(ctx context.Context, done chan<- error) {
+	watched := make(chan error, 1)
 	if s.role == "engine" {
-		watched := make(chan error, 1)
 		go s.cache.run(ctx, watched)
-		defer func() { _ = <-watched }()
+	} else {
+		watched <- nil
 	}
 	sweep := time.NewTicker(sweepPeriod)
 	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			done <- nil
+			done <- <-watched
 			return
 		case <-sweep.C:
 			s.fences.Sweep(markFor)
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -48,6 +48,8 @@
 	procs     map[string]*exec.Cmd
 	entryURL  []string
 	engineDbg string
+	// platform is the platform stand-in's address.
+	platform string
 }
 
 func newFleet(t *testing.T, leaseTTL time.Duration) *fleet {
@@ -98,14 +100,20 @@
 	}
 	path := filepath.Join(f.dir, name+".toml")
 	require.NoError(f.t, os.WriteFile(path, []byte(b.String()), 0o600))
+	f.run(name, append(command, "-s", path), debug, listen)
+	return debug
+}
+
+// run starts one process and returns once it listens on the TCP addresses.
+func (f *fleet) run(name string, args []string, addrs ...string) {
 	log, err := os.Create(filepath.Join(f.dir, name+".log"))
 	require.NoError(f.t, err)
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(f.bin, append(command, "-s", path)...)
+	cmd := exec.Command(f.bin, args...)
 	cmd.Stderr = log
 	require.NoError(f.t, cmd.Start())
 	f.procs[name] = cmd
-	for _, addr := range []string{debug, listen} {
+	for _, addr := range addrs {
 		require.Eventually(f.t, func() bool {
 			if addr == "" {
 				return true
@@ -117,7 +125,6 @@
 			return err == nil
 		}, 10*time.Second, 10*time.Millisecond, "%s does not listen on %s", name, addr)
 	}
-	return debug
 }
 
 func (f *fleet) signal(name string, sig syscall.Signal) {
