--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -43,6 +43,7 @@
 	}
 	p.goroutine(ctx, e.WatchConfig)
 	p.goroutine(ctx, e.Tidy)
+	p.goroutine(ctx, e.MarkEnds)
 	p.goroutine(peerCtx, e.WriteJournal)
 	p.goroutine(peerCtx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,8 @@
 	journal  *journal.Writer
 	journals *journal.Reader
 	adopting keyLocks
+	// ended are programs whose leases are yet to be marked.
+	ended chan *owned
 
 	mu       sync.Mutex
 	programs map[program.ID]*owned
@@ -76,6 +78,7 @@
 		programs:    map[program.ID]*owned{},
 		peerAddress: s.PeerListen,
 		holders:     newHolders(clk),
+		ended:       make(chan *owned, endsQueued),
 		metrics: metrics{
 			calls:    scope.Counter("calls"),
 			refused:  scope.Counter("refused"),
--- a/entry/leaseend.go
+++ b/entry/leaseend.go
@@ -8,14 +8,49 @@
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
-// endLease marks the program's lease as ended, so that the program's
-// records can be dropped and its id is still known to be used. If the mark
-// cannot be written, the records stay.
+const (
+	// endsQueued bounds the programs whose leases wait to be marked ended;
+	// those beyond it keep their records in the journal.
+	endsQueued = 1 << 16
+	// endPause lies between two marks: nobody waits for them, and in a burst
+	// the store's writes are better spent on programs that run.
+	endPause = 20 * time.Millisecond
+)
+
+// markEnded has the program's lease marked as ended soon, so that its
+// records can be dropped and its id is still known to be used. Until then,
+// its last record says that it ended.
+func (e *Entry) markEnded(o *owned) {
+	select {
+	case e.ended <- o:
+	default:
+		e.log.Warn("end of program not marked", "program", o.prog.ID(), "queued", endsQueued)
+	}
+}
+
+// MarkEnds marks the leases of ended programs until ctx ends, then reports
+// on done.
+func (e *Entry) MarkEnds(ctx context.Context, done chan<- error) {
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case o := <-e.ended:
+			e.endLease(ctx, o)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(endPause):
+		}
+	}
+}
+
 func (e *Entry) endLease(ctx context.Context, o *owned) {
 	o.mu.Lock()
 	id, ver := o.prog.ID(), o.leaseVer
 	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
+	ctx, cancel := context.WithTimeout(ctx, settleFor)
 	defer cancel()
 	if _, err := e.platform.Put(ctx, leaseKey(id), leaseRecord{Holder: e.id, Journals: []string{e.journal.Name()}, Ended: true}, ver); err != nil {
 		e.log.Warn("end of program not marked", "program", id, "err", err)
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -8,6 +8,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/retry"
 )
 
 // maxBody bounds a request's body: a history of 250,000 tokens and room to
@@ -16,7 +17,7 @@
 
 // retryAfterUnavailable is when a caller refused because the platform is
 // down should come back.
-const retryAfterUnavailable = 2 * time.Second
+const retryAfterUnavailable = 500 * time.Millisecond
 
 func decodeBody(r *http.Request, v any) *caller.Error {
 	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
@@ -60,7 +61,7 @@
 	}
 	var nd *NotDurableError
 	if errors.As(err, &nd) {
-		return caller.NewError(http.StatusBadGateway, caller.TypeNotDurable, "%s; send the same sequence again", nd.Error()).RetryAfter(retryAfterUnavailable)
+		return caller.NewError(http.StatusBadGateway, caller.TypeNotDurable, "%s; send the same sequence again", nd.Error()).RetryAfter(comeBack())
 	}
 	var ee *ExistsError
 	if errors.As(err, &ee) {
@@ -70,9 +71,13 @@
 	if errors.As(err, &le) {
 		return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %s", le.Error()).RetryAfter(time.Second)
 	}
-	return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "platform: %v", err).RetryAfter(retryAfterUnavailable)
+	return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "platform: %v", err).RetryAfter(comeBack())
 }
 
+// comeBack is retryAfterUnavailable, a little later for some than for others
+// so that they do not all come back together.
+func comeBack() time.Duration { return retryAfterUnavailable + retry.Jitter(retryAfterUnavailable) }
+
 func (e *Entry) createProgram(w http.ResponseWriter, r *http.Request) {
 	var req caller.CreateProgram
 	if cerr := decodeBody(r, &req); cerr != nil {
@@ -168,7 +173,7 @@
 		apiError(err).Write(w)
 		return
 	}
-	e.endLease(r.Context(), o)
+	e.markEnded(o)
 	e.log.Info("program ended", "program", st.ID, "spent", st.SpentTokens)
 	writeJSON(w, http.StatusOK, st)
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -46,7 +46,7 @@
 // Limits are how fast the platform answers and how much it takes. The zero
 // value answers at once and takes everything.
 type Limits struct {
-	// WritesPerSecond and ReadsPerSecond are taken; more are answered 503.
+	// WritesPerSecond and ReadsPerSecond are taken; more are answered 429.
 	WritesPerSecond, ReadsPerSecond int
 	// Table and Object are the times of a call to each service.
 	Table, Object time.Duration
@@ -101,7 +101,7 @@
 			return
 		}
 		if !p.pace(r) {
-			unavailable(w, "too many calls")
+			writeJSON(w, http.StatusTooManyRequests, platform.ErrorBody{Error: "too many calls"})
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -132,6 +132,7 @@
 	b.stopEntry = append(b.stopEntry, stop)
 	go e.WatchConfig(ctx, make(chan error, 1))
 	go e.Tidy(ctx, make(chan error, 1))
+	go e.MarkEnds(ctx, make(chan error, 1))
 	go e.WriteJournal(ctx, make(chan error, 1))
 	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, quietLog())
 	require.NoError(b.t, err)
