--- a/routing/router.go
+++ b/routing/router.go
@@ -126,6 +126,10 @@
 
 // Choice is a picked endpoint; every Choice must be ended with Done.
 type Choice struct {
+	// spec and seen are the endpoint's as of the choice: the endpoint itself
+	// is the router's, and may change under its lock.
+	spec     config.Endpoint
+	seen     uint64
 	endpoint *Endpoint
 	req      *Request
 	unread   int
@@ -135,10 +139,11 @@
 }
 
 // Endpoint returns the endpoint's configuration.
-func (c *Choice) Endpoint() config.Endpoint { return c.endpoint.spec }
+func (c *Choice) Endpoint() config.Endpoint { return c.spec }
 
-// Seen returns the number of the endpoint's last report seen here.
-func (c *Choice) Seen() uint64 { return c.endpoint.report }
+// Seen returns the number of the endpoint's last report seen when it was
+// chosen.
+func (c *Choice) Seen() uint64 { return c.seen }
 
 // Pick picks an endpoint for req and counts the call to it, skipping those
 // for which skip returns true (such as endpoints that just refused). It
@@ -153,7 +158,7 @@
 	}
 	now := r.clock.Now()
 	ep := r.policy.Choose(req, candidates, held, now)
-	c := &Choice{endpoint: ep, req: req, started: now, held: held[ep]}
+	c := &Choice{spec: ep.spec, seen: ep.report, endpoint: ep, req: req, started: now, held: held[ep]}
 	if len(req.Prompt) > 0 {
 		c.unread = req.unread(held[ep])
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,3 +168,41 @@
 	require.Equal(t, []int{1, 2, 4, 8, 11}, routing.Anchors(11))
 	require.Equal(t, []int{1, 2, 4, 7, 8, 11}, routing.Anchors(11, 7, 40))
 }
+
+// TestRouterIsSafeForConcurrentUse drives a router from several goroutines
+// while its configuration changes; the race detector is the judge.
+//
+// Symptom: a call is sent to the address of another endpoint.
+// Sequence: calls are picked and end while the list of endpoints, some at
+// new addresses, is replaced.
+// Cause: a choice that reads its endpoint after the router's lock is gone.
+func TestRouterIsSafeForConcurrentUse(t *testing.T) {
+	r, _ := newRouter(8)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 500 {
+				c, ok := r.Pick(prompt(g*500+i, 20, 10), nil)
+				if !ok {
+					continue
+				}
+				r.First(c)
+				_, _ = c.Endpoint(), c.Seen()
+				r.Done(c, routing.Outcome{Ran: i%3 > 0, Report: &routing.Report{Limit: 12, Sequence: uint64(i)}})
+			}
+		})
+	}
+	wg.Go(func() {
+		for i := range 200 {
+			eps := fleet(8)
+			eps[i%8].Sidecar = "10.0.1.1:9000"
+			eps[i%5].Draining = true
+			r.Update(eps)
+			r.View()
+		}
+	})
+	wg.Wait()
+	for _, ep := range r.View().Endpoints {
+		require.Zero(t, ep.InFlight, ep.Name)
+	}
+}
