Calls for an owner that cannot be reached are answered at once

Cause: reading forward.go: each call for a dead owner's program dialled it again and waited for a handshake that nobody answers (2 s), until the lease lapsed.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -33,6 +33,12 @@
 // forward sends the request to the entry instance at address, which owns
 // the program, and relays its answer.
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, id program.ID, address string) {
+	if e.avoid.has(peerName(address), false) {
+		// It was out of reach a moment ago: say so at once instead of
+		// holding the caller for another handshake that nobody answers.
+		ownerUnreachable().Write(w)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "body: %v", err).Write(w)
@@ -60,7 +66,8 @@
 	e.log.Info("forward failed", "program", id, "owner", address, "sent", sent, "err", err)
 	switch {
 	case !sent:
-		caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: the program's owner cannot be reached").RetryAfter(retryAfterForward).Write(w)
+		e.avoid.add(peerName(address), avoidUnreachable, false)
+		ownerUnreachable().Write(w)
 	case !relay.started:
 		// The owner may have run the call. Sending the same sequence again
 		// is safe: it is answered from the log or the intent record.
@@ -72,6 +79,13 @@
 	}
 }
 
+// peerName is an entry instance's name in the list of what to avoid.
+func peerName(address string) string { return "entry " + address }
+
+func ownerUnreachable() *caller.Error {
+	return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: the program's owner cannot be reached").RetryAfter(retryAfterForward)
+}
+
 // relayWriter writes a forwarded request's answer to the caller.
 type relayWriter struct {
 	w       http.ResponseWriter
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -98,7 +98,27 @@
 	if err != nil {
 		return err
 	}
-	return r.readObjects(ctx, journal, names, c)
+	if err := r.readObjects(ctx, journal, names, c); err != nil {
+		return err
+	}
+	c.prune()
+	return nil
+}
+
+// prune drops records that newer ones replaced: a journal read after a
+// burst holds many more than are needed, and an entry has little memory.
+func (c *contents) prune() {
+	for id, records := range c.records {
+		if len(records) < 2 {
+			continue
+		}
+		log := latest(records)
+		kept := make([]Record, len(log.Records))
+		for i, checkpoint := range log.Records {
+			kept[i] = Record{Program: id, Epoch: log.Epoch, Checkpoint: checkpoint}
+		}
+		c.records[id] = kept
+	}
 }
 
 func (r *Reader) readObjects(ctx context.Context, journal string, names []string, c *contents) error {
--- a/systemtest/history_test.go
+++ b/systemtest/history_test.go
@@ -204,3 +204,25 @@
 	}
 	return n
 }
+
+// TestUnreachableOwnerIsAnsweredAtOnce: callers of a program whose owner
+// just died are not held up, one after another, by attempts to reach it.
+//
+// Symptom: every call of a dead owner's programs takes seconds to be
+// refused, until their leases lapse.
+// Sequence: the owner is killed; its lease has long to go; two calls of the
+// program reach another entry.
+// Cause: dialling anew for each call an address that does not answer.
+func TestUnreachableOwnerIsAnsweredAtOnce(t *testing.T) {
+	b := newBed(t, oneEngine, 2)
+	const id = "jur-unreachable"
+	create(t, b.entryURL[0], id)
+	b.kill(0)
+	first := programCall(t, b.entryURL[1], id, modelCall(1, "fleetdesk", "hello", 3))
+	require.Equal(t, caller.TypeUnavailable, first.err.Type, first.err.Message)
+	start := time.Now()
+	second := programCall(t, b.entryURL[1], id, modelCall(1, "fleetdesk", "hello", 3))
+	require.Equal(t, caller.TypeUnavailable, second.err.Type, second.err.Message)
+	require.NotEmpty(t, second.retryAfter)
+	require.Less(t, time.Since(start), time.Second, "held up by another handshake, which takes two")
+}
