--- a/load/plot.go
+++ b/load/plot.go
@@ -18,14 +18,8 @@
 // PlotLatency draws the distribution of whole-program latency of each run
 // to a PNG file. Failed programs never end: a curve stops below 1.
 func PlotLatency(path string, x *Experiment, runs []*Result) error {
-	p := plot.New()
-	p.Title.Text = x.Name + ": whole-program latency"
-	p.X.Label.Text, p.Y.Label.Text = "seconds", "share of programs ended"
-	var lines []any
-	for _, r := range runs {
-		lines = append(lines, r.Label, latencyCurve(r))
-	}
-	return save(p, path, lines)
+	p := newPlot(x.Name+": whole-program latency", "seconds", "share of programs ended")
+	return drawRuns(p, path, runs, latencyCurve)
 }
 
 func latencyCurve(r *Result) plotter.XYs {
@@ -46,14 +40,8 @@
 // PlotWasted draws the share of reusable prompt tokens that were read
 // again, second by second, of each run to a PNG file.
 func PlotWasted(path string, x *Experiment, runs []*Result) error {
-	p := plot.New()
-	p.Title.Text = x.Name + ": wasted prefix cache"
-	p.X.Label.Text, p.Y.Label.Text = "seconds since the start", "share of reusable tokens read again"
-	var lines []any
-	for _, r := range runs {
-		lines = append(lines, r.Label, wastedCurve(r))
-	}
-	return save(p, path, lines)
+	p := newPlot(x.Name+": wasted prefix cache", "seconds since the start", "share of reusable tokens read again")
+	return drawRuns(p, path, runs, wastedCurve)
 }
 
 func wastedCurve(r *Result) plotter.XYs {
@@ -77,8 +65,19 @@
 	return xys
 }
 
-func save(p *plot.Plot, path string, lines []any) error {
+func newPlot(title, xLabel, yLabel string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, xLabel, yLabel
 	p.Legend.Top, p.Legend.Left = false, false
+	return p
+}
+
+// drawRuns draws one curve per run and writes the plot.
+func drawRuns(p *plot.Plot, path string, runs []*Result, curve func(*Result) plotter.XYs) error {
+	var lines []any
+	for _, r := range runs {
+		lines = append(lines, r.Label, curve(r))
+	}
 	if err := plotutil.AddLines(p, lines...); err != nil {
 		return err
 	}
