--- a/sidecar/cachewatch_test.go
+++ b/sidecar/cachewatch_test.go
@@ -95,8 +95,9 @@
 	go w.run(ctx, done)
 	defer func() {
 		cancel()
-		<-done
-		<-done
+		for range cap(done) {
+			require.NoError(t, <-done)
+		}
 	}()
 	ask := func(text string) []uint64 {
 		messages := []program.Message{{Role: "user", Content: text}}
