A turn ending while its program's catch-up record is pending is kept

Cause: found by reading the whole change. finish and catchUp could stage a record while another of the program was pending. Both then had one index, and a successor kept whichever it read first: the catch-up's, without the turn that was answered. A catch-up record also stayed pending, though durable, until the program's next call, so a planned stop waited for it. And a router that had seen a restarted sidecar's old number told it that number for ever, and was told to forget its engine's cache at every call.

Change: stage itself defers while a record is pending, and persist stages what changed once it is durable (the checks of pending in abort and endProgram go); catchUp waits for its records; a reset report sets the number seen. begin's refusal uses the jittered comeBack like its twins.

--- a/entry/call.go
+++ b/entry/call.go
@@ -28,7 +28,7 @@
 		if ran {
 			return nil, nil, err
 		}
-		return nil, nil, caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %v", err).RetryAfter(retryAfterUnavailable)
+		return nil, nil, caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %v", err).RetryAfter(comeBack())
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -75,7 +75,7 @@
 	o.mu.Lock()
 	o.prog.Abort(seq, used)
 	o.cancel = nil
-	charged := used > 0 && o.pending == nil
+	charged := used > 0
 	if charged {
 		e.stageTurn(o)
 	}
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -18,9 +18,14 @@
 const persistFor = 2 * time.Second
 
 // stage hands the record that brings o's log up to its program to the
-// journal and keeps it pending. The caller holds o.mu, and no record is
-// pending.
+// journal and keeps it pending. While another is pending, the record waits
+// for persist to stage it: two records under one index would leave it to
+// chance which of them a successor reads. The caller holds o.mu.
 func (e *Entry) stage(o *owned, record func(*program.Log, json.RawMessage) program.Checkpoint) {
+	if o.pending != nil {
+		o.restage = true
+		return
+	}
 	var answer json.RawMessage
 	if o.last != nil {
 		answer, _ = json.Marshal(&o.last.answer)
@@ -39,7 +44,7 @@
 	e.stage(o, func(l *program.Log, answer json.RawMessage) program.Checkpoint { return l.RecordWhole(o.prog, answer) })
 }
 
-// persist returns once o's pending record is durable. No answer leaves this
+// persist returns once o's pending records are durable. No answer leaves this
 // instance before the turn it belongs to is durable: an owner killed right
 // after would otherwise have told the caller of a turn that its successor
 // has never heard of, and the history would be lost.
@@ -48,26 +53,38 @@
 // goes on trying, no further call of the program begins, and the caller,
 // sent back with Retry-After, gets the answer on the same sequence.
 func (e *Entry) persist(ctx context.Context, o *owned) error {
-	o.mu.Lock()
-	p := o.pending
-	o.mu.Unlock()
-	if p == nil {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), persistFor)
 	defer cancel()
-	select {
-	case <-p.Durable():
-	case <-ctx.Done():
-		return &NotDurableError{program: o.prog.ID()}
+	for {
+		o.mu.Lock()
+		p := o.pending
+		o.mu.Unlock()
+		if p == nil {
+			return nil
+		}
+		select {
+		case <-p.Durable():
+			e.committed(o, p)
+		case <-ctx.Done():
+			return &NotDurableError{program: o.prog.ID()}
+		}
 	}
+}
+
+// committed moves o's log past p, now durable, and stages what changed
+// meanwhile.
+func (e *Entry) committed(o *owned, p *journal.Pending) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.pending == p { // else a duplicate of the call was first
-		o.pending = nil
-		o.log.Committed(p.Checkpoint())
+	if o.pending != p {
+		return // a duplicate of the call was first
+	}
+	o.pending = nil
+	o.log.Committed(p.Checkpoint())
+	if o.restage {
+		o.restage = false
+		e.stageTurn(o)
 	}
-	return nil
 }
 
 // NotDurableError says a turn ran but its record is not yet durable; the
--- a/entry/owned.go
+++ b/entry/owned.go
@@ -24,6 +24,9 @@
 	log     program.Log
 	epoch   uint64
 	pending *journal.Pending
+	// restage: the program changed while a record was pending, and needs
+	// another.
+	restage bool
 	// leaseVer and leaseExpires are the lease record's version (the
 	// fencing token) and end as this instance last wrote them.
 	leaseVer     uint64
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -163,9 +163,7 @@
 	err := e.persist(r.Context(), o) // a turn still pending
 	if err == nil {
 		o.mu.Lock()
-		if o.pending == nil {
-			e.stageTurn(o)
-		}
+		e.stageTurn(o)
 		o.mu.Unlock()
 		err = e.persist(r.Context(), o)
 	}
--- a/entry/tidy.go
+++ b/entry/tidy.go
@@ -26,7 +26,7 @@
 			return
 		case <-ticker.C:
 			e.forgetEnded()
-			e.catchUp()
+			e.catchUp(ctx)
 		}
 	}
 }
@@ -51,7 +51,7 @@
 // that their last ones lie far back in the journal: they would keep all
 // batches since from being dropped, and a successor would have to read
 // them.
-func (e *Entry) catchUp() {
+func (e *Entry) catchUp(ctx context.Context) {
 	for _, id := range e.journal.Lagging() {
 		o, ok := e.lookup(id)
 		if !ok {
@@ -59,9 +59,12 @@
 			continue
 		}
 		o.mu.Lock()
-		if o.pending == nil {
-			e.stageWhole(o)
-		}
+		e.stageWhole(o)
 		o.mu.Unlock()
+		// Waited for, so that a planned stop does not take a record long
+		// durable for a turn still on its way.
+		if err := e.persist(ctx, o); err != nil {
+			return // the store is down; the rest can wait for it
+		}
 	}
 }
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -80,6 +80,11 @@
 	// The gate counts this instance's calls too; the rest are others'.
 	e.others = max(0, r.Running+r.Waiting-e.inFlight)
 	e.othersAt = now
+	if r.Reset {
+		// The sidecar may have restarted and count anew.
+		e.report = r.Sequence
+		return
+	}
 	e.report = max(e.report, r.Sequence)
 }
 
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -206,3 +206,20 @@
 		require.Zero(t, ep.InFlight, ep.Name)
 	}
 }
+
+// TestRestartedSidecarIsBelievedAgain: a sidecar that restarted resets what
+// is known of its engine once, not at every call.
+//
+// Symptom: after a sidecar's restart its engine reads every prompt anew for
+// good.
+// Sequence: reports up to number 9 are seen; the sidecar restarts, and its
+// next report is number 0 with a reset.
+// Cause: telling the new sidecar, for ever, a number that it never gave.
+func TestRestartedSidecarIsBelievedAgain(t *testing.T) {
+	r, _ := newRouter(1)
+	r.Done(pick(t, r, prompt(0, 100, 100)), routing.Outcome{Ran: true, Report: &routing.Report{Limit: 12, Sequence: 9}})
+	c := pick(t, r, prompt(0, 100, 100))
+	require.EqualValues(t, 9, c.Seen())
+	r.Done(c, routing.Outcome{Ran: true, Report: &routing.Report{Limit: 12, Reset: true}})
+	require.Zero(t, pick(t, r, prompt(0, 100, 100)).Seen())
+}
