An answer given again is confirmed like one given first

Cause: found by reading. begin replayed the last answer without the lease check that finish makes before an answer leaves. A duplicate of a call, frozen past the lease between its own check and the replay, could give an answer that finish had just withheld.

Change: finish and the replay share confirm.

The freeze itself, between two lines of one request, was not provoked by a test.

--- a/entry/call.go
+++ b/entry/call.go
@@ -30,6 +30,17 @@
 		}
 		return nil, nil, caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: %v", err).RetryAfter(comeBack())
 	}
+	replay, history, err = e.start(o, seq, cancel, cost)
+	if replay != nil {
+		if err := e.confirm(ctx, o); err != nil {
+			return nil, nil, err
+		}
+	}
+	return replay, history, err
+}
+
+// start is begin's part under the program's lock.
+func (e *Entry) start(o *owned, seq uint64, cancel context.CancelFunc, cost func([]program.Message) int64) (replay *caller.Answer, history []program.Message, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.last != nil && o.last.seq == seq && o.prog.NextSequence() == seq+1 && o.pending == nil {
@@ -58,13 +69,20 @@
 	if err := e.persist(ctx, o); err != nil {
 		return err
 	}
+	return e.confirm(ctx, o)
+}
+
+// confirm returns nil if an answer of the program may leave this instance:
+// the lease outlasted the write of its record. It holds for an answer given
+// again as for one given first, since the first may not have left.
+func (e *Entry) confirm(ctx context.Context, o *owned) error {
 	err := e.confirmLease(ctx, o)
 	var lost *LeaseError
 	if errors.As(err, &lost) {
 		return caller.NewError(http.StatusBadGateway, caller.TypeUpstreamFailed, "the program moved to another instance during the call; send the same sequence again").RetryAfter(time.Second)
 	}
 	if err != nil {
-		return &NotDurableError{program: program.ID(ans.Program)}
+		return &NotDurableError{program: o.prog.ID()}
 	}
 	return nil
 }
