--- a/cmd/wagtaildrum/ctl.go
+++ b/cmd/wagtaildrum/ctl.go
@@ -9,20 +9,20 @@
 
 	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/operator"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/settings"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 type ctlSettings struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"TOML settings file"`
 }
 
-func (c *ctlSettings) client() (*platform.Client, error) {
+func (c *ctlSettings) client() (*tableservice.Client, error) {
 	s, err := settings.Load[settings.Ctl](c.Settings)
 	if err != nil {
 		return nil, err
 	}
-	return platform.NewClient(s.Platform, 5*time.Second), nil
+	return tableservice.NewClient(s.Platform, 5*time.Second), nil
 }
 
 type applyCommand struct {
--- a/cmd/wagtaildrum/sidecar.go
+++ b/cmd/wagtaildrum/sidecar.go
@@ -6,9 +6,9 @@
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/peer"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/settings"
 	"github.com/wagtaildrum/wagtaildrum/sidecar"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 type sidecarCommand struct {
@@ -40,8 +40,8 @@
 	}
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
 	p.goroutine(ctx, sc.Run)
-	pc := platform.NewClient(s.Platform, 2*time.Second)
-	self := platform.Instance{ID: s.InstanceID, Address: srv.Addr(), State: platform.InstanceLive}
+	pc := tableservice.NewClient(s.Platform, 2*time.Second)
+	self := tableservice.Instance{ID: s.InstanceID, Address: srv.Addr(), State: tableservice.InstanceLive}
 	if err := pc.SetInstance(ctx, self); err != nil {
 		p.log.Warn("instance list not updated", "err", err)
 	}
@@ -58,10 +58,10 @@
 	return p.wait(stop)
 }
 
-func drain(p *process, sc *sidecar.Sidecar, pc *platform.Client, self platform.Instance, timeout time.Duration) {
+func drain(p *process, sc *sidecar.Sidecar, pc *tableservice.Client, self tableservice.Instance, timeout time.Duration) {
 	idle := sc.Drain()
 	p.log.Info("sidecar draining", "timeout", timeout)
-	self.State = platform.InstanceLeaving
+	self.State = tableservice.InstanceLeaving
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	if err := pc.SetInstance(ctx, self); err != nil {
 		p.log.Warn("instance list not updated", "err", err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,11 +16,11 @@
 	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/journal"
 	"github.com/wagtaildrum/wagtaildrum/peer"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 	"github.com/wagtaildrum/wagtaildrum/routing"
 	"github.com/wagtaildrum/wagtaildrum/settings"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // Entry is one entry instance.
@@ -30,7 +30,7 @@
 	configPoll  time.Duration
 	callTimeout time.Duration
 	clock       clock.Clock
-	platform    *platform.Client
+	platform    *tableservice.Client
 	peers       *peer.Client
 	log         *slog.Logger
 	config      atomic.Pointer[config.Config]
@@ -71,7 +71,7 @@
 		configPoll:  s.ConfigPoll,
 		callTimeout: s.CallTimeout,
 		clock:       clk,
-		platform:    platform.NewClient(s.Platform, 2*time.Second),
+		platform:    tableservice.NewClient(s.Platform, 2*time.Second),
 		peers:       peer.NewClient(clk),
 		log:         log,
 		avoid:       newAvoidList(clk),
--- a/entry/intent.go
+++ b/entry/intent.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // intentState is where a non-idempotent call stands in its intent record.
@@ -53,7 +53,7 @@
 		if err == nil {
 			return claim{version: ver}, nil
 		}
-		if !platform.Is(err, platform.FailureConflict) && !platform.Is(err, platform.FailureUnavailable) {
+		if !tableservice.Is(err, tableservice.FailureConflict) && !tableservice.Is(err, tableservice.FailureUnavailable) {
 			return claim{}, err
 		}
 		rec, rerr := e.platform.Get(ctx, key)
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // leaseRecord is the value under lease/{program} in the table service.
@@ -115,12 +115,12 @@
 	want := e.leaseUntil(now.Add(e.leaseTTL))
 	want.New = created
 	newVer, err := e.platform.Put(ctx, leaseKey(id), want, ver)
-	if platform.Is(err, platform.FailureUnavailable) {
+	if tableservice.Is(err, tableservice.FailureUnavailable) {
 		newVer, err = e.readBackLease(ctx, id, want, ver)
 	}
 	var lost *LeaseError
 	switch {
-	case platform.Is(err, platform.FailureConflict):
+	case tableservice.Is(err, tableservice.FailureConflict):
 		// A concurrent call of the same program may have renewed it.
 		o.mu.Lock()
 		renewed := o.leaseVer > ver
@@ -187,7 +187,7 @@
 	key := leaseKey(id)
 	now := e.clock.Now()
 	cur, err := e.platform.Get(ctx, key)
-	if platform.Is(err, platform.FailureNotFound) {
+	if tableservice.Is(err, tableservice.FailureNotFound) {
 		return grant{}, notFound(id)
 	}
 	if err != nil {
@@ -211,7 +211,7 @@
 	if err == nil {
 		return got, nil
 	}
-	if !platform.Is(err, platform.FailureUnavailable) {
+	if !tableservice.Is(err, tableservice.FailureUnavailable) {
 		return grant{}, err
 	}
 	var rerr error
--- a/entry/leasecreate.go
+++ b/entry/leasecreate.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // newProgram is what a program is created with.
@@ -37,12 +37,12 @@
 	var err error
 	got.version, err = e.platform.Put(ctx, leaseKey(id), want, 0)
 	switch {
-	case platform.Is(err, platform.FailureUnavailable):
+	case tableservice.Is(err, tableservice.FailureUnavailable):
 		var rerr error
 		if got.version, rerr = e.readBackLease(ctx, id, want, 0); rerr != nil {
 			return grant{}, err
 		}
-	case platform.Is(err, platform.FailureConflict):
+	case tableservice.Is(err, tableservice.FailureConflict):
 		return e.createAgain(ctx, created)
 	case err != nil:
 		return grant{}, err
--- a/entry/leaseend.go
+++ b/entry/leaseend.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 const (
@@ -83,7 +83,7 @@
 		if !idle {
 			continue
 		}
-		if _, err := e.platform.Put(ctx, leaseKey(id), free, ver); err != nil && !platform.Is(err, platform.FailureConflict) {
+		if _, err := e.platform.Put(ctx, leaseKey(id), free, ver); err != nil && !tableservice.Is(err, tableservice.FailureConflict) {
 			e.log.Warn("leases not released", "released", released, "of", len(all), "err", err)
 			return
 		}
--- a/entry/toolcall.go
+++ b/entry/toolcall.go
@@ -9,9 +9,9 @@
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
 	"github.com/wagtaildrum/wagtaildrum/peer"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/routing"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // settleFor bounds the write of a non-idempotent call's outcome.
@@ -134,7 +134,7 @@
 // outcome_unknown; without a record, the order error stands.
 func (e *Entry) replayIntent(ctx context.Context, id program.ID, req *caller.Call, orderErr error) (*caller.Answer, error) {
 	rec, err := e.platform.Get(ctx, intentKey(id, req.Sequence))
-	if platform.Is(err, platform.FailureNotFound) {
+	if tableservice.Is(err, tableservice.FailureNotFound) {
 		return nil, orderErr
 	}
 	if err != nil {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/config"
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // WatchConfig reads the configuration from the platform now and then every
@@ -35,7 +35,7 @@
 func (e *Entry) refreshConfig(ctx context.Context) {
 	cfg, err := e.newerConfig(ctx)
 	if err != nil {
-		if !platform.Is(err, platform.FailureNotFound) {
+		if !tableservice.Is(err, tableservice.FailureNotFound) {
 			e.log.Warn("config read failed", "err", err)
 		}
 		return
@@ -96,7 +96,7 @@
 }
 
 // ReadConfig reads and decodes the configuration record.
-func ReadConfig(ctx context.Context, pc *platform.Client) (*config.Config, error) {
+func ReadConfig(ctx context.Context, pc *tableservice.Client) (*config.Config, error) {
 	rec, err := pc.Get(ctx, config.Key)
 	if err != nil {
 		return nil, err
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -13,16 +13,16 @@
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/journal"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/standin"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // bench is a journal writer against a platform stand-in.
 type bench struct {
 	t      *testing.T
 	store  *standin.Platform
-	client *platform.Client
+	client *tableservice.Client
 	writer *journal.Writer
 	logs   map[program.ID]*program.Log
 	progs  map[program.ID]*program.Program
@@ -31,7 +31,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, store: standin.NewPlatform(0, time.Now), logs: map[program.ID]*program.Log{}, progs: map[program.ID]*program.Program{}}
 	srv := httptest.NewServer(b.store.Handler())
-	b.client = platform.NewClient(srv.URL, time.Second)
+	b.client = tableservice.NewClient(srv.URL, time.Second)
 	b.writer = journal.NewWriter("entry-1-a", b.client, 5*time.Millisecond, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 // Reader reads other processes' journals. It is safe for concurrent use.
 type Reader struct {
-	platform *platform.Client
+	platform *tableservice.Client
 	clock    clock.Clock
 
 	mu    sync.Mutex
@@ -38,7 +38,7 @@
 }
 
 // NewReader returns a reader that has read nothing yet.
-func NewReader(pc *platform.Client, clk clock.Clock) *Reader {
+func NewReader(pc *tableservice.Client, clk clock.Clock) *Reader {
 	return &Reader{platform: pc, clock: clk, cache: map[string]*contents{}}
 }
 
@@ -139,7 +139,7 @@
 	var first error
 	for range names {
 		// An object dropped since it was listed held nothing needed.
-		if err := <-errs; err != nil && !platform.Is(err, platform.FailureNotFound) && first == nil {
+		if err := <-errs; err != nil && !tableservice.Is(err, tableservice.FailureNotFound) && first == nil {
 			first = err
 		}
 	}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 const (
@@ -53,7 +53,7 @@
 // Writer writes an entry process's journal. It is safe for concurrent use.
 type Writer struct {
 	name     string
-	platform *platform.Client
+	platform *tableservice.Client
 	interval time.Duration
 	log      *slog.Logger
 	wake     chan struct{}
@@ -106,7 +106,7 @@
 // NewWriter returns the writer of the journal called name, which no other
 // process may use. A batch goes out at once when none went for interval;
 // under load one goes out each interval, and at once for urgent records.
-func NewWriter(name string, pc *platform.Client, interval time.Duration, log *slog.Logger) *Writer {
+func NewWriter(name string, pc *tableservice.Client, interval time.Duration, log *slog.Logger) *Writer {
 	return &Writer{name: name, platform: pc, interval: interval, log: log, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1), pins: newPins(), inStore: map[uint64]place{}}
 }
 
@@ -309,7 +309,7 @@
 		return placeObject, w.platform.PutObject(ctx, key, raw)
 	}
 	_, err := w.platform.Put(ctx, key, raw, 0)
-	if platform.Is(err, platform.FailureConflict) {
+	if tableservice.Is(err, tableservice.FailureConflict) {
 		// An earlier try took effect and its answer was lost: nobody else
 		// writes this journal.
 		err = nil
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -9,7 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"github.com/wagtaildrum/wagtaildrum/config"
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // FileError is a desired-configuration file that cannot be used.
@@ -47,9 +47,9 @@
 }
 
 // Current reads the configuration in force; none yet is version 0.
-func Current(ctx context.Context, pc *platform.Client) (*config.Config, error) {
+func Current(ctx context.Context, pc *tableservice.Client) (*config.Config, error) {
 	rec, err := pc.Get(ctx, config.Key)
-	if platform.Is(err, platform.FailureNotFound) {
+	if tableservice.Is(err, tableservice.FailureNotFound) {
 		return &config.Config{}, nil
 	}
 	if err != nil {
@@ -66,7 +66,7 @@
 // Apply writes desired if the configuration is still at plan's base
 // version, and returns the new version. A write whose answer was lost is
 // read back: if the record holds desired at base+1, it was ours.
-func Apply(ctx context.Context, pc *platform.Client, plan *config.Plan, desired *config.Config) (uint64, error) {
+func Apply(ctx context.Context, pc *tableservice.Client, plan *config.Plan, desired *config.Config) (uint64, error) {
 	current, err := Current(ctx, pc)
 	if err != nil {
 		return 0, err
@@ -80,13 +80,13 @@
 	}
 	next := plan.Base() + 1
 	err = pc.Tx(ctx, ops...)
-	var pe *platform.Error
+	var pe *tableservice.Error
 	switch {
 	case err == nil:
 		return next, nil
-	case platform.Is(err, platform.FailureConflict) && errors.As(err, &pe):
+	case tableservice.Is(err, tableservice.FailureConflict) && errors.As(err, &pe):
 		return 0, &StaleError{planned: plan.Base(), current: pe.Current()}
-	case platform.Is(err, platform.FailureUnavailable):
+	case tableservice.Is(err, tableservice.FailureUnavailable):
 		return next, readBack(ctx, pc, plan, desired, err)
 	}
 	return 0, err
@@ -94,9 +94,9 @@
 
 // changeOps returns the steps of the transaction that turns current into
 // desired: the whole, the delta, the head, and an old delta's deletion.
-func changeOps(current, desired *config.Config) ([]platform.TxOp, error) {
+func changeOps(current, desired *config.Config) ([]tableservice.TxOp, error) {
 	base, next := current.Version, current.Version+1
-	var ops []platform.TxOp
+	var ops []tableservice.TxOp
 	for _, r := range []struct {
 		key    string
 		value  any
@@ -106,21 +106,21 @@
 		{config.DeltaKey(next), config.MakeDelta(current, desired), 0},
 		{config.HeadKey, struct{}{}, base},
 	} {
-		op, err := platform.PutOp(r.key, r.value, r.expect)
+		op, err := tableservice.PutOp(r.key, r.value, r.expect)
 		if err != nil {
 			return nil, err
 		}
 		ops = append(ops, op)
 	}
 	if key, ok := config.ExpiredDelta(next); ok {
-		ops = append(ops, platform.TxOp{Key: key, Delete: true})
+		ops = append(ops, tableservice.TxOp{Key: key, Delete: true})
 	}
 	return ops, nil
 }
 
 // readBack finds out what became of a write whose answer was lost; it
 // returns nil if it took effect.
-func readBack(ctx context.Context, pc *platform.Client, plan *config.Plan, desired *config.Config, lost error) error {
+func readBack(ctx context.Context, pc *tableservice.Client, plan *config.Plan, desired *config.Config, lost error) error {
 	current, err := Current(ctx, pc)
 	switch {
 	case err != nil:
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // locked runs f with the platform's lock held.
@@ -101,7 +101,7 @@
 			return
 		}
 		if !p.pace(r) {
-			writeJSON(w, http.StatusTooManyRequests, platform.ErrorBody{Error: "too many calls"})
+			writeJSON(w, http.StatusTooManyRequests, tableservice.ErrorBody{Error: "too many calls"})
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -109,7 +109,7 @@
 }
 
 func unavailable(w http.ResponseWriter, why string) {
-	writeJSON(w, http.StatusServiceUnavailable, platform.ErrorBody{Error: why})
+	writeJSON(w, http.StatusServiceUnavailable, tableservice.ErrorBody{Error: why})
 }
 
 // ackLost counts a write and reports whether its answer is to be lost.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // Platform stands in for the platform's table service, object store and
@@ -18,7 +18,7 @@
 type Platform struct {
 	mu       sync.Mutex
 	now      func() time.Time
-	records  map[string]platform.Record
+	records  map[string]tableservice.Record
 	objects  map[string]json.RawMessage
 	changes  []instanceChange
 	lag      time.Duration
@@ -39,12 +39,12 @@
 
 type instanceChange struct {
 	at time.Time
-	in platform.Instance
+	in tableservice.Instance
 }
 
 // NewPlatform returns an empty platform whose instance list lags by lag.
 func NewPlatform(lag time.Duration, now func() time.Time) *Platform {
-	return &Platform{now: now, records: map[string]platform.Record{}, objects: map[string]json.RawMessage{}, lag: lag, refuseAfter: -1}
+	return &Platform{now: now, records: map[string]tableservice.Record{}, objects: map[string]json.RawMessage{}, lag: lag, refuseAfter: -1}
 }
 
 // Counts returns the writes and reads served so far.
@@ -86,7 +86,7 @@
 		return
 	}
 	if !ok {
-		writeJSON(w, http.StatusNotFound, platform.ErrorBody{Error: "no such key"})
+		writeJSON(w, http.StatusNotFound, tableservice.ErrorBody{Error: "no such key"})
 		return
 	}
 	writeJSON(w, http.StatusOK, rec)
@@ -94,9 +94,9 @@
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
 	key := r.URL.Query().Get("key")
-	var req platform.PutRequest
+	var req tableservice.PutRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || key == "" {
-		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a key and a JSON body"})
+		writeJSON(w, http.StatusBadRequest, tableservice.ErrorBody{Error: "want a key and a JSON body"})
 		return
 	}
 	p.mu.Lock()
@@ -108,10 +108,10 @@
 	cur := p.records[key]
 	if cur.Version != req.ExpectVersion {
 		p.mu.Unlock()
-		writeJSON(w, http.StatusConflict, platform.ErrorBody{Error: "version conflict", Version: cur.Version})
+		writeJSON(w, http.StatusConflict, tableservice.ErrorBody{Error: "version conflict", Version: cur.Version})
 		return
 	}
-	rec := platform.Record{Key: key, Value: req.Value, Version: cur.Version + 1}
+	rec := tableservice.Record{Key: key, Value: req.Value, Version: cur.Version + 1}
 	p.records[key] = rec
 	lost := p.ackLost()
 	p.mu.Unlock()
@@ -119,29 +119,29 @@
 		unavailable(w, "answer lost")
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.PutResponse{Version: rec.Version})
+	writeJSON(w, http.StatusOK, tableservice.PutResponse{Version: rec.Version})
 }
 
 // tx applies all steps or none; it counts as one write.
 func (p *Platform) tx(w http.ResponseWriter, r *http.Request) {
-	var req platform.TxRequest
+	var req tableservice.TxRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Ops) == 0 {
-		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a JSON body with ops"})
+		writeJSON(w, http.StatusBadRequest, tableservice.ErrorBody{Error: "want a JSON body with ops"})
 		return
 	}
 	status, answer := p.applyTx(req.Ops)
 	writeJSON(w, status, answer)
 }
 
-func (p *Platform) applyTx(ops []platform.TxOp) (int, platform.ErrorBody) {
+func (p *Platform) applyTx(ops []tableservice.TxOp) (int, tableservice.ErrorBody) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.refused() {
-		return http.StatusServiceUnavailable, platform.ErrorBody{Error: "outage"}
+		return http.StatusServiceUnavailable, tableservice.ErrorBody{Error: "outage"}
 	}
 	for _, op := range ops {
 		if cur := p.records[op.Key]; !op.Delete && cur.Version != op.ExpectVersion {
-			return http.StatusConflict, platform.ErrorBody{Error: "version conflict", Version: cur.Version}
+			return http.StatusConflict, tableservice.ErrorBody{Error: "version conflict", Version: cur.Version}
 		}
 	}
 	for _, op := range ops {
@@ -149,27 +149,27 @@
 			delete(p.records, op.Key)
 			continue
 		}
-		p.records[op.Key] = platform.Record{Key: op.Key, Value: op.Value, Version: op.ExpectVersion + 1}
+		p.records[op.Key] = tableservice.Record{Key: op.Key, Value: op.Value, Version: op.ExpectVersion + 1}
 	}
 	if p.ackLost() {
-		return http.StatusServiceUnavailable, platform.ErrorBody{Error: "answer lost"}
+		return http.StatusServiceUnavailable, tableservice.ErrorBody{Error: "answer lost"}
 	}
-	return http.StatusOK, platform.ErrorBody{}
+	return http.StatusOK, tableservice.ErrorBody{}
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	p.mu.Lock()
 	p.reads++
-	var out []platform.Record
+	var out []tableservice.Record
 	for k, rec := range p.records {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, rec)
 		}
 	}
 	p.mu.Unlock()
-	slices.SortFunc(out, func(a, b platform.Record) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(w, http.StatusOK, platform.ScanResponse{Records: out})
+	slices.SortFunc(out, func(a, b tableservice.Record) int { return strings.Compare(a.Key, b.Key) })
+	writeJSON(w, http.StatusOK, tableservice.ScanResponse{Records: out})
 }
 
 func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
@@ -179,7 +179,7 @@
 	obj, ok := p.objects[key]
 	p.mu.Unlock()
 	if !ok {
-		writeJSON(w, http.StatusNotFound, platform.ErrorBody{Error: "no such object"})
+		writeJSON(w, http.StatusNotFound, tableservice.ErrorBody{Error: "no such object"})
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -190,7 +190,7 @@
 	key := r.URL.Query().Get("key")
 	var raw json.RawMessage
 	if err := json.NewDecoder(r.Body).Decode(&raw); err != nil || key == "" {
-		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want a key and a JSON body"})
+		writeJSON(w, http.StatusBadRequest, tableservice.ErrorBody{Error: "want a key and a JSON body"})
 		return
 	}
 	p.mu.Lock()
@@ -239,14 +239,14 @@
 	}
 	p.mu.Unlock()
 	slices.Sort(names)
-	writeJSON(w, http.StatusOK, platform.ObjectsResponse{Names: names})
+	writeJSON(w, http.StatusOK, tableservice.ObjectsResponse{Names: names})
 }
 
 // instances answers the list as it stood lag ago: the real list lags.
 func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	cutoff := p.now().Add(-p.lag)
-	seen := map[string]platform.Instance{}
+	seen := map[string]tableservice.Instance{}
 	for _, c := range p.changes {
 		if c.at.After(cutoff) {
 			break
@@ -254,18 +254,18 @@
 		seen[c.in.ID] = c.in
 	}
 	p.mu.Unlock()
-	out := make([]platform.Instance, 0, len(seen))
+	out := make([]tableservice.Instance, 0, len(seen))
 	for _, in := range seen {
 		out = append(out, in)
 	}
-	slices.SortFunc(out, func(a, b platform.Instance) int { return strings.Compare(a.ID, b.ID) })
-	writeJSON(w, http.StatusOK, platform.InstancesResponse{Instances: out})
+	slices.SortFunc(out, func(a, b tableservice.Instance) int { return strings.Compare(a.ID, b.ID) })
+	writeJSON(w, http.StatusOK, tableservice.InstancesResponse{Instances: out})
 }
 
 func (p *Platform) setInstance(w http.ResponseWriter, r *http.Request) {
-	var in platform.Instance
+	var in tableservice.Instance
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.ID == "" {
-		writeJSON(w, http.StatusBadRequest, platform.ErrorBody{Error: "want an instance with an id"})
+		writeJSON(w, http.StatusBadRequest, tableservice.ErrorBody{Error: "want an instance with an id"})
 		return
 	}
 	p.mu.Lock()
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -19,11 +19,11 @@
 	"github.com/wagtaildrum/wagtaildrum/entry"
 	"github.com/wagtaildrum/wagtaildrum/operator"
 	"github.com/wagtaildrum/wagtaildrum/peer"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/routing"
 	"github.com/wagtaildrum/wagtaildrum/settings"
 	"github.com/wagtaildrum/wagtaildrum/sidecar"
 	"github.com/wagtaildrum/wagtaildrum/standin"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // bed is a whole deployment in one test: the platform, engine and tool
@@ -111,7 +111,7 @@
 }
 
 func (b *bed) applyConfig() {
-	pc := platform.NewClient(b.platURL, 2*time.Second)
+	pc := tableservice.NewClient(b.platURL, 2*time.Second)
 	cur, err := operator.Current(b.ctx, pc)
 	require.NoError(b.t, err)
 	_, err = operator.Apply(b.ctx, pc, config.MakePlan(cur, &b.cfg), &b.cfg)
--- a/systemtest/config_test.go
+++ b/systemtest/config_test.go
@@ -10,7 +10,7 @@
 	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/entry"
 	"github.com/wagtaildrum/wagtaildrum/operator"
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // TestRacingOperators: an accepted configuration is in force everywhere
@@ -24,7 +24,7 @@
 // read.
 func TestRacingOperators(t *testing.T) {
 	b := newBed(t, defaultEngines, 2)
-	pc := platform.NewClient(b.platURL, time.Second)
+	pc := tableservice.NewClient(b.platURL, time.Second)
 	base, err := operator.Current(b.ctx, pc)
 	require.NoError(t, err)
 
@@ -67,7 +67,7 @@
 // Cause: a delta applied to a version it was not made against.
 func TestWatchersFollowDeltas(t *testing.T) {
 	b := newBed(t, oneEngine, 2)
-	pc := platform.NewClient(b.platURL, time.Second)
+	pc := tableservice.NewClient(b.platURL, time.Second)
 	change := func(edit func(*config.Config)) *config.Config {
 		cur, err := operator.Current(b.ctx, pc)
 		require.NoError(t, err)
--- a/systemtest/drain_test.go
+++ b/systemtest/drain_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/standin"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 func served(e *standin.Engine) int64 { return e.State().(standin.EngineState).Served }
@@ -25,10 +25,10 @@
 // Cause: routing on the lagging instance list or configuration alone.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	b := newBed(t, defaultEngines, 1)
-	pc := platform.NewClient(b.platURL, time.Second)
-	require.NoError(t, pc.SetInstance(b.ctx, platform.Instance{ID: "workshop-1", State: platform.InstanceLive}))
+	pc := tableservice.NewClient(b.platURL, time.Second)
+	require.NoError(t, pc.SetInstance(b.ctx, tableservice.Instance{ID: "workshop-1", State: tableservice.InstanceLive}))
 	<-b.sidecars["workshop-1"].Drain()
-	require.NoError(t, pc.SetInstance(b.ctx, platform.Instance{ID: "workshop-1", State: platform.InstanceLeaving}))
+	require.NoError(t, pc.SetInstance(b.ctx, tableservice.Instance{ID: "workshop-1", State: tableservice.InstanceLeaving}))
 	list, err := pc.Instances(b.ctx)
 	require.NoError(t, err)
 	require.Empty(t, list, "the instance list lags: it does not show the change yet")
--- a/systemtest/load_test.go
+++ b/systemtest/load_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/load"
 	"github.com/wagtaildrum/wagtaildrum/operator"
-	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 
 	"github.com/wagtaildrum/wagtaildrum/config"
 )
@@ -31,7 +31,7 @@
 	require.NoError(t, err)
 	desired, err := operator.ReadDesired(filepath.Join(dir, "config.toml"))
 	require.NoError(t, err)
-	pc := platform.NewClient("http://"+f.platform, 2*time.Second)
+	pc := tableservice.NewClient("http://"+f.platform, 2*time.Second)
 	_, err = operator.Apply(context.Background(), pc, config.MakePlan(&config.Config{}, desired), desired)
 	require.NoError(t, err)
 	time.Sleep(500 * time.Millisecond) // config polls
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -21,9 +21,9 @@
 	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/operator"
 	"github.com/wagtaildrum/wagtaildrum/peer"
-	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/standin"
+	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
 // buildBinary builds the one binary once per test run.
@@ -75,7 +75,7 @@
 		}
 		cfg.Endpoints = append(cfg.Endpoints, ep)
 	}
-	pc := platform.NewClient("http://"+plat, 2*time.Second)
+	pc := tableservice.NewClient("http://"+plat, 2*time.Second)
 	_, err = operator.Apply(context.Background(), pc, config.MakePlan(&config.Config{}, cfg), cfg)
 	require.NoError(t, err)
 	for i := range 2 {
--- a/platform/message.go
+++ b/tableservice/message.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import "encoding/json"
 
