--- /dev/null
+++ b/account/keeper.go
@@ -0,0 +1,371 @@
+package account
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/budget"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+const (
+	// table holds a row for each program.
+	table = "budget"
+	// partitions spread the programs, since one partition applies its
+	// transactions one after another (300 a second); 16 carry more than the
+	// store takes as a whole.
+	partitions = 16
+	// releaseDelay after its last turn here, what a program was granted and
+	// did not use is given back. A caller's next turn usually follows within
+	// 200 ms; a second after a turn's end no more than was spent may count.
+	releaseDelay = 400 * time.Millisecond
+	// forgetDelay after that the program is forgotten here. Each time it is
+	// met again takes one more account in its row.
+	forgetDelay = time.Minute
+	// conflicts in a row, after which a turn is turned away: each means that
+	// another instance served a turn of the program at the same moment.
+	maxConflicts = 8
+	// releaseTries bounds how often giving back is tried again.
+	releaseTries = 20
+	releasePause = 300 * time.Millisecond
+)
+
+// SpentError is a turn that the budget does not hold.
+type SpentError struct {
+	program     string
+	used, total int64
+}
+
+// Error tells the program, what is used and the budget, in tokens.
+func (e *SpentError) Error() string {
+	return fmt.Sprintf("program %s: budget of %d tokens is spent (%d used here)", e.program, e.total, e.used)
+}
+
+// HeldError is a turn that has to wait, since other instances hold what is
+// left of the budget.
+type HeldError struct {
+	program string
+}
+
+// Error names the program.
+func (e *HeldError) Error() string {
+	return "program " + e.program + ": what is left of the budget is held by other instances"
+}
+
+// Keeper keeps the budgets of the programs served here. It is safe for
+// concurrent use.
+type Keeper struct {
+	store store.Store
+	owner string
+	clock clock.Clock
+	log   *slog.Logger
+
+	granted, spent, held, released, failed tally.Counter
+
+	mu       sync.Mutex
+	programs map[string]*program
+	tabs     uint64
+}
+
+// program is one program's tab. Whoever reads or writes its row holds the
+// token in row; mu is held only while the tab is used, so that a turn that
+// ends never waits for the store.
+type program struct {
+	id    string
+	row   chan struct{}
+	turns int // guarded by Keeper.mu
+
+	mu    sync.Mutex
+	tab   *budget.Tab
+	timer *time.Timer
+	last  time.Time
+}
+
+func newProgram(id, owner string) *program {
+	// Most programs begin here: the tab starts without a row, and the first
+	// grant is written on the condition that there is none.
+	empty := &budget.Ledger{Accounts: map[string]budget.Account{}}
+	return &program{id: id, row: make(chan struct{}, 1), tab: budget.NewTab(owner, empty, 0)}
+}
+
+// begin promises the turn if the tab grants it already.
+func (p *program) begin(turn, total int64) budget.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	decision := p.tab.Decide(turn, total)
+	if decision == budget.DecisionServe {
+		p.tab.Begin(turn)
+		if p.timer != nil {
+			p.timer.Stop()
+			p.timer = nil
+		}
+	}
+	return decision
+}
+
+func (p *program) version() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tab.Version()
+}
+
+func (p *program) used() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tab.Used()
+}
+
+func (p *program) grant(turn, total int64) *budget.Ledger {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tab.Grant(turn, total)
+}
+
+// NewKeeper returns a keeper over s. The owner must differ between any two
+// starts of any instances.
+func NewKeeper(s store.Store, owner string, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Keeper {
+	return &Keeper{store: s, owner: owner, clock: clk, log: log, programs: map[string]*program{},
+		granted: scope.Counter("budget_grants"), spent: scope.Counter("budget_spent"), held: scope.Counter("budget_held"),
+		released: scope.Counter("budget_releases"), failed: scope.Counter("budget_write_failures")}
+}
+
+// Reservation is a turn's part of a budget until Settle.
+type Reservation struct {
+	keeper  *Keeper
+	program *program
+	turn    int64
+	// Version is the version of the row that grants the turn.
+	Version uint64
+}
+
+// Reserve makes turn tokens of the program's budget of total durable for a
+// turn. It returns a *SpentError if the budget does not hold them, a
+// *HeldError if it may later, or the store's *store.Error; then nothing is
+// reserved.
+func (keeper *Keeper) Reserve(ctx context.Context, id string, turn, total int64) (*Reservation, error) {
+	p := keeper.program(id)
+	defer keeper.done(p)
+	if p.begin(turn, total) != budget.DecisionServe {
+		if err := keeper.grant(ctx, p, turn, total); err != nil {
+			return nil, err
+		}
+	}
+	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}, nil
+}
+
+// grant returns once the row grants the turn and the turn is begun.
+func (keeper *Keeper) grant(ctx context.Context, p *program, turn, total int64) error {
+	select {
+	case p.row <- struct{}{}:
+		defer func() { <-p.row }()
+	case <-ctx.Done():
+		return store.NewError(store.FailureUnreachable, "budget", "gave up waiting for another turn's write")
+	}
+	fresh := false
+	for range maxConflicts {
+		switch decision := p.begin(turn, total); decision {
+		case budget.DecisionServe:
+			return nil
+		case budget.DecisionGrant:
+			err := keeper.write(ctx, p, p.grant(turn, total))
+			if err == nil {
+				keeper.granted.Inc(1)
+				continue
+			}
+			if !store.Is(err, store.FailureConflict) {
+				keeper.failed.Inc(1)
+				return err
+			}
+			fresh = true
+		default:
+			if fresh {
+				return keeper.refuse(p, decision, total)
+			}
+			// What is known of the others may be old.
+			if err := keeper.read(ctx, p); err != nil {
+				return err
+			}
+			fresh = true
+		}
+	}
+	keeper.held.Inc(1)
+	return &HeldError{program: p.id}
+}
+
+func (keeper *Keeper) refuse(p *program, decision budget.Decision, total int64) error {
+	if decision == budget.DecisionSpent {
+		keeper.spent.Inc(1)
+		return &SpentError{program: p.id, used: p.used(), total: total}
+	}
+	keeper.held.Inc(1)
+	return &HeldError{program: p.id}
+}
+
+// read takes in the program's row.
+func (keeper *Keeper) read(ctx context.Context, p *program) error {
+	row, err := store.Get(ctx, keeper.store, key(p.id))
+	if err != nil {
+		return err
+	}
+	return keeper.adopt(p, row)
+}
+
+func (keeper *Keeper) adopt(p *program, row store.Row) error {
+	ledger, err := budget.DecodeLedger(row.Value)
+	if err != nil {
+		return store.NewError(store.FailureInvalid, "budget", err.Error())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tab.Written(ledger, row.Version)
+	return nil
+}
+
+// write makes ledger the program's row. On a conflict the row that stands
+// is taken in.
+func (keeper *Keeper) write(ctx context.Context, p *program, ledger *budget.Ledger) error {
+	value, err := ledger.Encode()
+	if err != nil {
+		return store.NewError(store.FailureInvalid, "budget", err.Error())
+	}
+	k := key(p.id)
+	version, err := keeper.store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: k, Version: p.version()}},
+		Puts:       []store.Put{{Key: k, Value: value}},
+	})
+	if err == nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.tab.Written(ledger, version)
+		return nil
+	}
+	if se, ok := err.(*store.Error); ok && se.Failure() == store.FailureConflict {
+		for _, row := range se.Rows() {
+			if row.Key == k {
+				if aerr := keeper.adopt(p, row); aerr != nil {
+					return aerr
+				}
+				return err
+			}
+		}
+		if rerr := keeper.read(ctx, p); rerr != nil {
+			return rerr
+		}
+	}
+	return err
+}
+
+// Settle ends the reservation: spent tokens were handed out.
+func (reservation *Reservation) Settle(spent int64) {
+	keeper, p := reservation.keeper, reservation.program
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tab.End(reservation.turn, spent)
+	p.last = keeper.clock.Now()
+	if p.tab.Idle() {
+		p.timer = time.AfterFunc(releaseDelay, func() { keeper.release(p) })
+	}
+}
+
+// release gives back what the program was granted here and did not use, and
+// then forgets it.
+func (keeper *Keeper) release(p *program) {
+	for range releaseTries {
+		if keeper.tryRelease(p) {
+			time.AfterFunc(forgetDelay, func() { keeper.forget(p) })
+			return
+		}
+		time.Sleep(releasePause)
+	}
+	keeper.log.Warn("budget not given back: the store did not take it", "program", p.id, "tries", releaseTries)
+}
+
+// tryRelease reports whether there is nothing left to do.
+func (keeper *Keeper) tryRelease(p *program) bool {
+	p.row <- struct{}{}
+	defer func() { <-p.row }()
+	ledger, rest := keeper.toRelease(p)
+	if ledger == nil {
+		return rest
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for range maxConflicts {
+		err := keeper.write(ctx, p, ledger)
+		if err == nil {
+			keeper.released.Inc(1)
+			return true
+		}
+		if !store.Is(err, store.FailureConflict) {
+			keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
+			return false
+		}
+		if ledger, rest = keeper.toRelease(p); ledger == nil {
+			return rest
+		}
+	}
+	return false
+}
+
+// toRelease returns the row that gives back, nil if there is nothing to
+// write; rest tells that nothing is left to do.
+func (keeper *Keeper) toRelease(p *program) (ledger *budget.Ledger, rest bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.tab.Idle() || keeper.clock.Now().Sub(p.last) < releaseDelay/2 {
+		return nil, true
+	}
+	return p.tab.Release(), true
+}
+
+func (keeper *Keeper) program(id string) *program {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	p, ok := keeper.programs[id]
+	if !ok {
+		// An account is used by one tab only: a tab that is made anew does
+		// not know what an earlier one handed out.
+		keeper.tabs++
+		p = newProgram(id, fmt.Sprintf("%s.%d", keeper.owner, keeper.tabs))
+		keeper.programs[id] = p
+	}
+	p.turns++
+	return p
+}
+
+func (keeper *Keeper) done(p *program) {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	p.turns--
+}
+
+// forget drops a program that is at rest and has nothing to give back.
+func (keeper *Keeper) forget(p *program) {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.turns == 0 && p.tab.Idle() && keeper.clock.Now().Sub(p.last) >= forgetDelay && keeper.programs[p.id] == p {
+		delete(keeper.programs, p.id)
+	}
+}
+
+// Len returns how many programs are known here.
+func (keeper *Keeper) Len() int {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	return len(keeper.programs)
+}
+
+// key returns the key of a program's row. IDs come from callers; a long one
+// is replaced by its hash.
+func key(id string) store.Key {
+	return store.Key{Table: table, Partition: fmt.Sprintf("p%02d", xxhash.Sum64String(id)%partitions), Name: store.Name(id)}
+}
--- /dev/null
+++ b/archive/archive.go
@@ -0,0 +1,244 @@
+package archive
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/history"
+	"github.com/wagtaildrum/wagtaildrum/retry"
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+const (
+	table = "turns"
+	// partitions spread the turns, since one partition applies its
+	// transactions one after another (300 a second).
+	partitions = 16
+	// rowShare of the largest row is used: a row's value may be counted in
+	// its encoded form, a third longer.
+	rowShare = 0.7
+	// firstPause and maxPause are between tries to keep a turn while the
+	// store does not take it.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 200 * time.Millisecond
+	// parallelReads bounds the reads of one chain at a time.
+	parallelReads = 8
+)
+
+// UnknownTurnError is a turn that was never kept.
+type UnknownTurnError struct {
+	id string
+}
+
+// Error names the turn.
+func (e *UnknownTurnError) Error() string { return "no turn " + e.id }
+
+// TakenError is a turn whose ID another turn has.
+type TakenError struct {
+	id string
+}
+
+// Error names the turn.
+func (e *TakenError) Error() string { return "turn " + e.id + " was kept with other content" }
+
+// Archive keeps turns. It is safe for concurrent use.
+type Archive struct {
+	store    store.Store
+	rowBytes int
+	cache    *cache
+
+	kept, read, hits, retried tally.Counter
+}
+
+// New returns an archive over s, whose rows hold rowBytes, with cacheBytes
+// of memory for turns.
+func New(s store.Store, rowBytes, cacheBytes int, scope tally.Scope) *Archive {
+	return &Archive{store: s, rowBytes: int(rowShare * float64(rowBytes)), cache: newCache(cacheBytes),
+		kept: scope.Counter("turns_kept"), read: scope.Counter("turns_read"), hits: scope.Counter("turns_in_memory"), retried: scope.Counter("turn_write_retries")}
+}
+
+// Chain returns the turn of an ID and its ancestors, oldest first. It
+// returns an *UnknownTurnError if the store holds no such turn, else the
+// store's *store.Error.
+func (archive *Archive) Chain(ctx context.Context, id string) ([]*history.Turn, error) {
+	last, err := archive.turn(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	chain := make([]*history.Turn, len(last.Ancestors)+1)
+	chain[len(last.Ancestors)] = last
+	if err := archive.ancestors(ctx, last.Ancestors, chain); err != nil {
+		return nil, err
+	}
+	return chain, nil
+}
+
+// ancestors reads the turns of ids into chain, several at a time.
+func (archive *Archive) ancestors(ctx context.Context, ids []string, chain []*history.Turn) error {
+	type result struct {
+		at   int
+		turn *history.Turn
+		err  error
+	}
+	results := make(chan result, len(ids))
+	places := make(chan struct{}, parallelReads)
+	reading := 0
+	for i, id := range ids {
+		if turn := archive.cache.get(id); turn != nil {
+			archive.hits.Inc(1)
+			chain[i] = turn
+			continue
+		}
+		reading++
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			turn, err := archive.turn(ctx, id)
+			results <- result{at: i, turn: turn, err: err}
+		}()
+	}
+	var first error
+	for range reading {
+		got := <-results
+		if got.err != nil && first == nil {
+			first = got.err
+			if unknown, ok := first.(*UnknownTurnError); ok {
+				// A turn is kept only after its ancestors: this is not the
+				// caller's error.
+				first = store.NewError(store.FailureInvalid, "read turn", "ancestor missing: "+unknown.id)
+			}
+		}
+		chain[got.at] = got.turn
+	}
+	return first
+}
+
+func (archive *Archive) turn(ctx context.Context, id string) (*history.Turn, error) {
+	if turn := archive.cache.get(id); turn != nil {
+		archive.hits.Inc(1)
+		return turn, nil
+	}
+	parts, err := archive.rows(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) == 0 {
+		return nil, &UnknownTurnError{id: id}
+	}
+	turn, err := history.Decode(id, parts)
+	if err != nil {
+		return nil, store.NewError(store.FailureInvalid, "read turn", err.Error())
+	}
+	archive.read.Inc(1)
+	archive.cache.put(turn)
+	return turn, nil
+}
+
+// rows reads the values of a turn's rows, in order.
+func (archive *Archive) rows(ctx context.Context, id string) ([][]byte, error) {
+	partition := partition(id)
+	var parts [][]byte
+	from := rowName(id, 0)
+	for {
+		page, err := archive.store.Read(ctx, store.Range{Table: table, Partition: partition, From: from, To: rowEnd(id)})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range page.Rows {
+			if row.Key.Name == rowName(id, len(parts)) {
+				parts = append(parts, row.Value)
+			}
+			from = row.Key.Name + " "
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return parts, nil
+		}
+	}
+}
+
+// Keep makes turn durable. It tries until ctx ends, since a turn that is
+// not kept is lost to its caller: a try whose answer was lost may have been
+// done, and doing it again changes nothing. It returns a *TakenError if the
+// ID belongs to another turn, else the last error of the store.
+func (archive *Archive) Keep(ctx context.Context, turn *history.Turn) error {
+	parts, err := turn.Encode(archive.rowBytes)
+	if err != nil {
+		return err
+	}
+	backoff := retry.Backoff{First: firstPause, Most: maxPause}
+	for {
+		err := archive.write(ctx, turn.ID, parts)
+		if err == nil {
+			archive.kept.Inc(1)
+			archive.cache.put(turn)
+			return nil
+		}
+		if store.Is(err, store.FailureConflict) {
+			return archive.same(ctx, turn, parts)
+		}
+		if store.Is(err, store.FailureInvalid) {
+			return err
+		}
+		archive.retried.Inc(1)
+		if !sleep(ctx, firstPause/2+backoff.Next()) {
+			return err
+		}
+	}
+}
+
+func (archive *Archive) write(ctx context.Context, id string, parts [][]byte) error {
+	partition := partition(id)
+	tx := store.Transaction{Conditions: []store.Condition{{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, 0)}}}}
+	for i, part := range parts {
+		tx.Puts = append(tx.Puts, store.Put{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, i)}, Value: part})
+	}
+	_, err := archive.store.Commit(ctx, tx)
+	return err
+}
+
+// same returns nil if the rows that stand are those of turn.
+func (archive *Archive) same(ctx context.Context, turn *history.Turn, parts [][]byte) error {
+	stand, err := archive.rows(ctx, turn.ID)
+	if err != nil {
+		return err
+	}
+	if !slices.EqualFunc(stand, parts, bytes.Equal) {
+		return &TakenError{id: turn.ID}
+	}
+	archive.kept.Inc(1)
+	archive.cache.put(turn)
+	return nil
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func partition(id string) string {
+	return fmt.Sprintf("p%02d", xxhash.Sum64String(id)%partitions)
+}
+
+// rowName returns the name of row i of a turn. The rows of a turn follow one
+// another: '!' comes before all that a name may hold.
+func rowName(id string, i int) string {
+	if i == 0 {
+		return store.Name(id)
+	}
+	return fmt.Sprintf("%s!%03d", store.Name(id), i)
+}
+
+// rowEnd returns the name after the last row of a turn.
+func rowEnd(id string) string { return store.Name(id) + "!~" }
--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,259 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+)
+
+// Part is one part of a prompt; parts with the same ID after the same parts
+// are the same text.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	// DataCentre is where the request came in.
+	DataCentre string
+	// Parts of the prompt, in order; none for a plain service.
+	Parts []Part
+	// Capacity is an engine's memory in tokens; 0 for a plain service.
+	Capacity int64
+}
+
+// Load is what an endpoint tells of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Weights of the expected cost of an endpoint.
+const (
+	// prefillTokensPerMillisecond is how fast an engine reads a prompt; the
+	// slower of the engines in use reads 328, the faster 471.
+	prefillTokensPerMillisecond = 400
+	// slotCost is what one more request in the batch of an engine costs
+	// each: a step takes 1.3 to 2.2 % longer per request, 4 to 6 ms over an
+	// answer of 300 ms.
+	slotCost = 5 * time.Millisecond
+	// remoteCost is what another data centre costs: two ways of 0.9 ms and
+	// its priced bytes. It is worth two requests in the batch.
+	remoteCost = 10 * time.Millisecond
+	// typicalService is a request's time at an endpoint before one was
+	// measured.
+	typicalService = 100 * time.Millisecond
+	// serviceWeight is the weight of a new time in the mean.
+	serviceWeight = 0.05
+	// loadLifetime is how long a told load counts. Others' requests last
+	// about that long.
+	loadLifetime = 400 * time.Millisecond
+	// failureCooldown is how long an endpoint that cannot be reached is
+	// left out, doubled with each failure in a row up to maxCooldown.
+	failureCooldown = 250 * time.Millisecond
+	maxCooldown     = 4 * time.Second
+)
+
+// Picker knows the load of the endpoints. It is safe for concurrent use.
+type Picker struct {
+	clock clock.Clock
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	services  map[string]time.Duration
+}
+
+type endpoint struct {
+	inFlight int
+	told     Load
+	toldAt   time.Time
+	// others is what was told beyond what this instance had there.
+	others   int
+	parts    *partCache
+	failures int
+	avoid    time.Time
+	used     time.Time
+}
+
+// NewPicker returns a picker that knows nothing yet.
+func NewPicker(clk clock.Clock) *Picker {
+	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]time.Duration{}}
+}
+
+// Choice is a request given to an endpoint, until Done.
+type Choice struct {
+	picker   *Picker
+	endpoint *membership.Endpoint
+	state    *endpoint
+	began    time.Time
+	// Missing is how many tokens of the prompt the endpoint is expected to
+	// read anew.
+	Missing int64
+	// Cost is the expected cost that decided the choice.
+	Cost time.Duration
+}
+
+// Endpoint returns the endpoint chosen.
+func (choice *Choice) Endpoint() *membership.Endpoint { return choice.endpoint }
+
+// Pick chooses one of candidates for request, leaving out those that skip
+// names and, unless no others are left, those that failed just now. It
+// returns nil if there is none.
+func (picker *Picker) Pick(candidates []*membership.Endpoint, request *Request, skip func(id string) bool) *Choice {
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	now := picker.clock.Now()
+	var best *Choice
+	bestAvoided := false
+	ties := 0
+	for _, candidate := range candidates {
+		if skip(candidate.ID) {
+			continue
+		}
+		state := picker.state(candidate.ID, now)
+		avoided := now.Before(state.avoid)
+		cost, missing := picker.cost(candidate, state, request, now)
+		choice := &Choice{picker: picker, endpoint: candidate, state: state, began: now, Missing: missing, Cost: cost}
+		switch {
+		case best == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost:
+			best, bestAvoided, ties = choice, avoided, 1
+		case bestAvoided == avoided && cost == best.Cost:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = choice
+			}
+		}
+	}
+	if best != nil {
+		best.state.inFlight++
+		best.state.used = now
+		best.state.parts.add(request.Parts, request.Capacity)
+	}
+	return best
+}
+
+func (picker *Picker) state(id string, now time.Time) *endpoint {
+	state, ok := picker.endpoints[id]
+	if !ok {
+		state = &endpoint{parts: newPartCache(), used: now}
+		picker.endpoints[id] = state
+	}
+	return state
+}
+
+// cost returns how long candidate is expected to delay the request's answer.
+func (picker *Picker) cost(candidate *membership.Endpoint, state *endpoint, request *Request, now time.Time) (time.Duration, int64) {
+	slots := max(candidate.Slots, 1)
+	load := state.load(now)
+	cost := time.Duration(load) * slotCost
+	if load >= slots {
+		cost += picker.serviceTime(candidate.Service) * time.Duration(load-slots+1) / time.Duration(slots)
+	}
+	missing := state.parts.missing(request.Parts)
+	cost += time.Duration(missing) * time.Millisecond / prefillTokensPerMillisecond
+	if candidate.DataCentre != request.DataCentre {
+		cost += remoteCost
+	}
+	return cost, missing
+}
+
+// load returns how many requests the endpoint is expected to hold.
+func (state *endpoint) load(now time.Time) int {
+	age := now.Sub(state.toldAt)
+	if age >= loadLifetime {
+		return state.inFlight
+	}
+	left := float64(loadLifetime-age) / float64(loadLifetime)
+	return state.inFlight + int(float64(state.others)*left+0.5)
+}
+
+func (picker *Picker) serviceTime(service string) time.Duration {
+	if mean, ok := picker.services[service]; ok {
+		return mean
+	}
+	return typicalService
+}
+
+// Told takes in what the endpoint said of its load while it has the
+// request.
+func (choice *Choice) Told(load Load) {
+	picker := choice.picker
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	state := choice.state
+	state.told, state.toldAt = load, picker.clock.Now()
+	state.others = max(load.Running+load.Waiting-state.inFlight, 0)
+}
+
+// Outcome says how a request at an endpoint ended.
+type Outcome int
+
+//go:generate stringer -type=Outcome -trimprefix=Outcome
+
+// Outcomes.
+const (
+	// OutcomeServed: the endpoint worked on it to the end.
+	OutcomeServed Outcome = iota
+	// OutcomeRefused: the endpoint did not run it.
+	OutcomeRefused
+	// OutcomeUnreachable: no connection, or the endpoint is another one now.
+	OutcomeUnreachable
+	// OutcomeBroken: the connection failed on the way.
+	OutcomeBroken
+	// OutcomeAbandoned: given up by the caller or its deadline.
+	OutcomeAbandoned
+)
+
+// Done ends the choice.
+func (choice *Choice) Done(outcome Outcome) {
+	picker := choice.picker
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	now := picker.clock.Now()
+	state := choice.state
+	state.inFlight--
+	switch outcome {
+	case OutcomeServed:
+		state.failures = 0
+		service := choice.endpoint.Service
+		mean := picker.serviceTime(service)
+		picker.services[service] = mean + time.Duration(serviceWeight*float64(now.Sub(choice.began)-mean))
+	case OutcomeUnreachable:
+		state.failures++
+		state.avoid = now.Add(min(failureCooldown<<min(state.failures-1, 10), maxCooldown))
+	}
+}
+
+// Forget drops the endpoints that keep does not name and that have nothing
+// in flight.
+func (picker *Picker) Forget(keep func(id string) bool) {
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	for id, state := range picker.endpoints {
+		if state.inFlight == 0 && !keep(id) {
+			delete(picker.endpoints, id)
+		}
+	}
+}
+
+// View is one endpoint in a state dump.
+type View struct {
+	ID       string `json:"id"`
+	InFlight int    `json:"in_flight"`
+	Told     Load   `json:"told"`
+	Parts    int    `json:"parts"`
+}
+
+// Views returns the endpoints known.
+func (picker *Picker) Views() []View {
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	views := make([]View, 0, len(picker.endpoints))
+	for id, state := range picker.endpoints {
+		views = append(views, View{ID: id, InFlight: state.inFlight, Told: state.told, Parts: state.parts.len()})
+	}
+	return views
+}
--- /dev/null
+++ b/budget/doc.go
@@ -0,0 +1,7 @@
+// Package budget decides how much a program may still spend when its turns
+// come through any entry instance. Each instance has an account in the
+// program's row: what it may hand out (granted) and what it has handed out
+// or is about to (used). An instance hands out only what its account grants
+// durably, and the grants of a row never add up to more than the budget.
+// The package does no input or output.
+package budget
--- /dev/null
+++ b/budget/ledger.go
@@ -0,0 +1,99 @@
+package budget
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Account is one instance's part of a program's budget, in tokens.
+type Account struct {
+	// Granted may be handed out by the instance without asking again.
+	Granted int64 `msgpack:"g"`
+	// Used is what it had handed out or promised when the row was written.
+	Used int64 `msgpack:"u"`
+}
+
+// Ledger is the durable state of a program's budget: an account for each
+// start of an entry instance that served a turn of it.
+type Ledger struct {
+	Accounts map[string]Account `msgpack:"a"`
+}
+
+// DecodeLedger reads a ledger as Encode wrote it. No bytes are an empty
+// ledger.
+func DecodeLedger(data []byte) (*Ledger, error) {
+	ledger := &Ledger{}
+	if len(data) > 0 {
+		if err := msgpack.Unmarshal(data, ledger); err != nil {
+			return nil, eris.Wrap(err, "decode budget ledger")
+		}
+	}
+	if ledger.Accounts == nil {
+		ledger.Accounts = map[string]Account{}
+	}
+	return ledger, nil
+}
+
+// Encode returns the ledger's bytes.
+func (ledger *Ledger) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(ledger)
+	return data, eris.Wrap(err, "encode budget ledger")
+}
+
+// others returns what all accounts but the one of owner hold together.
+func (ledger *Ledger) others(owner string) Account {
+	var sum Account
+	for name, account := range ledger.Accounts {
+		if name != owner {
+			sum.Granted += account.Granted
+			sum.Used += account.Used
+		}
+	}
+	return sum
+}
+
+// Decision is what may happen to a turn.
+type Decision int
+
+//go:generate stringer -type=Decision -trimprefix=Decision
+
+// Decisions.
+const (
+	// DecisionServe: the account already grants the turn.
+	DecisionServe Decision = iota
+	// DecisionGrant: the row has to be written first.
+	DecisionGrant
+	// DecisionWait: other instances hold what is left, and may give some
+	// of it back.
+	DecisionWait
+	// DecisionSpent: the budget does not hold the turn.
+	DecisionSpent
+)
+
+// headroomTurns is how many further turns of the same size a grant holds, if
+// the budget has room. A turn generates about half its maximum, so that two
+// let a program go on for some four turns, two seconds or more, while the
+// store is away.
+const headroomTurns = 2
+
+// headroomShare: the headroom is at most this part of what is left, so that
+// instances that serve a program together do not lock each other out.
+const headroomShare = 4
+
+// decide returns the decision on a turn that needs the account of owner to
+// grant need tokens in all, with turn the most it generates and total the
+// program's budget; for DecisionGrant also the amount to grant.
+func (ledger *Ledger) decide(owner string, need, turn, total int64) (Decision, int64) {
+	if need <= ledger.Accounts[owner].Granted {
+		return DecisionServe, 0
+	}
+	others := ledger.others(owner)
+	if others.Used+need > total {
+		return DecisionSpent, 0
+	}
+	left := total - others.Granted - need
+	if left < 0 {
+		return DecisionWait, 0
+	}
+	return DecisionGrant, need + min(headroomTurns*turn, left/headroomShare)
+}
--- /dev/null
+++ b/cmd/wagtaildrum/front.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/archive"
+	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/gateway"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
+)
+
+const (
+	// memoryShare of the process's limit is given to the Go runtime; the
+	// rest is for what it does not count: stacks of C, socket buffers.
+	memoryShare = 0.75
+	// cacheShare of the limit holds turns used lately.
+	cacheShare = 0.15
+	// upkeepInterval is how often endpoints that did not come back are
+	// dropped and unused connections closed.
+	upkeepInterval = 500 * time.Millisecond
+	// settingsInterval is how often the settings file is looked at, since
+	// it may change without a signal.
+	settingsInterval = 2 * time.Second
+)
+
+// frontCommand runs an entry instance on the users' platform.
+type frontCommand struct {
+	Settings string `long:"settings" short:"s" env:"WAGTAILDRUM_CONFIG" required:"true" description:"the platform's settings file"`
+	Metrics  string `long:"metrics" description:"address for metrics and state, HOST:PORT or :PORT"`
+}
+
+// Execute serves callers until SIGTERM.
+func (c *frontCommand) Execute([]string) error {
+	s, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	p := newProcess("front", s.Instance)
+	ctx, stop := signalled()
+	defer stop()
+	f := newFront(p, s)
+	if c.Metrics != "" {
+		if err := p.serveDebug(ctx, c.Metrics, f.gateway.State); err != nil {
+			return err
+		}
+	}
+	// What requests in flight need outlives the signal.
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	p.goroutine(work, f.configuration.Run)
+	p.goroutine(work, f.endpoints.Run)
+	p.goroutine(work, f.upkeep)
+	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, p.log, done) })
+	if err := f.serve(ctx, work, s, end); err != nil {
+		return err
+	}
+	p.log.Info("started", "callers", s.Callers, "store", s.Store, "data_centre", s.DataCentre, "owner", f.owner)
+	err = p.wait(stop)
+	p.log.Info("stopped", "err", err)
+	return err
+}
+
+// front is the parts of an entry instance on the platform.
+type front struct {
+	process       *process
+	owner         string
+	gateway       *gateway.Gateway
+	list          *membership.List
+	picker        *balance.Picker
+	client        *upstream.Client
+	configuration *discovery.Follower
+	endpoints     *discovery.Follower
+}
+
+func newFront(p *process, s *platform.Settings) *front {
+	scope, clk := p.metrics.Scope(), clock.Real{}
+	guard := store.NewGuard(platform.NewStore(s.Store), clk, func(away bool, err error) {
+		if away {
+			p.log.Warn("store away: what needs it is turned away", "err", err)
+			return
+		}
+		p.log.Info("store back")
+	})
+	current, list := &route.Current{}, membership.NewList()
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: fmt.Sprintf("%s-%08x", s.Instance, rand.Uint32())}
+	f.gateway = gateway.New(gateway.Parts{
+		DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
+		Accounts: account.NewKeeper(guard, f.owner, clk, p.log, scope),
+		Archive:  archive.New(guard, s.RowBytes, int(cacheShare*float64(s.Memory)), scope),
+		Clock:    clk, Log: p.log, Metrics: scope,
+	})
+	f.configuration = discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
+	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, p.log), clk, p.log, scope)
+	return f
+}
+
+// serve starts serving callers and readiness until ctx ends. Then it
+// drains, and calls end once no request is left.
+func (f *front) serve(ctx, work context.Context, s *platform.Settings, end context.CancelFunc) error {
+	p := f.process
+	callers, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s", s.Callers)
+	}
+	ready, err := net.Listen("tcp", s.Ready)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s", s.Ready)
+	}
+	p.goroutine(work, func(ctx context.Context, done chan<- error) {
+		srv := &http.Server{Handler: f.gateway.ReadyHandler(), ReadHeaderTimeout: 5 * time.Second}
+		ended := make(chan error, 1)
+		go func() { ended <- srv.Serve(ready) }()
+		<-ctx.Done()
+		_ = srv.Close() // whoever asks for readiness may be cut off
+		done <- <-ended
+	})
+	server := gateway.NewServer(f.gateway, p.log)
+	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
+		go func() {
+			<-ctx.Done()
+			p.log.Info("draining", "in_flight", f.gateway.InFlight())
+			f.gateway.Drain()
+		}()
+		server.Serve(ctx, callers, s.Grace, done)
+		end()
+	})
+	return nil
+}
+
+// upkeep drops endpoints that did not come back and connections unused.
+func (f *front) upkeep(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case now := <-ticker.C:
+			for _, id := range f.list.Expire(now) {
+				f.process.log.Info("endpoint did not come back after the store's return", "endpoint", id)
+			}
+			f.client.Trim()
+			f.picker.Forget(f.list.Knows)
+		}
+	}
+}
+
+// watchSettings logs changes of the settings file, told by SIGHUP or found.
+// All that may change while a process runs is taken from the store.
+func watchSettings(ctx context.Context, path string, current *platform.Settings, log *slog.Logger, done chan<- error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	modified := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case <-hangups:
+			log.Info("reload asked for")
+		case <-ticker.C:
+			info, err := os.Stat(path)
+			if err != nil || info.ModTime().Equal(modified) {
+				continue
+			}
+			modified = info.ModTime()
+		}
+		next, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Error("settings refused: the last ones stay in force", "err", err)
+			continue
+		}
+		if *next != *current {
+			log.Info("settings changed", "from", *current, "to", *next)
+			current = next
+		}
+	}
+}
--- a/cmd/wagtaildrum/main.go
+++ b/cmd/wagtaildrum/main.go
@@ -27,6 +27,7 @@
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "scheduler for agent programs"
 	must(parser.AddCommand("entry", "run an entry instance", "Serves the callers' API and owns programs.", &entryCommand{}))
+	must(parser.AddCommand("front", "run an entry instance on the users' platform", "Serves the platform's callers; state is kept in its store.", &frontCommand{}))
 	must(parser.AddCommand("sidecar", "run the sidecar beside an endpoint", "Admits, fences and drains calls to one engine or tool service.", &sidecarCommand{}))
 	ctl, err := parser.AddCommand("ctl", "operator commands", "Plan and apply configuration changes.", &struct{}{})
 	must(ctl, err)
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/archive"
+	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
+)
+
+// Parts are what a gateway works with.
+type Parts struct {
+	DataCentre string
+	Dialect    Dialect
+	Routes     *route.Current
+	Endpoints  *membership.List
+	Picker     *balance.Picker
+	Upstream   *upstream.Client
+	Accounts   *account.Keeper
+	Archive    *archive.Archive
+	Clock      clock.Clock
+	Log        *slog.Logger
+	Metrics    tally.Scope
+}
+
+// Gateway serves callers. It implements http.Handler.
+type Gateway struct {
+	Parts
+	metrics  metrics
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+type metrics struct {
+	requests, served, failed, sends, resumed tally.Counter
+	refused                                  [ReasonNotKept + 1]tally.Counter
+	latency, firstEvent, reserve, keep       tally.Histogram
+}
+
+// New returns a gateway of parts.
+func New(parts Parts) *Gateway {
+	gateway := &Gateway{Parts: parts}
+	scope := parts.Metrics
+	buckets := tally.MustMakeExponentialDurationBuckets(latencyLowest, latencyFactor, latencyBuckets)
+	gateway.metrics = metrics{
+		requests: scope.Counter("requests"), served: scope.Counter("served"), failed: scope.Counter("failed"),
+		sends: scope.Counter("sends"), resumed: scope.Counter("resumed"),
+		latency: scope.Histogram("request_seconds", buckets), firstEvent: scope.Histogram("first_event_seconds", buckets),
+		reserve: scope.Histogram("budget_seconds", buckets), keep: scope.Histogram("keep_turn_seconds", buckets),
+	}
+	for reason := range gateway.metrics.refused {
+		gateway.metrics.refused[reason] = scope.Tagged(map[string]string{"reason": Reason(reason).String()}).Counter("refused")
+	}
+	return gateway
+}
+
+// Ready reports whether new callers should come here.
+func (gateway *Gateway) Ready() bool {
+	return !gateway.draining.Load() && gateway.Routes.Load() != nil && gateway.Endpoints.Known()
+}
+
+// Drain makes the gateway not ready, and has each answer end its
+// connection.
+func (gateway *Gateway) Drain() { gateway.draining.Store(true) }
+
+// InFlight returns how many requests are being served.
+func (gateway *Gateway) InFlight() int64 { return gateway.inFlight.Load() }
+
+// ReadyHandler answers 200 while the gateway is ready and 503 otherwise.
+func (gateway *Gateway) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if gateway.Ready() {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// State is the gateway's part of a state dump.
+type State struct {
+	Ready         bool           `json:"ready"`
+	Draining      bool           `json:"draining"`
+	Configuration uint64         `json:"configuration"`
+	Routes        int            `json:"routes"`
+	Endpoints     int            `json:"endpoints"`
+	InFlight      int64          `json:"in_flight"`
+	Programs      int            `json:"programs"`
+	Load          []balance.View `json:"load"`
+}
+
+// State returns the state dump.
+func (gateway *Gateway) State() any {
+	state := State{Ready: gateway.Ready(), Draining: gateway.draining.Load(), Endpoints: gateway.Endpoints.Len(),
+		InFlight: gateway.InFlight(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views()}
+	if table := gateway.Routes.Load(); table != nil {
+		state.Configuration, state.Routes = table.Version(), table.Routes()
+	}
+	return state
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,328 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/archive"
+	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/history"
+	"github.com/wagtaildrum/wagtaildrum/route"
+)
+
+const (
+	// startPause is what callers are told to wait while an instance does
+	// not know the configuration yet: it reads it within a second.
+	startPause = 500 * time.Millisecond
+	// storePause is what callers are told to wait while the store is away.
+	// Outages last seconds; callers wait a third of their time at most.
+	storePause = 800 * time.Millisecond
+	// busyPause is what callers are told to wait when endpoints are full:
+	// about the time in which half the places come free.
+	busyPause = 150 * time.Millisecond
+	// heldPause is what callers are told to wait for budget that another
+	// instance gives back; it does so within half a second.
+	heldPause = 300 * time.Millisecond
+	// writeSlack is how long after a request's deadline its answer may
+	// still be written to a caller that reads slowly.
+	writeSlack = time.Second
+	// maxBody is the limit of bodies if the configuration names none.
+	maxBody = 4 << 20
+)
+
+// The latency histograms reach from 1 ms to 16 s.
+const (
+	latencyLowest  = time.Millisecond
+	latencyFactor  = 2
+	latencyBuckets = 15
+)
+
+// exchange is one request on its way through the gateway.
+type exchange struct {
+	*Gateway
+	w http.ResponseWriter
+	r *http.Request
+
+	call    *Call
+	table   *route.Table
+	route   *route.Route
+	service string
+	arrived time.Time
+	until   time.Time
+	body    []byte
+	prompt  []byte
+
+	chain       []*history.Turn
+	reservation *account.Reservation
+
+	// tried are the endpoints that were offered the request; runs counts
+	// those that may have run it.
+	tried []string
+	runs  int
+	// What the caller was given: the head of an answer, events, and the ID
+	// of the last one.
+	answered  bool
+	status    int
+	events    [][]byte
+	count     int64
+	lastEvent string
+	first     time.Duration
+	lastError error
+}
+
+// ServeHTTP serves one request: it finds its route, rebuilds its prompt,
+// reserves its budget, has an endpoint answer it, and keeps the turn.
+func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	gateway.inFlight.Add(1)
+	defer gateway.inFlight.Add(-1)
+	gateway.metrics.requests.Inc(1)
+	e := &exchange{Gateway: gateway, w: w, r: r, arrived: gateway.Clock.Now()}
+	err := e.serve()
+	if e.reservation != nil {
+		e.reservation.Settle(e.spent())
+	}
+	e.finish(err)
+}
+
+func (e *exchange) serve() error {
+	if err := e.accept(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(e.r.Context(), e.until)
+	defer cancel()
+	if err := e.rebuild(ctx); err != nil {
+		return err
+	}
+	if err := e.reserve(ctx); err != nil {
+		return err
+	}
+	if err := e.offer(ctx); err != nil {
+		return err
+	}
+	return e.keep(ctx)
+}
+
+// accept reads the request and finds its route.
+func (e *exchange) accept() error {
+	call, err := e.Dialect.Decode(e.r.Header)
+	if err != nil {
+		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
+	}
+	e.call = call
+	e.table = e.Routes.Load()
+	if e.table == nil {
+		return refuse(ReasonNoConfiguration, http.StatusServiceUnavailable, startPause, nil)
+	}
+	e.route = e.table.Match(e.r.Host, e.path())
+	if e.route == nil {
+		return refuse(ReasonNoRoute, http.StatusNotFound, 0, nil)
+	}
+	e.service = e.route.Pick()
+	wait := e.route.Timeout
+	if call.Deadline > 0 {
+		wait = min(wait, call.Deadline)
+	}
+	e.until = e.arrived.Add(wait)
+	// A caller that does not read must not hold the request for ever. Not
+	// all connections can be told; then the caller's end is waited for.
+	_ = http.NewResponseController(e.w).SetWriteDeadline(e.until.Add(writeSlack))
+	return e.readBody()
+}
+
+// path returns the path as the caller sent it.
+func (e *exchange) path() string {
+	path, _, _ := strings.Cut(e.r.RequestURI, "?")
+	return path
+}
+
+func (e *exchange) readBody() error {
+	limit := e.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	if e.r.ContentLength > 0 && e.r.ContentLength <= limit {
+		e.body = make([]byte, e.r.ContentLength)
+		if _, err := io.ReadFull(e.r.Body, e.body); err != nil {
+			return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
+		}
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refuse(ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, err)
+	}
+	if err != nil {
+		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
+	}
+	e.body = body
+	return nil
+}
+
+// rebuild puts the conversation before the new input of a turn.
+func (e *exchange) rebuild(ctx context.Context) error {
+	e.prompt = e.body
+	if !e.route.KeepsHistory || e.call.Previous == "" {
+		return nil
+	}
+	chain, err := e.Archive.Chain(ctx, e.call.Previous)
+	var unknown *archive.UnknownTurnError
+	switch {
+	case errors.As(err, &unknown):
+		return refuse(ReasonUnknownTurn, http.StatusNotFound, 0, err)
+	case err != nil:
+		return e.orGone(ctx, refuse(ReasonStoreAway, http.StatusServiceUnavailable, storePause, err))
+	}
+	e.chain = chain
+	e.prompt = history.Prompt(chain, e.body)
+	return nil
+}
+
+// turn reports whether the request spends from a program's budget.
+func (e *exchange) turn() bool {
+	return e.route.Kind == route.KindStream && e.call.Program != "" && e.call.Budget > 0
+}
+
+// reserve makes the most that a turn can spend durable.
+func (e *exchange) reserve(ctx context.Context) error {
+	if !e.turn() {
+		return nil
+	}
+	began := e.Clock.Now()
+	reservation, err := e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget)
+	e.metrics.reserve.RecordDuration(e.Clock.Now().Sub(began))
+	var spent *account.SpentError
+	var held *account.HeldError
+	switch {
+	case errors.As(err, &spent):
+		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, err)
+	case errors.As(err, &held):
+		return refuse(ReasonBudgetHeld, http.StatusServiceUnavailable, heldPause, err)
+	case err != nil:
+		return e.orGone(ctx, refuse(ReasonStoreAway, http.StatusServiceUnavailable, storePause, err))
+	}
+	e.reservation = reservation
+	return nil
+}
+
+// spent returns how many tokens the caller was handed.
+func (e *exchange) spent() int64 { return e.count * e.eventTokens() }
+
+func (e *exchange) eventTokens() int64 {
+	if service := e.table.Service(e.service); service != nil && service.Model != nil {
+		return service.Model.EventTokens
+	}
+	return 0
+}
+
+// keep makes an answered turn durable before the caller learns that it is
+// whole: the end of the answer is written only after this returns nil.
+func (e *exchange) keep(ctx context.Context) error {
+	if !e.route.KeepsHistory || e.status != http.StatusOK || e.route.Kind != route.KindStream {
+		return nil
+	}
+	turn := &history.Turn{ID: e.call.ID, Input: e.body, Events: e.events}
+	if len(e.chain) > 0 {
+		turn.Ancestors = e.chain[len(e.chain)-1].Chain()
+	}
+	began := e.Clock.Now()
+	err := e.Archive.Keep(ctx, turn)
+	e.metrics.keep.RecordDuration(e.Clock.Now().Sub(began))
+	if err != nil {
+		return refuse(ReasonNotKept, http.StatusBadGateway, 0, err)
+	}
+	return nil
+}
+
+// orGone returns err, or why the request ended if it did.
+func (e *exchange) orGone(ctx context.Context, err error) error {
+	switch {
+	case e.r.Context().Err() != nil:
+		return refuse(ReasonCallerGone, http.StatusBadGateway, 0, e.r.Context().Err())
+	case ctx.Err() != nil && e.runs > 0:
+		return refuse(ReasonTimeout, http.StatusGatewayTimeout, 0, ctx.Err())
+	case ctx.Err() != nil:
+		return refuse(ReasonTimeout, http.StatusServiceUnavailable, busyPause, ctx.Err())
+	}
+	return err
+}
+
+// finish answers a request that was not served, and logs how it ended.
+func (e *exchange) finish(err error) {
+	took := e.Clock.Now().Sub(e.arrived)
+	e.metrics.latency.RecordDuration(took)
+	reason := ReasonNone
+	var own *refusal
+	if errors.As(err, &own) {
+		reason = own.reason
+		e.metrics.refused[reason].Inc(1)
+		if !e.answered {
+			e.status = own.status
+		}
+	} else {
+		e.metrics.served.Inc(1)
+	}
+	e.log(reason, took, err)
+	if own == nil {
+		return
+	}
+	if e.answered || reason == ReasonCallerGone {
+		// The connection breaks off, so that what was given does not look
+		// whole.
+		panic(http.ErrAbortHandler)
+	}
+	e.endConnection()
+	own.write(e.w)
+}
+
+// endConnection has the answer end its connection while the instance
+// drains, so that the caller's next request goes elsewhere.
+func (e *exchange) endConnection() {
+	if e.draining.Load() {
+		e.w.Header().Set("Connection", "close")
+	}
+}
+
+func (e *exchange) log(reason Reason, took time.Duration, err error) {
+	attrs := []slog.Attr{slog.Int("status", e.status), slog.String("reason", reason.String()), slog.Duration("took", took)}
+	if e.call != nil {
+		attrs = append(attrs, slog.String("request", e.call.ID), slog.String("program", e.call.Program))
+	}
+	if e.route != nil {
+		attrs = append(attrs, slog.String("route", e.route.Name), slog.Uint64("configuration", e.table.Version()), slog.Time("until", e.until))
+	}
+	if len(e.tried) > 0 {
+		attrs = append(attrs, slog.Any("endpoints", e.tried), slog.Int("runs", e.runs))
+	}
+	if e.isTurn() {
+		attrs = append(attrs, slog.Int64("budget", e.call.Budget), slog.Int64("most", e.call.MaxTokens), slog.Int64("spent", e.spent()), slog.Duration("first", e.first))
+	}
+	if e.call != nil && e.call.Previous != "" {
+		attrs = append(attrs, slog.String("previous", e.call.Previous))
+	}
+	if e.lastError != nil {
+		attrs = append(attrs, slog.Any("last_error", e.lastError))
+	}
+	if err != nil {
+		attrs = append(attrs, slog.Any("err", err))
+	}
+	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
+}
+
+// isTurn is turn for requests that may have no route.
+func (e *exchange) isTurn() bool { return e.route != nil && e.turn() }
+
+// balanceRequest returns what the choice of an endpoint depends on.
+func (e *exchange) balanceRequest() *balance.Request {
+	request := &balance.Request{DataCentre: e.DataCentre, Parts: e.call.Parts}
+	if service := e.table.Service(e.service); service != nil && service.Model != nil {
+		request.Capacity = service.Model.Capacity
+	}
+	return request
+}
--- /dev/null
+++ b/history/turn.go
@@ -0,0 +1,164 @@
+package history
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Turn is one turn of a conversation, as kept.
+type Turn struct {
+	// ID is the request that made the turn.
+	ID string
+	// Ancestors are the turns before it, oldest first.
+	Ancestors []string
+	// Input is what the request carried, Events the data of each event of
+	// the answer.
+	Input  []byte
+	Events [][]byte
+}
+
+// Size returns about how much memory the turn holds, in bytes.
+func (turn *Turn) Size() int {
+	size := len(turn.Input) + len(turn.ID)
+	for _, event := range turn.Events {
+		size += len(event)
+	}
+	for _, ancestor := range turn.Ancestors {
+		size += len(ancestor)
+	}
+	return size
+}
+
+// Chain returns the IDs of a turn that continues this one: its ancestors
+// and itself.
+func (turn *Turn) Chain() []string {
+	chain := make([]string, 0, len(turn.Ancestors)+1)
+	chain = append(chain, turn.Ancestors...)
+	return append(chain, turn.ID)
+}
+
+// Prompt returns what an engine is sent for input after the turns of chain,
+// oldest first: for each its input, then the data of each event and a line
+// feed; then input.
+func Prompt(chain []*Turn, input []byte) []byte {
+	size := len(input)
+	for _, turn := range chain {
+		size += turn.Size() + len(turn.Events)
+	}
+	prompt := make([]byte, 0, size)
+	for _, turn := range chain {
+		prompt = append(prompt, turn.Input...)
+		for _, event := range turn.Events {
+			prompt = append(prompt, event...)
+			prompt = append(prompt, '\n')
+		}
+	}
+	return append(prompt, input...)
+}
+
+// record is the encoded form of a Turn; its ID is the row's name.
+type record struct {
+	Ancestors []string `msgpack:"a"`
+	Input     []byte   `msgpack:"i"`
+	Events    [][]byte `msgpack:"e"`
+}
+
+// partHeader is the first byte of each row of a turn: how many rows follow.
+const partHeader = 1
+
+// maxParts is the most rows that one turn is split into: what partHeader
+// can count, far above the body limit of any deployment.
+const maxParts = 255
+
+// TooLargeError is a turn that does not fit its rows.
+type TooLargeError struct {
+	id   string
+	size int
+}
+
+// Error tells the size.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("turn %s of %d bytes does not fit %d rows", e.id, e.size, maxParts)
+}
+
+// Encode returns the values of the rows that keep turn, each of at most
+// rowBytes. It returns a *TooLargeError if they are too many.
+func (turn *Turn) Encode(rowBytes int) ([][]byte, error) {
+	plain, err := msgpack.Marshal(&record{Ancestors: turn.Ancestors, Input: turn.Input, Events: turn.Events})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode turn")
+	}
+	data, err := deflate(plain)
+	if err != nil {
+		return nil, err
+	}
+	most := rowBytes - partHeader
+	count := max((len(data)+most-1)/most, 1)
+	if count > maxParts {
+		return nil, &TooLargeError{id: turn.ID, size: len(data)}
+	}
+	parts := make([][]byte, 0, count)
+	for i := range count {
+		chunk := data[i*most : min((i+1)*most, len(data))]
+		part := append(make([]byte, 0, len(chunk)+partHeader), byte(count-1-i))
+		parts = append(parts, append(part, chunk...))
+	}
+	return parts, nil
+}
+
+// IncompleteError is a turn some of whose rows are missing.
+type IncompleteError struct {
+	id string
+}
+
+// Error names the turn.
+func (e *IncompleteError) Error() string { return "turn " + e.id + ": rows missing" }
+
+// Decode rebuilds a turn from the values of its rows, in order.
+func Decode(id string, parts [][]byte) (*Turn, error) {
+	var data []byte
+	for i, part := range parts {
+		if len(part) < partHeader || int(part[0]) != len(parts)-1-i {
+			return nil, &IncompleteError{id: id}
+		}
+		data = append(data, part[partHeader:]...)
+	}
+	if len(parts) == 0 {
+		return nil, &IncompleteError{id: id}
+	}
+	plain, err := inflate(data)
+	if err != nil {
+		return nil, eris.Wrapf(err, "turn %s", id)
+	}
+	var rec record
+	if err := msgpack.Unmarshal(plain, &rec); err != nil {
+		return nil, eris.Wrapf(err, "turn %s", id)
+	}
+	return &Turn{ID: id, Ancestors: rec.Ancestors, Input: rec.Input, Events: rec.Events}, nil
+}
+
+func deflate(plain []byte) ([]byte, error) {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, eris.Wrap(err, "compress turn")
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, eris.Wrap(err, "compress turn")
+	}
+	if err := w.Close(); err != nil {
+		return nil, eris.Wrap(err, "compress turn")
+	}
+	return buf.Bytes(), nil
+}
+
+func inflate(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer func() { _ = r.Close() }() // reads from memory only
+	return io.ReadAll(r)
+}
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -41,3 +41,8 @@
 	}
 	return fmt.Sprintf("settings %s: key %q: %s: %s", e.file, e.key, e.problem, e.detail)
 }
+
+// NewError returns the fault of key in the settings file at path.
+func NewError(path, key string, problem Problem, detail string) *Error {
+	return &Error{file: path, key: key, problem: problem, detail: detail}
+}
