--- a/account/keeper.go
+++ b/account/keeper.go
@@ -23,18 +23,23 @@
 	// store takes as a whole.
 	partitions = 16
 	// releaseDelay after its last turn here, what a program was granted and
-	// did not use is given back. A caller's next turn usually follows within
-	// 200 ms; a second after a turn's end no more than was spent may count.
-	releaseDelay = 400 * time.Millisecond
+	// did not use is given back. Its next turn usually follows within a
+	// second; other instances that need it sooner ask for it.
+	releaseDelay = 3 * time.Second
 	// forgetDelay after that the program is forgotten here. Each time it is
 	// met again takes one more account in its row.
 	forgetDelay = time.Minute
 	// conflicts in a row, after which a turn is turned away: each means that
 	// another instance served a turn of the program at the same moment.
 	maxConflicts = 8
+	// askTimeout bounds asking another instance to give back: a write there
+	// and the way.
+	askTimeout = 300 * time.Millisecond
 	// releaseTries bounds how often giving back is tried again.
 	releaseTries = 20
 	releasePause = 300 * time.Millisecond
+	// stopWriters give back at a time when the instance stops.
+	stopWriters = 8
 )
 
 // SpentError is a turn that the budget does not hold.
@@ -59,13 +64,21 @@
 	return "program " + e.program + ": what is left of the budget is held by other instances"
 }
 
+// Holders asks the instances that own the named accounts of a program to
+// give back what they do not use, and returns once they did or cannot be
+// asked.
+type Holders interface {
+	GiveBack(ctx context.Context, program string, accounts []string)
+}
+
 // Keeper keeps the budgets of the programs served here. It is safe for
 // concurrent use.
 type Keeper struct {
-	store store.Store
-	owner string
-	clock clock.Clock
-	log   *slog.Logger
+	store   store.Store
+	owner   string
+	holders Holders
+	clock   clock.Clock
+	log     *slog.Logger
 
 	granted, spent, held, released, failed tally.Counter
 
@@ -129,9 +142,9 @@
 }
 
 // NewKeeper returns a keeper over s. The owner must differ between any two
-// starts of any instances.
-func NewKeeper(s store.Store, owner string, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Keeper {
-	return &Keeper{store: s, owner: owner, clock: clk, log: log, programs: map[string]*program{},
+// starts of any instances; accounts are named OWNER.NUMBER.
+func NewKeeper(s store.Store, owner string, holders Holders, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Keeper {
+	return &Keeper{store: s, owner: owner, holders: holders, clock: clk, log: log, programs: map[string]*program{},
 		granted: scope.Counter("budget_grants"), spent: scope.Counter("budget_spent"), held: scope.Counter("budget_held"),
 		released: scope.Counter("budget_releases"), failed: scope.Counter("budget_write_failures")}
 }
@@ -168,7 +181,7 @@
 	case <-ctx.Done():
 		return store.NewError(store.FailureUnreachable, "budget", "gave up waiting for another turn's write")
 	}
-	fresh := false
+	fresh, asked := false, false
 	for range maxConflicts {
 		switch decision := p.begin(turn, total); decision {
 		case budget.DecisionServe:
@@ -185,6 +198,10 @@
 			}
 			fresh = true
 		default:
+			if fresh && decision == budget.DecisionWait && !asked {
+				keeper.ask(ctx, p)
+				asked, fresh = true, false
+			}
 			if fresh {
 				return keeper.refuse(p, decision, total)
 			}
@@ -199,6 +216,63 @@
 	return &HeldError{program: p.id}
 }
 
+// ask has other instances give back what they do not use of p's budget.
+func (keeper *Keeper) ask(ctx context.Context, p *program) {
+	p.mu.Lock()
+	accounts := p.tab.Holders()
+	p.mu.Unlock()
+	if len(accounts) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	keeper.holders.GiveBack(ctx, p.id, accounts)
+}
+
+// GiveBack gives back what the program was granted here and does not use,
+// as another instance asked for. It returns once that is durable, or ctx
+// ends; nothing is done for a program unknown here.
+func (keeper *Keeper) GiveBack(ctx context.Context, id string) error {
+	keeper.mu.Lock()
+	p := keeper.programs[id]
+	keeper.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	select {
+	case p.row <- struct{}{}:
+		defer func() { <-p.row }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return keeper.giveBack(ctx, p, func(*program) bool { return true })
+}
+
+// giveBack writes the row that gives back, if due says that it is to be
+// written. The caller holds the row.
+func (keeper *Keeper) giveBack(ctx context.Context, p *program, due func(*program) bool) error {
+	var err error
+	for range maxConflicts {
+		p.mu.Lock()
+		var ledger *budget.Ledger
+		if due(p) {
+			ledger = p.tab.Release()
+		}
+		p.mu.Unlock()
+		if ledger == nil {
+			return nil
+		}
+		if err = keeper.write(ctx, p, ledger); err == nil {
+			keeper.released.Inc(1)
+			return nil
+		}
+		if !store.Is(err, store.FailureConflict) {
+			return err
+		}
+	}
+	return err
+}
+
 func (keeper *Keeper) refuse(p *program, decision budget.Decision, total int64) error {
 	if decision == budget.DecisionSpent {
 		keeper.spent.Inc(1)
@@ -291,38 +365,38 @@
 func (keeper *Keeper) tryRelease(p *program) bool {
 	p.row <- struct{}{}
 	defer func() { <-p.row }()
-	ledger, rest := keeper.toRelease(p)
-	if ledger == nil {
-		return rest
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	for range maxConflicts {
-		err := keeper.write(ctx, p, ledger)
-		if err == nil {
-			keeper.released.Inc(1)
-			return true
-		}
-		if !store.Is(err, store.FailureConflict) {
-			keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
-			return false
-		}
-		if ledger, rest = keeper.toRelease(p); ledger == nil {
-			return rest
-		}
+	err := keeper.giveBack(ctx, p, func(p *program) bool {
+		return p.tab.Idle() && keeper.clock.Now().Sub(p.last) >= releaseDelay/2
+	})
+	if err != nil {
+		keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
 	}
-	return false
+	return err == nil
 }
 
-// toRelease returns the row that gives back, nil if there is nothing to
-// write; rest tells that nothing is left to do.
-func (keeper *Keeper) toRelease(p *program) (ledger *budget.Ledger, rest bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.tab.Idle() || keeper.clock.Now().Sub(p.last) < releaseDelay/2 {
-		return nil, true
+// Stop gives back what all programs were granted here and do not use, until
+// ctx ends: a stopping instance must not keep what others could hand out.
+func (keeper *Keeper) Stop(ctx context.Context) {
+	keeper.mu.Lock()
+	ids := make(chan string, len(keeper.programs))
+	for id := range keeper.programs {
+		ids <- id
+	}
+	close(ids)
+	keeper.mu.Unlock()
+	var workers sync.WaitGroup
+	for range stopWriters {
+		workers.Go(func() {
+			for id := range ids {
+				if err := keeper.GiveBack(ctx, id); err != nil {
+					keeper.log.Info("budget not given back at the stop", "program", id, "err", err)
+				}
+			}
+		})
 	}
-	return p.tab.Release(), true
+	workers.Wait()
 }
 
 func (keeper *Keeper) program(id string) *program {
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"slices"
+
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -52,6 +54,19 @@
 	return sum
 }
 
+// Holders returns the owners of the accounts, other than owner's, that grant
+// more than they are known to have used.
+func (ledger *Ledger) Holders(owner string) []string {
+	var holders []string
+	for name, account := range ledger.Accounts {
+		if name != owner && account.Granted > account.Used {
+			holders = append(holders, name)
+		}
+	}
+	slices.Sort(holders)
+	return holders
+}
+
 // Decision is what may happen to a turn.
 type Decision int
 
@@ -70,20 +85,18 @@
 	DecisionSpent
 )
 
-// headroomTurns is how many further turns of the same size a grant holds, if
-// the budget has room. A turn generates about half its maximum, so that two
-// let a program go on for some four turns, two seconds or more, while the
-// store is away.
-const headroomTurns = 2
-
-// headroomShare: the headroom is at most this part of what is left, so that
-// instances that serve a program together do not lock each other out.
-const headroomShare = 4
+// headroomShare: a grant holds, beside the turn, one part in headroomShare of
+// what is left of the budget. Programs spend about a third of their budgets,
+// so that half of it at the instance that most turns come through lets most
+// programs go on to their end while the store is away, and saves a write a
+// turn; the other half is there for the turns that come through others, and
+// for those after an instance that died with what it was granted.
+const headroomShare = 2
 
 // decide returns the decision on a turn that needs the account of owner to
-// grant need tokens in all, with turn the most it generates and total the
-// program's budget; for DecisionGrant also the amount to grant.
-func (ledger *Ledger) decide(owner string, need, turn, total int64) (Decision, int64) {
+// grant need tokens in all, with total the program's budget; for
+// DecisionGrant also the amount to grant.
+func (ledger *Ledger) decide(owner string, need, total int64) (Decision, int64) {
 	if need <= ledger.Accounts[owner].Granted {
 		return DecisionServe, 0
 	}
@@ -95,5 +108,5 @@
 	if left < 0 {
 		return DecisionWait, 0
 	}
-	return DecisionGrant, need + min(headroomTurns*turn, left/headroomShare)
+	return DecisionGrant, need + left/headroomShare
 }
--- a/budget/tab.go
+++ b/budget/tab.go
@@ -32,6 +32,9 @@
 // Granted returns what the row grants this instance.
 func (tab *Tab) Granted() int64 { return tab.ledger.Accounts[tab.owner].Granted }
 
+// Holders returns the other accounts that may have something to give back.
+func (tab *Tab) Holders() []string { return tab.ledger.Holders(tab.owner) }
+
 // Idle reports whether no turn is in flight here.
 func (tab *Tab) Idle() bool { return tab.promised == 0 }
 
@@ -39,13 +42,13 @@
 // under the budget total. For DecisionGrant, Grant has to be made durable,
 // then Granted called, and the turn decided again.
 func (tab *Tab) Decide(turn, total int64) Decision {
-	decision, _ := tab.ledger.decide(tab.owner, tab.Used()+turn, turn, total)
+	decision, _ := tab.ledger.decide(tab.owner, tab.Used()+turn, total)
 	return decision
 }
 
 // Grant returns the row that grants this instance the turn.
 func (tab *Tab) Grant(turn, total int64) *Ledger {
-	_, amount := tab.ledger.decide(tab.owner, tab.Used()+turn, turn, total)
+	_, amount := tab.ledger.decide(tab.owner, tab.Used()+turn, total)
 	return tab.with(Account{Granted: amount, Used: tab.Used() + turn})
 }
 
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -20,6 +20,7 @@
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/entrypeer"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/platform"
@@ -37,6 +38,9 @@
 	// upkeepInterval is how often endpoints that did not come back are
 	// dropped and unused connections closed.
 	upkeepInterval = 500 * time.Millisecond
+	// leaveTime bounds giving up what a stopping instance holds. It counts
+	// into the time to stop.
+	leaveTime = 700 * time.Millisecond
 	// settingsInterval is how often the settings file is looked at, since
 	// it may change without a signal.
 	settingsInterval = 2 * time.Second
@@ -69,6 +73,9 @@
 	defer end()
 	p.goroutine(work, f.configuration.Run)
 	p.goroutine(work, f.endpoints.Run)
+	p.goroutine(work, f.instances.Run)
+	p.goroutine(work, f.relay.Probe)
+	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
 	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, p.log, done) })
 	if err := f.serve(ctx, work, s, end); err != nil {
@@ -88,29 +95,41 @@
 	list          *membership.List
 	picker        *balance.Picker
 	client        *upstream.Client
+	accounts      *account.Keeper
+	store         store.Store
+	relay         *entrypeer.Relay
+	directory     *entrypeer.Directory
+	peers         *entrypeer.Server
 	configuration *discovery.Follower
 	endpoints     *discovery.Follower
+	instances     *discovery.Follower
 }
 
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
-	guard := store.NewGuard(platform.NewStore(s.Store), clk, func(away bool, err error) {
-		if away {
-			p.log.Warn("store away: what needs it is turned away", "err", err)
-			return
-		}
-		p.log.Info("store back")
+	owner := fmt.Sprintf("%s-%08x", s.Instance, rand.Uint32())
+	direct := store.NewGuard(platform.NewStore(s.Store), clk, func(away bool, err error) {
+		p.log.Info("own way to the store", "away", away, "err", err)
+	})
+	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
+	peers := entrypeer.NewClient(directory)
+	relay := entrypeer.NewRelay(direct, peers)
+	guard := store.NewGuard(relay, clk, func(away bool, err error) {
+		p.log.Info("store", "away", away, "err", err)
 	})
 	current, list := &route.Current{}, membership.NewList()
-	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: fmt.Sprintf("%s-%08x", s.Instance, rand.Uint32())}
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, relay: relay, store: guard}
+	f.accounts = account.NewKeeper(guard, owner, peers, clk, p.log, scope)
+	f.peers = &entrypeer.Server{Store: direct, GiveBack: f.accounts.GiveBack, Log: p.log}
 	f.gateway = gateway.New(gateway.Parts{
 		DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
-		Accounts: account.NewKeeper(guard, f.owner, clk, p.log, scope),
+		Accounts: f.accounts,
 		Archive:  archive.New(guard, s.RowBytes, int(cacheShare*float64(s.Memory)), scope),
 		Clock:    clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, p.log), clk, p.log, scope)
+	f.instances = discovery.NewFollower(guard, directory.Source(p.log), clk, p.log, scope)
 	return f
 }
 
@@ -126,14 +145,12 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", s.Ready)
 	}
-	p.goroutine(work, func(ctx context.Context, done chan<- error) {
-		srv := &http.Server{Handler: f.gateway.ReadyHandler(), ReadHeaderTimeout: 5 * time.Second}
-		ended := make(chan error, 1)
-		go func() { ended <- srv.Serve(ready) }()
-		<-ctx.Done()
-		_ = srv.Close() // whoever asks for readiness may be cut off
-		done <- <-ended
-	})
+	peers, err := net.Listen("tcp", s.Peer)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s", s.Peer)
+	}
+	p.goroutine(work, serveUntil(ready, f.gateway.ReadyHandler()))
+	p.goroutine(work, serveUntil(peers, f.peers.Handler()))
 	server := gateway.NewServer(f.gateway, p.log)
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		go func() {
@@ -141,12 +158,39 @@
 			p.log.Info("draining", "in_flight", f.gateway.InFlight())
 			f.gateway.Drain()
 		}()
-		server.Serve(ctx, callers, s.Grace, done)
+		served := make(chan error, 1)
+		server.Serve(ctx, callers, s.Grace-leaveTime, served)
+		f.leave()
 		end()
+		done <- <-served
 	})
 	return nil
 }
 
+// leave gives up what this instance holds: other instances take over its
+// programs.
+func (f *front) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
+	f.accounts.Stop(ctx)
+	if err := f.directory.Leave(ctx, f.store); err != nil {
+		f.process.log.Warn("own entry not removed: other instances find out when they call", "err", err)
+	}
+}
+
+// serveUntil serves handler on listener until the context ends. Whoever
+// calls then may be cut off.
+func serveUntil(listener net.Listener, handler http.Handler) func(context.Context, chan<- error) {
+	return func(ctx context.Context, done chan<- error) {
+		srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+		ended := make(chan error, 1)
+		go func() { ended <- srv.Serve(listener) }()
+		<-ctx.Done()
+		_ = srv.Close()
+		done <- <-ended
+	}
+}
+
 // upkeep drops endpoints that did not come back and connections unused.
 func (f *front) upkeep(ctx context.Context, done chan<- error) {
 	ticker := time.NewTicker(upkeepInterval)
--- /dev/null
+++ b/entrypeer/client.go
@@ -0,0 +1,100 @@
+package entrypeer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/wagtaildrum/wagtaildrum/tcp"
+)
+
+const (
+	// connectTimeout and unackedTimeout: see tcp.NewDialer. Instances are
+	// one way of a millisecond or less off.
+	connectTimeout = 300 * time.Millisecond
+	unackedTimeout = 600 * time.Millisecond
+	// idleTime is how long an unused connection to an instance is kept.
+	idleTime = 10 * time.Second
+)
+
+// StatusError is an answer of another instance that it did not do what was
+// asked.
+type StatusError struct {
+	instance string
+	status   int
+	detail   string
+}
+
+// Error names the instance and what it said.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("instance %s: status %d: %s", e.instance, e.status, e.detail)
+}
+
+// Client calls other entry instances. It implements account.Holders.
+type Client struct {
+	directory *Directory
+	http      *http.Client
+}
+
+// NewClient returns a client for the instances of directory.
+func NewClient(directory *Directory) *Client {
+	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, IdleConnTimeout: idleTime, DisableCompression: true}
+	return &Client{directory: directory, http: &http.Client{Transport: transport}}
+}
+
+// GiveBack implements account.Holders.
+func (client *Client) GiveBack(ctx context.Context, program string, accounts []string) {
+	asked := map[string]bool{}
+	var calls sync.WaitGroup
+	for _, account := range accounts {
+		instance, ok := client.directory.owning(account)
+		if !ok || asked[instance.Owner] {
+			continue
+		}
+		asked[instance.Owner] = true
+		calls.Go(func() {
+			// What was not given back shows in the row that is read next.
+			_ = client.call(ctx, instance, pathGiveBack, &giveBackMessage{Program: program}, nil)
+		})
+	}
+	calls.Wait()
+}
+
+// call makes one call. An instance that cannot be reached is left out for a
+// while.
+func (client *Client) call(ctx context.Context, instance Instance, path string, message, into any) error {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "encode call to another instance")
+	}
+	request, err := sling.New().Base("http://" + instance.Address).Post(path).Body(bytes.NewReader(body)).Request()
+	if err != nil {
+		return eris.Wrap(err, "call another instance")
+	}
+	response, err := client.http.Do(request.WithContext(ctx))
+	if err != nil {
+		client.directory.failed(instance)
+		return eris.Wrapf(err, "instance %s", instance.Name)
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end below
+	data, err := io.ReadAll(io.LimitReader(response.Body, 2*maxMessage))
+	if err != nil {
+		client.directory.failed(instance)
+		return eris.Wrapf(err, "instance %s", instance.Name)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{instance: instance.Name, status: response.StatusCode, detail: string(data)}
+	}
+	if into == nil {
+		return nil
+	}
+	return eris.Wrapf(msgpack.Unmarshal(data, into), "instance %s", instance.Name)
+}
--- /dev/null
+++ b/entrypeer/directory.go
@@ -0,0 +1,164 @@
+package entrypeer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/retry"
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+const (
+	// table holds a row for each entry instance.
+	table = "entries"
+	// failurePause is how long an instance that could not be reached is left
+	// out.
+	failurePause = time.Second
+	// joinPause and maxJoinPause are between tries to enter the table.
+	joinPause    = 100 * time.Millisecond
+	maxJoinPause = time.Second
+)
+
+// Instance is an entry instance as it stands in the table.
+type Instance struct {
+	// Name is the machine's; a restarted instance takes the row over.
+	Name string `msgpack:"-"`
+	// Owner is new with each start: budget accounts are named after it.
+	Owner string `msgpack:"o"`
+	// Address serves the calls of this package.
+	Address    string `msgpack:"a"`
+	DataCentre string `msgpack:"d"`
+}
+
+// Directory knows the other entry instances. It is safe for concurrent use.
+type Directory struct {
+	self  Instance
+	clock clock.Clock
+
+	mu        sync.Mutex
+	instances map[string]Instance
+	avoid     map[string]time.Time
+}
+
+// NewDirectory returns a directory that knows only self.
+func NewDirectory(self Instance, clk clock.Clock) *Directory {
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]time.Time{}}
+}
+
+func (directory *Directory) key() store.Key {
+	return store.Key{Table: table, Name: store.Name(directory.self.Name)}
+}
+
+// Join enters this instance into the table, trying until it is done or ctx
+// ends, then reports on done.
+func (directory *Directory) Join(s store.Store, log *slog.Logger) func(context.Context, chan<- error) {
+	return func(ctx context.Context, done chan<- error) {
+		defer func() { done <- nil }()
+		value, err := msgpack.Marshal(&directory.self)
+		if err != nil {
+			log.Error("own entry cannot be encoded: other instances will not find this one", "err", err)
+			return
+		}
+		backoff := retry.Backoff{First: joinPause, Most: maxJoinPause}
+		for {
+			_, err := s.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: directory.key(), Value: value}}})
+			if err == nil {
+				log.Info("joined the other instances", "address", directory.self.Address)
+				return
+			}
+			log.Warn("not joined yet", "err", err)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(joinPause/2 + backoff.Next()):
+			}
+		}
+	}
+}
+
+// Leave takes this instance out of the table.
+func (directory *Directory) Leave(ctx context.Context, s store.Store) error {
+	_, err := s.Commit(ctx, store.Transaction{Deletes: []store.Key{directory.key()}})
+	return err
+}
+
+// Source returns the table to follow.
+func (directory *Directory) Source(log *slog.Logger) discovery.Source {
+	return discovery.Source{Table: table, Lost: func() {}, Back: func() {}, Apply: func(row store.Row) { directory.apply(row, log) }, Whole: func(rows []store.Row) {
+		directory.mu.Lock()
+		clear(directory.instances)
+		directory.mu.Unlock()
+		for _, row := range rows {
+			directory.apply(row, log)
+		}
+	}}
+}
+
+func (directory *Directory) apply(row store.Row, log *slog.Logger) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if row.Removed {
+		delete(directory.instances, row.Key.Name)
+		return
+	}
+	var instance Instance
+	if err := msgpack.Unmarshal(row.Value, &instance); err != nil {
+		log.Error("entry of an instance refused", "instance", row.Key.Name, "err", err)
+		return
+	}
+	instance.Name = row.Key.Name
+	if instance.Owner != directory.self.Owner {
+		directory.instances[row.Key.Name] = instance
+	}
+}
+
+// owning returns the live instance that owns a budget account.
+func (directory *Directory) owning(account string) (Instance, bool) {
+	owner := account[:max(strings.LastIndexByte(account, '.'), 0)]
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for _, instance := range directory.instances {
+		if instance.Owner == owner && !directory.clock.Now().Before(directory.avoid[instance.Name]) {
+			return instance, true
+		}
+	}
+	return Instance{}, false
+}
+
+// some returns up to n other instances to ask, those of the own data centre
+// first, in random order.
+func (directory *Directory) some(n int) []Instance {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	now := directory.clock.Now()
+	var near, far []Instance
+	for _, instance := range directory.instances {
+		if now.Before(directory.avoid[instance.Name]) {
+			continue
+		}
+		if instance.DataCentre == directory.self.DataCentre {
+			near = append(near, instance)
+		} else {
+			far = append(far, instance)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
+
+// failed leaves an instance out for a while.
+func (directory *Directory) failed(instance Instance) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	directory.avoid[instance.Name] = directory.clock.Now().Add(failurePause)
+}
--- /dev/null
+++ b/entrypeer/message.go
@@ -0,0 +1,41 @@
+package entrypeer
+
+import (
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+// Paths of the calls.
+const (
+	pathGiveBack = "/entry/give-back"
+	pathStore    = "/entry/store"
+)
+
+// giveBackMessage asks for what is held of a program's budget.
+type giveBackMessage struct {
+	Program string
+}
+
+// storeMessage asks for one call to the store; one field is set.
+type storeMessage struct {
+	Commit *store.Transaction
+	Read   *store.Range
+	Watch  *watchMessage
+}
+
+type watchMessage struct {
+	Table string
+	After uint64
+	Wait  time.Duration
+}
+
+// storeAnswer is the answer of the store, or its failure.
+type storeAnswer struct {
+	Version uint64
+	Page    store.Page
+	Failed  bool
+	Failure store.Failure
+	Detail  string
+	Rows    []store.Row
+}
--- /dev/null
+++ b/entrypeer/relay.go
@@ -0,0 +1,127 @@
+package entrypeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+const (
+	// relayTimeout bounds a call to the store through another instance.
+	relayTimeout = 600 * time.Millisecond
+	// relayTries is how many other instances are asked for one call.
+	relayTries = 2
+	// probeInterval is how often the own way to the store is tried while it
+	// does not answer and nothing else tries it.
+	probeInterval = 300 * time.Millisecond
+)
+
+// Relay is a store that is reached through other instances while this one's
+// own way to it fails. A call that had no answer here is made again there:
+// its conditions see to it that it is not done twice, as for any call that
+// is repeated.
+type Relay struct {
+	direct *store.Guard
+	client *Client
+}
+
+// NewRelay returns a relay over this instance's own way.
+func NewRelay(direct *store.Guard, client *Client) *Relay {
+	return &Relay{direct: direct, client: client}
+}
+
+// Commit implements store.Store.
+func (relay *Relay) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	version, err := relay.direct.Commit(ctx, tx)
+	if !unserved(err) {
+		return version, err
+	}
+	answer, err := relay.through(ctx, &storeMessage{Commit: &tx}, relayTimeout, err)
+	return answer.Version, err
+}
+
+// Read implements store.Store.
+func (relay *Relay) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	page, err := relay.direct.Read(ctx, r)
+	if !unserved(err) {
+		return page, err
+	}
+	answer, err := relay.through(ctx, &storeMessage{Read: &r}, relayTimeout, err)
+	return answer.Page, err
+}
+
+// Watch implements store.Store.
+func (relay *Relay) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
+	err := error(store.NewError(store.FailureRefused, "watch", "the store is away"))
+	if !relay.direct.Away() {
+		var page store.Page
+		if page, err = relay.direct.Watch(ctx, table, after, wait); !unserved(err) {
+			return page, err
+		}
+	}
+	answer, err := relay.through(ctx, &storeMessage{Watch: &watchMessage{Table: table, After: after, Wait: wait}}, wait+relayTimeout, err)
+	return answer.Page, err
+}
+
+// unserved reports whether err says that the store did not serve the call.
+func unserved(err error) bool {
+	for _, failure := range []store.Failure{store.FailureUnanswered, store.FailureUnreachable, store.FailureRefused, store.FailureThrottled} {
+		if store.Is(err, failure) {
+			return true
+		}
+	}
+	return false
+}
+
+// through makes a call through other instances. If none serves it, the
+// failure of the own way stands.
+func (relay *Relay) through(ctx context.Context, message *storeMessage, timeout time.Duration, own error) (storeAnswer, error) {
+	for _, instance := range relay.client.directory.some(relayTries) {
+		if ctx.Err() != nil {
+			break
+		}
+		answer, err := relay.ask(ctx, instance, message, timeout)
+		if err == nil && !answer.Failed {
+			return answer, nil
+		}
+		if err != nil {
+			continue
+		}
+		if answer.Failure == store.FailureConflict {
+			return answer, store.NewConflict("relayed", answer.Rows)
+		}
+		failure := store.NewError(answer.Failure, "relayed", answer.Detail)
+		if !unserved(failure) {
+			return answer, failure
+		}
+	}
+	return storeAnswer{}, own
+}
+
+func (relay *Relay) ask(ctx context.Context, instance Instance, message *storeMessage, timeout time.Duration) (storeAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var answer storeAnswer
+	err := relay.client.call(ctx, instance, pathStore, message, &answer)
+	return answer, err
+}
+
+// Probe tries this instance's own way while it fails, until ctx ends, then
+// reports on done.
+func (relay *Relay) Probe(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case <-ticker.C:
+			if relay.direct.Away() {
+				// Only whether it is answered matters; the guard notes that.
+				_, _ = relay.direct.Read(ctx, store.Range{Table: table, Limit: 1})
+			}
+		}
+	}
+}
--- a/store/guard.go
+++ b/store/guard.go
@@ -66,7 +66,9 @@
 // Watch implements Store. It is not held back: whoever watches waits
 // between failures.
 func (guard *Guard) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
-	return guard.store.Watch(ctx, table, after, wait)
+	page, err := guard.store.Watch(ctx, table, after, wait)
+	guard.leave(ctx, err)
+	return page, err
 }
 
 func (guard *Guard) enter(op string) error {
