--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -86,12 +86,13 @@
 )
 
 // headroomShare: a grant holds, beside the turn, one part in headroomShare of
-// what is left of the budget. Programs spend about a third of their budgets,
-// so that half of it at the instance that most turns come through lets most
-// programs go on to their end while the store is away, and saves a write a
-// turn; the other half is there for the turns that come through others, and
-// for those after an instance that died with what it was granted.
-const headroomShare = 2
+// what is left of the budget, so that a program goes on for some turns while
+// the store is away, and needs no write for each. What an instance was
+// granted counts as spent if it dies. A program's turns spend about half of
+// their most, and a budget is about 1.6 times the most of all its turns: a
+// quarter of what is left can be lost once and the program still ends; half
+// cannot.
+const headroomShare = 4
 
 // decide returns the decision on a turn that needs the account of owner to
 // grant need tokens in all, with total the program's budget; for
