Lost answers of the store cost tens of milliseconds; partitions fail alone

Change: a call is made again after four times the usual time of an answer; health is kept a partition; a turn has a second partition; budgets are given back when asked for, at a stop, or after two minutes.

--- a/account/keeper.go
+++ b/account/keeper.go
@@ -22,22 +22,24 @@
 	// transactions one after another (300 a second); 16 carry more than the
 	// store takes as a whole.
 	partitions = 16
-	// releaseDelay after its last turn here, what a program was granted and
-	// did not use is given back. Its next turn usually follows within a
-	// second; other instances that need it sooner ask for it.
-	releaseDelay = 3 * time.Second
-	// forgetDelay after that the program is forgotten here. Each time it is
-	// met again takes one more account in its row.
-	forgetDelay = time.Minute
+	// restTime after its last turn here, what a program was granted and did
+	// not use is given back, and the program is forgotten. Other instances
+	// that need it sooner ask for it. Most programs have ended by then, and
+	// each that comes again takes a read and a write.
+	restTime = 2 * time.Minute
+	// spentTime is how long a program whose budget was found spent is told
+	// so without another read: one that loops without end asks many times a
+	// second, and what a turn leaves over when it ends may count as spent
+	// for a second.
+	spentTime = 400 * time.Millisecond
 	// conflicts in a row, after which a turn is turned away: each means that
 	// another instance served a turn of the program at the same moment.
 	maxConflicts = 8
 	// askTimeout bounds asking another instance to give back: a write there
 	// and the way.
 	askTimeout = 300 * time.Millisecond
-	// releaseTries bounds how often giving back is tried again.
-	releaseTries = 20
-	releasePause = 300 * time.Millisecond
+	// sweepInterval is how often programs at rest are looked for.
+	sweepInterval = 5 * time.Second
 	// stopWriters give back at a time when the instance stops.
 	stopWriters = 8
 )
@@ -95,10 +97,13 @@
 	row   chan struct{}
 	turns int // guarded by Keeper.mu
 
-	mu    sync.Mutex
-	tab   *budget.Tab
-	timer *time.Timer
-	last  time.Time
+	mu   sync.Mutex
+	tab  *budget.Tab
+	last time.Time
+	// spent is when the budget was last found spent, for a turn of spentFor
+	// tokens.
+	spent    time.Time
+	spentFor int64
 }
 
 func newProgram(id, owner string) *program {
@@ -115,10 +120,6 @@
 	decision := p.tab.Decide(turn, total)
 	if decision == budget.DecisionServe {
 		p.tab.Begin(turn)
-		if p.timer != nil {
-			p.timer.Stop()
-			p.timer = nil
-		}
 	}
 	return decision
 }
@@ -166,6 +167,10 @@
 	p := keeper.program(id)
 	defer keeper.done(p)
 	if p.begin(turn, total) != budget.DecisionServe {
+		if keeper.knownSpent(p, turn) {
+			keeper.spent.Inc(1)
+			return nil, &SpentError{program: id, used: p.used(), total: total}
+		}
 		if err := keeper.grant(ctx, p, turn, total); err != nil {
 			return nil, err
 		}
@@ -203,7 +208,7 @@
 				asked, fresh = true, false
 			}
 			if fresh {
-				return keeper.refuse(p, decision, total)
+				return keeper.refuse(p, decision, turn, total)
 			}
 			// What is known of the others may be old.
 			if err := keeper.read(ctx, p); err != nil {
@@ -273,8 +278,19 @@
 	return err
 }
 
-func (keeper *Keeper) refuse(p *program, decision budget.Decision, total int64) error {
+// knownSpent reports whether the budget was found spent just now for a turn
+// no larger than this.
+func (keeper *Keeper) knownSpent(p *program, turn int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return turn >= p.spentFor && keeper.clock.Now().Sub(p.spent) < spentTime
+}
+
+func (keeper *Keeper) refuse(p *program, decision budget.Decision, turn, total int64) error {
 	if decision == budget.DecisionSpent {
+		p.mu.Lock()
+		p.spent, p.spentFor = keeper.clock.Now(), turn
+		p.mu.Unlock()
 		keeper.spent.Inc(1)
 		return &SpentError{program: p.id, used: p.used(), total: total}
 	}
@@ -343,37 +359,48 @@
 	defer p.mu.Unlock()
 	p.tab.End(reservation.turn, spent)
 	p.last = keeper.clock.Now()
-	if p.tab.Idle() {
-		p.timer = time.AfterFunc(releaseDelay, func() { keeper.release(p) })
-	}
 }
 
-// release gives back what the program was granted here and did not use, and
-// then forgets it.
-func (keeper *Keeper) release(p *program) {
-	for range releaseTries {
-		if keeper.tryRelease(p) {
-			time.AfterFunc(forgetDelay, func() { keeper.forget(p) })
+// Sweep forgets programs that were at rest for restTime, after giving back
+// what they were granted here and did not use, until ctx ends; then it
+// reports on done. A program whose row cannot be written stays known.
+func (keeper *Keeper) Sweep(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
 			return
+		case <-ticker.C:
+		}
+		for _, p := range keeper.resting() {
+			if err := keeper.GiveBack(ctx, p.id); err != nil {
+				keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
+				break
+			}
+			keeper.forget(p)
 		}
-		time.Sleep(releasePause)
 	}
-	keeper.log.Warn("budget not given back: the store did not take it", "program", p.id, "tries", releaseTries)
 }
 
-// tryRelease reports whether there is nothing left to do.
-func (keeper *Keeper) tryRelease(p *program) bool {
-	p.row <- struct{}{}
-	defer func() { <-p.row }()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	err := keeper.giveBack(ctx, p, func(p *program) bool {
-		return p.tab.Idle() && keeper.clock.Now().Sub(p.last) >= releaseDelay/2
-	})
-	if err != nil {
-		keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
+// resting returns the programs that were at rest for restTime.
+func (keeper *Keeper) resting() []*program {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	var resting []*program
+	for _, p := range keeper.programs {
+		if p.turns == 0 && keeper.atRest(p) {
+			resting = append(resting, p)
+		}
 	}
-	return err == nil
+	return resting
+}
+
+func (keeper *Keeper) atRest(p *program) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tab.Idle() && keeper.clock.Now().Sub(p.last) >= restTime
 }
 
 // Stop gives back what all programs were granted here and do not use, until
@@ -420,13 +447,11 @@
 	p.turns--
 }
 
-// forget drops a program that is at rest and has nothing to give back.
+// forget drops a program that is still at rest.
 func (keeper *Keeper) forget(p *program) {
 	keeper.mu.Lock()
 	defer keeper.mu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.turns == 0 && p.tab.Idle() && keeper.clock.Now().Sub(p.last) >= forgetDelay && keeper.programs[p.id] == p {
+	if p.turns == 0 && keeper.atRest(p) && keeper.programs[p.id] == p {
 		delete(keeper.programs, p.id)
 	}
 }
--- a/archive/archive.go
+++ b/archive/archive.go
@@ -140,9 +140,26 @@
 	return turn, nil
 }
 
-// rows reads the values of a turn's rows, in order.
+// rows reads the values of a turn's rows, in order: those of the turn's own
+// partition, else of its other one. That there are none is certain only if
+// both were read.
 func (archive *Archive) rows(ctx context.Context, id string) ([][]byte, error) {
-	partition := partition(id)
+	own, other := homes(id)
+	parts, err := archive.rowsIn(ctx, own, id)
+	if err == nil && len(parts) > 0 {
+		return parts, nil
+	}
+	elsewhere, otherErr := archive.rowsIn(ctx, other, id)
+	if otherErr != nil {
+		return nil, otherErr
+	}
+	if len(elsewhere) > 0 {
+		return elsewhere, nil
+	}
+	return nil, err
+}
+
+func (archive *Archive) rowsIn(ctx context.Context, partition, id string) ([][]byte, error) {
 	var parts [][]byte
 	from := rowName(id, 0)
 	for {
@@ -173,7 +190,12 @@
 	}
 	backoff := retry.Backoff{First: firstPause, Most: maxPause}
 	for {
-		err := archive.write(ctx, turn.ID, parts)
+		own, other := homes(turn.ID)
+		err := archive.write(ctx, own, turn.ID, parts)
+		if store.Unserved(err) {
+			// A part of the partitions may be away while others are served.
+			err = archive.write(ctx, other, turn.ID, parts)
+		}
 		if err == nil {
 			archive.kept.Inc(1)
 			archive.cache.put(turn)
@@ -192,8 +214,7 @@
 	}
 }
 
-func (archive *Archive) write(ctx context.Context, id string, parts [][]byte) error {
-	partition := partition(id)
+func (archive *Archive) write(ctx context.Context, partition, id string, parts [][]byte) error {
 	tx := store.Transaction{Conditions: []store.Condition{{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, 0)}}}}
 	for i, part := range parts {
 		tx.Puts = append(tx.Puts, store.Put{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, i)}, Value: part})
@@ -227,10 +248,17 @@
 	}
 }
 
-func partition(id string) string {
-	return fmt.Sprintf("p%02d", xxhash.Sum64String(id)%partitions)
+// homes returns the two partitions that may hold a turn: its own, and the
+// one that it is kept in while its own is away.
+func homes(id string) (own, other string) {
+	hash := xxhash.Sum64String(id)
+	at := hash % partitions
+	step := 1 + hash/partitions%(partitions-1)
+	return partitionName(at), partitionName((at + step) % partitions)
 }
 
+func partitionName(at uint64) string { return fmt.Sprintf("p%02d", at) }
+
 // rowName returns the name of row i of a turn. The rows of a turn follow one
 // another: '!' comes before all that a name may hold.
 func rowName(id string, i int) string {
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -75,6 +75,7 @@
 	p.goroutine(work, f.endpoints.Run)
 	p.goroutine(work, f.instances.Run)
 	p.goroutine(work, f.relay.Probe)
+	p.goroutine(work, f.accounts.Sweep)
 	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
 	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, p.log, done) })
@@ -108,14 +109,14 @@
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
 	owner := fmt.Sprintf("%s-%08x", s.Instance, rand.Uint32())
-	direct := store.NewGuard(platform.NewStore(s.Store), clk, func(away bool, err error) {
-		p.log.Info("own way to the store", "away", away, "err", err)
+	direct := store.NewGuard(store.NewPersistent(platform.NewStore(s.Store), clk), clk, func(partition string, away bool, err error) {
+		p.log.Info("own way to the store", "partition", partition, "away", away, "err", err)
 	})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
 	peers := entrypeer.NewClient(directory)
 	relay := entrypeer.NewRelay(direct, peers)
-	guard := store.NewGuard(relay, clk, func(away bool, err error) {
-		p.log.Info("store", "away", away, "err", err)
+	guard := store.NewGuard(relay, clk, func(partition string, away bool, err error) {
+		p.log.Info("store", "partition", partition, "away", away, "err", err)
 	})
 	current, list := &route.Current{}, membership.NewList()
 	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, relay: relay, store: guard}
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -34,7 +34,7 @@
 // Commit implements store.Store.
 func (relay *Relay) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
 	version, err := relay.direct.Commit(ctx, tx)
-	if !unserved(err) {
+	if !store.Unserved(err) {
 		return version, err
 	}
 	answer, err := relay.through(ctx, &storeMessage{Commit: &tx}, relayTimeout, err)
@@ -44,7 +44,7 @@
 // Read implements store.Store.
 func (relay *Relay) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	page, err := relay.direct.Read(ctx, r)
-	if !unserved(err) {
+	if !store.Unserved(err) {
 		return page, err
 	}
 	answer, err := relay.through(ctx, &storeMessage{Read: &r}, relayTimeout, err)
@@ -54,9 +54,9 @@
 // Watch implements store.Store.
 func (relay *Relay) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
 	err := error(store.NewError(store.FailureRefused, "watch", "the store is away"))
-	if !relay.direct.Away() {
+	if !relay.direct.Away("") {
 		var page store.Page
-		if page, err = relay.direct.Watch(ctx, table, after, wait); !unserved(err) {
+		if page, err = relay.direct.Watch(ctx, table, after, wait); !store.Unserved(err) {
 			return page, err
 		}
 	}
@@ -64,16 +64,6 @@
 	return answer.Page, err
 }
 
-// unserved reports whether err says that the store did not serve the call.
-func unserved(err error) bool {
-	for _, failure := range []store.Failure{store.FailureUnanswered, store.FailureUnreachable, store.FailureRefused, store.FailureThrottled} {
-		if store.Is(err, failure) {
-			return true
-		}
-	}
-	return false
-}
-
 // through makes a call through other instances. If none serves it, the
 // failure of the own way stands.
 func (relay *Relay) through(ctx context.Context, message *storeMessage, timeout time.Duration, own error) (storeAnswer, error) {
@@ -92,7 +82,7 @@
 			return answer, store.NewConflict("relayed", answer.Rows)
 		}
 		failure := store.NewError(answer.Failure, "relayed", answer.Detail)
-		if !unserved(failure) {
+		if !store.Unserved(failure) {
 			return answer, failure
 		}
 	}
@@ -118,7 +108,7 @@
 			done <- nil
 			return
 		case <-ticker.C:
-			if relay.direct.Away() {
+			if relay.direct.Away("") {
 				// Only whether it is answered matters; the guard notes that.
 				_, _ = relay.direct.Read(ctx, store.Range{Table: table, Limit: 1})
 			}
--- a/store/errors.go
+++ b/store/errors.go
@@ -69,3 +69,17 @@
 	var se *Error
 	return errors.As(err, &se) && se.failure == failure
 }
+
+// Unserved reports whether err says that the store did not serve the call,
+// or that its answer was lost: another way to the store may do better.
+func Unserved(err error) bool {
+	var se *Error
+	if !errors.As(err, &se) {
+		return false
+	}
+	switch se.failure {
+	case FailureUnanswered, FailureUnreachable, FailureRefused, FailureThrottled:
+		return true
+	}
+	return false
+}
--- a/store/guard.go
+++ b/store/guard.go
@@ -23,43 +23,61 @@
 type Guard struct {
 	store  Store
 	clock  clock.Clock
-	change func(away bool, err error)
+	change func(partition string, away bool, err error)
 
-	mu       sync.Mutex
+	mu         sync.Mutex
+	partitions map[string]*health
+}
+
+// health is what is known of one partition of the store: a part of them may
+// be away while the others are served.
+type health struct {
 	failures int
 	probe    time.Time
 }
 
 // NewGuard returns a guard before s. It calls change each time that the
 // store is found to be away or back.
-func NewGuard(s Store, clk clock.Clock, change func(away bool, err error)) *Guard {
-	return &Guard{store: s, clock: clk, change: change}
+func NewGuard(s Store, clk clock.Clock, change func(partition string, away bool, err error)) *Guard {
+	return &Guard{store: s, clock: clk, change: change, partitions: map[string]*health{}}
 }
 
-// Away reports whether the store does not answer.
-func (guard *Guard) Away() bool {
+// Away reports whether the store does not answer for a partition.
+func (guard *Guard) Away(partition string) bool {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	return guard.failures >= guardFailures
+	return guard.health(partition).failures >= guardFailures
+}
+
+// health returns the state of a partition. The caller holds mu. Partitions
+// are few: the product's own tables have a fixed number each.
+func (guard *Guard) health(partition string) *health {
+	state, ok := guard.partitions[partition]
+	if !ok {
+		state = &health{}
+		guard.partitions[partition] = state
+	}
+	return state
 }
 
 // Commit implements Store.
 func (guard *Guard) Commit(ctx context.Context, tx Transaction) (uint64, error) {
-	if err := guard.enter("commit"); err != nil {
+	partition := tx.partition()
+	if err := guard.enter("commit", partition); err != nil {
 		return 0, err
 	}
 	version, err := guard.store.Commit(ctx, tx)
-	guard.leave(ctx, err)
+	guard.leave(ctx, partition, err)
 	return version, err
 }
 
 // Read implements Store.
 func (guard *Guard) Read(ctx context.Context, r Range) (Page, error) {
-	if err := guard.enter("read"); err != nil {
+	if err := guard.enter("read", r.Partition); err != nil {
 		return Page{}, err
 	}
 	page, err := guard.store.Read(ctx, r)
-	guard.leave(ctx, err)
+	guard.leave(ctx, r.Partition, err)
 	return page, err
 }
 
@@ -67,40 +85,42 @@
 // between failures.
 func (guard *Guard) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
 	page, err := guard.store.Watch(ctx, table, after, wait)
-	guard.leave(ctx, err)
+	guard.leave(ctx, "", err)
 	return page, err
 }
 
-func (guard *Guard) enter(op string) error {
+func (guard *Guard) enter(op, partition string) error {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	if guard.failures < guardFailures {
+	state := guard.health(partition)
+	if state.failures < guardFailures {
 		return nil
 	}
 	now := guard.clock.Now()
-	if now.Before(guard.probe) {
+	if now.Before(state.probe) {
 		return NewError(FailureRefused, op, "the store is away")
 	}
-	guard.probe = now.Add(probeInterval)
+	state.probe = now.Add(probeInterval)
 	return nil
 }
 
 // leave takes in how a call ended. One that its caller gave up says nothing.
-func (guard *Guard) leave(ctx context.Context, err error) {
-	failed := Is(err, FailureUnanswered) || Is(err, FailureUnreachable) || Is(err, FailureRefused) || Is(err, FailureThrottled)
+func (guard *Guard) leave(ctx context.Context, partition string, err error) {
+	failed := Unserved(err)
 	if failed && ctx.Err() != nil {
 		return
 	}
 	guard.mu.Lock()
-	was := guard.failures >= guardFailures
+	state := guard.health(partition)
+	was := state.failures >= guardFailures
 	if failed {
-		guard.failures++
+		state.failures++
 	} else {
-		guard.failures = 0
+		state.failures = 0
 	}
-	is := guard.failures >= guardFailures
+	is := state.failures >= guardFailures
 	guard.mu.Unlock()
 	if was != is {
-		guard.change(is, err)
+		guard.change(partition, is, err)
 	}
 }
--- a/store/store.go
+++ b/store/store.go
@@ -43,6 +43,20 @@
 	Deletes    []Key
 }
 
+// partition returns the partition of the transaction's first row; those of
+// this product have one.
+func (tx *Transaction) partition() string {
+	switch {
+	case len(tx.Puts) > 0:
+		return tx.Puts[0].Key.Partition
+	case len(tx.Deletes) > 0:
+		return tx.Deletes[0].Partition
+	case len(tx.Conditions) > 0:
+		return tx.Conditions[0].Key.Partition
+	}
+	return ""
+}
+
 // Page is an answer about rows.
 type Page struct {
 	Rows []Row
