An entry that is cut off sends turns to other entries at once

Ruled out: the relay, whose peers are cut off too. Change: with the store away and no peer answering, a retained turn is turned away before it runs, told to come back in 20 ms (the next try reaches another entry), connections end, and the entry is not ready.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -124,9 +124,10 @@
 	f.peers = &entrypeer.Server{Store: direct, GiveBack: f.accounts.GiveBack, Log: p.log}
 	f.gateway = gateway.New(gateway.Parts{
 		DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
-		Accounts: f.accounts,
-		Archive:  archive.New(guard, s.RowBytes, int(cacheShare*float64(s.Memory)), scope),
-		Clock:    clk, Log: p.log, Metrics: scope,
+		Accounts:   f.accounts,
+		Archive:    archive.New(guard, s.RowBytes, int(cacheShare*float64(s.Memory)), scope),
+		Durability: durability{store: guard, directory: directory},
+		Clock:      clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, p.log), clk, p.log, scope)
@@ -134,6 +135,18 @@
 	return f
 }
 
+// durability is how the store can be reached from here.
+type durability struct {
+	store     *store.Guard
+	directory *entrypeer.Directory
+}
+
+// Away implements gateway.Durability.
+func (d durability) Away() bool { return d.store.WholeAway() }
+
+// Isolated implements gateway.Durability.
+func (d durability) Isolated() bool { return d.directory.Isolated() }
+
 // serve starts serving callers and readiness until ctx ends. Then it
 // drains, and calls end once no request is left.
 func (f *front) serve(ctx, work context.Context, s *platform.Settings, end context.CancelFunc) error {
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -90,6 +90,7 @@
 		client.directory.failed(instance)
 		return eris.Wrapf(err, "instance %s", instance.Name)
 	}
+	client.directory.reached()
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return &StatusError{instance: instance.Name, status: response.StatusCode, detail: string(data)}
 	}
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -46,6 +46,9 @@
 	mu        sync.Mutex
 	instances map[string]Instance
 	avoid     map[string]time.Time
+	// answered is when another instance last answered, unanswered when one
+	// last did not.
+	answered, unanswered time.Time
 }
 
 // NewDirectory returns a directory that knows only self.
@@ -160,5 +163,21 @@
 func (directory *Directory) failed(instance Instance) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	directory.avoid[instance.Name] = directory.clock.Now().Add(failurePause)
+	now := directory.clock.Now()
+	directory.avoid[instance.Name] = now.Add(failurePause)
+	directory.unanswered = now
+}
+
+// reached notes that another instance answered.
+func (directory *Directory) reached() {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	directory.answered = directory.clock.Now()
+}
+
+// Isolated reports whether this instance could reach no other one of late.
+func (directory *Directory) Isolated() bool {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	return directory.unanswered.After(directory.answered)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,11 +26,21 @@
 	Upstream   *upstream.Client
 	Accounts   *account.Keeper
 	Archive    *archive.Archive
+	Durability Durability
 	Clock      clock.Clock
 	Log        *slog.Logger
 	Metrics    tally.Scope
 }
 
+// Durability tells how the durable store can be reached.
+type Durability interface {
+	// Away reports whether the store cannot be reached in any way.
+	Away() bool
+	// Isolated reports whether other instances cannot be reached either:
+	// then they may well reach the store.
+	Isolated() bool
+}
+
 // Gateway serves callers. It implements http.Handler.
 type Gateway struct {
 	Parts
@@ -62,9 +72,15 @@
 	return gateway
 }
 
-// Ready reports whether new callers should come here.
+// Ready reports whether new callers should come here. An instance that is
+// cut off from the store and from the other instances sends them elsewhere.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.draining.Load() && gateway.Routes.Load() != nil && gateway.Endpoints.Known()
+	return !gateway.draining.Load() && gateway.Routes.Load() != nil && gateway.Endpoints.Known() && !gateway.cutOff()
+}
+
+// cutOff reports whether other instances can do what this one cannot.
+func (gateway *Gateway) cutOff() bool {
+	return gateway.Durability.Away() && gateway.Durability.Isolated()
 }
 
 // Drain makes the gateway not ready, and has each answer end its
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -23,6 +23,9 @@
 	// storePause is what callers are told to wait while the store is away.
 	// Outages last seconds; callers wait a third of their time at most.
 	storePause = 800 * time.Millisecond
+	// elsewherePause is what callers are told to wait by an instance that is
+	// cut off: their next try reaches another one.
+	elsewherePause = 20 * time.Millisecond
 	// busyPause is what callers are told to wait when endpoints are full:
 	// about the time in which half the places come free.
 	busyPause = 150 * time.Millisecond
@@ -168,6 +171,10 @@
 // rebuild puts the conversation before the new input of a turn.
 func (e *exchange) rebuild(ctx context.Context) error {
 	e.prompt = e.body
+	if e.route.KeepsHistory && e.cutOff() {
+		// The turn could not be kept: the engine's work would be lost.
+		return e.storeAway(nil)
+	}
 	if !e.route.KeepsHistory || e.call.Previous == "" {
 		return nil
 	}
@@ -177,13 +184,22 @@
 	case errors.As(err, &unknown):
 		return refuse(ReasonUnknownTurn, http.StatusNotFound, 0, err)
 	case err != nil:
-		return e.orGone(ctx, refuse(ReasonStoreAway, http.StatusServiceUnavailable, storePause, err))
+		return e.orGone(ctx, e.storeAway(err))
 	}
 	e.chain = chain
 	e.prompt = history.Prompt(chain, e.body)
 	return nil
 }
 
+// storeAway returns the refusal of a request that needs the store.
+func (e *exchange) storeAway(err error) *refusal {
+	pause := storePause
+	if e.cutOff() {
+		pause = elsewherePause
+	}
+	return refuse(ReasonStoreAway, http.StatusServiceUnavailable, pause, err)
+}
+
 // turn reports whether the request spends from a program's budget.
 func (e *exchange) turn() bool {
 	return e.route.Kind == route.KindStream && e.call.Program != "" && e.call.Budget > 0
@@ -205,7 +221,7 @@
 	case errors.As(err, &held):
 		return refuse(ReasonBudgetHeld, http.StatusServiceUnavailable, heldPause, err)
 	case err != nil:
-		return e.orGone(ctx, refuse(ReasonStoreAway, http.StatusServiceUnavailable, storePause, err))
+		return e.orGone(ctx, e.storeAway(err))
 	}
 	e.reservation = reservation
 	return nil
@@ -281,10 +297,10 @@
 	own.write(e.w)
 }
 
-// endConnection has the answer end its connection while the instance
-// drains, so that the caller's next request goes elsewhere.
+// endConnection has the answer end its connection while the instance drains
+// or is cut off, so that the caller's next request goes elsewhere.
 func (e *exchange) endConnection() {
-	if e.draining.Load() {
+	if e.draining.Load() || e.cutOff() {
 		e.w.Header().Set("Connection", "close")
 	}
 }
--- a/store/guard.go
+++ b/store/guard.go
@@ -12,6 +12,10 @@
 	// guardFailures in a row, and the store counts as away. One may be a
 	// connection that went silent.
 	guardFailures = 3
+	// wholeFailures in a row, in any partitions, and the whole store counts
+	// as away: with a third of the partitions away, six in a row happen once
+	// in 700 times.
+	wholeFailures = 6
 	// probeInterval is how often one call is let through to a store that is
 	// away.
 	probeInterval = 100 * time.Millisecond
@@ -26,6 +30,7 @@
 	change func(partition string, away bool, err error)
 
 	mu         sync.Mutex
+	whole      health
 	partitions map[string]*health
 }
 
@@ -46,7 +51,14 @@
 func (guard *Guard) Away(partition string) bool {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	return guard.health(partition).failures >= guardFailures
+	return guard.health(partition).failures >= guardFailures || guard.whole.failures >= wholeFailures
+}
+
+// WholeAway reports whether no partition answers.
+func (guard *Guard) WholeAway() bool {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	return guard.whole.failures >= wholeFailures
 }
 
 // health returns the state of a partition. The caller holds mu. Partitions
@@ -92,9 +104,12 @@
 func (guard *Guard) enter(op, partition string) error {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	state := guard.health(partition)
-	if state.failures < guardFailures {
-		return nil
+	state := &guard.whole
+	if state.failures < wholeFailures {
+		state = guard.health(partition)
+		if state.failures < guardFailures {
+			return nil
+		}
 	}
 	now := guard.clock.Now()
 	if now.Before(state.probe) {
@@ -112,15 +127,19 @@
 	}
 	guard.mu.Lock()
 	state := guard.health(partition)
-	was := state.failures >= guardFailures
+	was, wasWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
 	if failed {
 		state.failures++
+		guard.whole.failures++
 	} else {
-		state.failures = 0
+		state.failures, guard.whole.failures = 0, 0
 	}
-	is := state.failures >= guardFailures
+	is, isWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
 	guard.mu.Unlock()
-	if was != is {
+	switch {
+	case wasWhole != isWhole:
+		guard.change("all", isWhole, err)
+	case was != is && !isWhole:
 		guard.change(partition, is, err)
 	}
 }
