Requests wait up to a second for a store that is away for all

Cause: in a whole outage of 7 s a caller that is turned away at once has used its six tries after 3.5 s. Ruled out: waiting on an entry that is cut off (its peers can serve). Change: budget and history are asked for again for up to a second; then 503 with 0.4 to 0.6 s.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -14,15 +14,23 @@
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
 const (
 	// startPause is what callers are told to wait while an instance does
 	// not know the configuration yet: it reads it within a second.
 	startPause = 500 * time.Millisecond
-	// storePause is what callers are told to wait while the store is away.
-	// Outages last seconds; callers wait a third of their time at most.
-	storePause = 800 * time.Millisecond
+	// storePatience is how long a request waits for a store that is away for
+	// all. Outages last seconds: a caller that is turned away at once has
+	// used all its tries after three of them, one that is kept waiting each
+	// time has some left after eight.
+	storePatience = time.Second
+	// storeRetry is the pause between looks at a store that is away.
+	storeRetry = 60 * time.Millisecond
+	// storePause is what callers are told to wait after that; they wait a
+	// third of their time left at most.
+	storePause = 400 * time.Millisecond
 	// elsewherePause is what callers are told to wait by an instance that is
 	// cut off: their next try reaches another one.
 	elsewherePause = 20 * time.Millisecond
@@ -178,7 +186,11 @@
 	if !e.route.KeepsHistory || e.call.Previous == "" {
 		return nil
 	}
-	chain, err := e.Archive.Chain(ctx, e.call.Previous)
+	var chain []*history.Turn
+	err := e.patiently(ctx, func() (err error) {
+		chain, err = e.Archive.Chain(ctx, e.call.Previous)
+		return err
+	})
 	var unknown *archive.UnknownTurnError
 	switch {
 	case errors.As(err, &unknown):
@@ -191,6 +203,23 @@
 	return nil
 }
 
+// patiently calls f again while the store does not serve it, for
+// storePatience from the request's arrival. An instance that is cut off does
+// not wait: another one can serve the request.
+func (e *exchange) patiently(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if !store.Unserved(err) || e.cutOff() || e.Clock.Now().Sub(e.arrived) >= storePatience {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(storeRetry):
+		}
+	}
+}
+
 // storeAway returns the refusal of a request that needs the store.
 func (e *exchange) storeAway(err error) *refusal {
 	pause := storePause
@@ -211,7 +240,11 @@
 		return nil
 	}
 	began := e.Clock.Now()
-	reservation, err := e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget)
+	var reservation *account.Reservation
+	err := e.patiently(ctx, func() (err error) {
+		reservation, err = e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget)
+		return err
+	})
 	e.metrics.reserve.RecordDuration(e.Clock.Now().Sub(began))
 	var spent *account.SpentError
 	var held *account.HeldError
