--- a/account/keeper.go
+++ b/account/keeper.go
@@ -113,6 +113,18 @@
 	return &program{id: id, row: make(chan struct{}, 1), tab: budget.NewTab(owner, empty, 0)}
 }
 
+// lockRow waits until no other turn reads or writes the program's row.
+func (p *program) lockRow(ctx context.Context) error {
+	select {
+	case p.row <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return store.NewError(store.FailureUnreachable, "budget", "gave up waiting for another turn's write")
+	}
+}
+
+func (p *program) unlockRow() { <-p.row }
+
 // begin promises the turn if the tab grants it already.
 func (p *program) begin(turn, total int64) budget.Decision {
 	p.mu.Lock()
@@ -178,19 +190,35 @@
 	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}, nil
 }
 
-// grant returns once the row grants the turn and the turn is begun.
+// grant returns once the row grants the turn and the turn is begun. If the
+// row does not, other instances are asked to give back first. That is done
+// without holding the row: two instances that ask each other must not wait
+// for each other's.
 func (keeper *Keeper) grant(ctx context.Context, p *program, turn, total int64) error {
-	select {
-	case p.row <- struct{}{}:
-		defer func() { <-p.row }()
-	case <-ctx.Done():
-		return store.NewError(store.FailureUnreachable, "budget", "gave up waiting for another turn's write")
+	decision, err := keeper.tryGrant(ctx, p, turn, total)
+	if err != nil || decision == budget.DecisionServe {
+		return err
 	}
-	fresh, asked := false, false
+	keeper.ask(ctx, p)
+	decision, err = keeper.tryGrant(ctx, p, turn, total)
+	if err != nil || decision == budget.DecisionServe {
+		return err
+	}
+	return keeper.refuse(p, decision, turn, total)
+}
+
+// tryGrant begins the turn if the row grants it, or can be made to, and
+// returns DecisionServe; else it returns what the row as read now allows.
+func (keeper *Keeper) tryGrant(ctx context.Context, p *program, turn, total int64) (budget.Decision, error) {
+	if err := p.lockRow(ctx); err != nil {
+		return 0, err
+	}
+	defer p.unlockRow()
+	fresh := false
 	for range maxConflicts {
 		switch decision := p.begin(turn, total); decision {
 		case budget.DecisionServe:
-			return nil
+			return decision, nil
 		case budget.DecisionGrant:
 			err := keeper.write(ctx, p, p.grant(turn, total))
 			if err == nil {
@@ -199,26 +227,21 @@
 			}
 			if !store.Is(err, store.FailureConflict) {
 				keeper.failed.Inc(1)
-				return err
+				return 0, err
 			}
 			fresh = true
 		default:
-			if fresh && decision == budget.DecisionWait && !asked {
-				keeper.ask(ctx, p)
-				asked, fresh = true, false
-			}
 			if fresh {
-				return keeper.refuse(p, decision, turn, total)
+				return decision, nil
 			}
 			// What is known of the others may be old.
 			if err := keeper.read(ctx, p); err != nil {
-				return err
+				return 0, err
 			}
 			fresh = true
 		}
 	}
-	keeper.held.Inc(1)
-	return &HeldError{program: p.id}
+	return budget.DecisionWait, nil
 }
 
 // ask has other instances give back what they do not use of p's budget.
@@ -244,12 +267,10 @@
 	if p == nil {
 		return nil
 	}
-	select {
-	case p.row <- struct{}{}:
-		defer func() { <-p.row }()
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := p.lockRow(ctx); err != nil {
+		return err
 	}
+	defer p.unlockRow()
 	return keeper.giveBack(ctx, p, func(*program) bool { return true })
 }
 
--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,206 @@
+package budget_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/budget"
+)
+
+// row is a program's row with conditional writes.
+type row struct {
+	data    []byte
+	version uint64
+}
+
+func (r *row) write(t *testing.T, ledger *budget.Ledger, version uint64) bool {
+	t.Helper()
+	if r.version != version {
+		return false
+	}
+	data, err := ledger.Encode()
+	require.NoError(t, err)
+	r.data, r.version = data, r.version+1
+	return true
+}
+
+func (r *row) read(t *testing.T) *budget.Ledger {
+	t.Helper()
+	ledger, err := budget.DecodeLedger(r.data)
+	require.NoError(t, err)
+	return ledger
+}
+
+func newTab(t *testing.T, owner string, r *row) *budget.Tab {
+	t.Helper()
+	return budget.NewTab(owner, r.read(t), r.version)
+}
+
+// grant makes a turn's grant durable and begins it.
+func grant(t *testing.T, tab *budget.Tab, r *row, turn, total int64) {
+	t.Helper()
+	if tab.Decide(turn, total) == budget.DecisionGrant {
+		ledger := tab.Grant(turn, total)
+		require.True(t, r.write(t, ledger, tab.Version()))
+		tab.Written(ledger, r.version)
+	}
+	require.Equal(t, budget.DecisionServe, tab.Decide(turn, total))
+	tab.Begin(turn)
+}
+
+func TestDecisions(t *testing.T) {
+	const turn, total = 567, 1701
+	r := &row{}
+	a, b := newTab(t, "a.1", r), newTab(t, "b.1", r)
+	grant(t, a, r, turn, total)
+	assert.EqualValues(t, 567+(1701-567)/4, a.Granted(), "the turn and a quarter of what is left")
+	assert.Equal(t, budget.DecisionGrant, b.Decide(turn, total), "b does not know of a yet")
+	assert.False(t, r.write(t, b.Grant(turn, total), b.Version()), "its condition finds out")
+	b.Written(r.read(t), r.version)
+	grant(t, b, r, turn, total)
+	c := newTab(t, "c.1", r)
+	assert.Equal(t, budget.DecisionWait, c.Decide(turn, total), "what is left is held")
+	assert.Equal(t, []string{"a.1", "b.1"}, c.Holders())
+	a.End(turn, turn)
+	b.End(turn, turn)
+	for _, tab := range []*budget.Tab{a, b} {
+		tab.Written(r.read(t), r.version)
+		ledger := tab.Release()
+		require.NotNil(t, ledger)
+		require.True(t, r.write(t, ledger, tab.Version()))
+		tab.Written(ledger, r.version)
+		assert.Nil(t, tab.Release(), "nothing left to give back")
+	}
+	c.Written(r.read(t), r.version)
+	grant(t, c, r, turn, total)
+	assert.Equal(t, budget.DecisionSpent, c.Decide(turn, total))
+}
+
+// Symptom: a program hands out more than its budget. Events: instance a
+// gives back what it does not use, and the store's answer is lost; a reads
+// the row, which still shows the old grant, and serves a turn on it; the
+// write is applied seconds later, and b is granted the same tokens. Cause:
+// an unanswered write was taken for one that never happens.
+func TestLostReleaseIsNotSpentAgain(t *testing.T) {
+	const turn, total = 400, 2000
+	r := &row{}
+	a := newTab(t, "a.1", r)
+	grant(t, a, r, turn, total) // granted 800
+	a.End(turn, 0)
+	late, condition := a.Release(), a.Version()
+	require.NotNil(t, late)
+	a.Written(r.read(t), r.version) // still the old grant
+	assert.Equal(t, budget.DecisionGrant, a.Decide(turn, total), "the old grant must not be used")
+	require.True(t, r.write(t, late, condition), "the late write arrives")
+	assert.False(t, r.write(t, a.Grant(turn, total), a.Version()))
+	a.Written(r.read(t), r.version)
+	assert.Zero(t, a.Granted())
+}
+
+// TestRandomHistoriesNeverOverspend plays turns of one program through
+// instances that die, with writes that are lost, applied without an answer,
+// or applied late, and checks after each step that what callers were handed
+// stays within the budget. With the memory of an unanswered release taken out
+// it fails at seed 1367.
+func TestRandomHistoriesNeverOverspend(t *testing.T) {
+	for seed := range uint64(1500) {
+		playHistory(t, seed)
+	}
+}
+
+type late struct {
+	ledger  *budget.Ledger
+	version uint64
+}
+
+func playHistory(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	total := int64(600 + rng.IntN(2000))
+	r := &row{}
+	var pending []late
+	tabs := []*budget.Tab{}
+	type turn struct {
+		tab  *budget.Tab
+		most int64
+	}
+	var flying []turn
+	var handed int64
+	names := 0
+	open := func() *budget.Tab {
+		names++
+		return newTab(t, fmt.Sprintf("i.%d", names), r)
+	}
+	for range 2 {
+		tabs = append(tabs, open())
+	}
+	write := func(tab *budget.Tab, ledger *budget.Ledger) {
+		switch rng.IntN(3) {
+		case 0: // lost, and may be applied late
+			pending = append(pending, late{ledger, tab.Version()})
+		case 1: // applied, not answered
+			r.write(t, ledger, tab.Version())
+		default:
+			if r.write(t, ledger, tab.Version()) {
+				tab.Written(ledger, r.version)
+			} else {
+				tab.Written(r.read(t), r.version)
+			}
+		}
+	}
+	for range 300 {
+		tab := tabs[rng.IntN(len(tabs))]
+		switch rng.IntN(9) {
+		case 0, 1, 2:
+			most := int64(50 + rng.IntN(300))
+			if tab.Decide(most, total) == budget.DecisionGrant {
+				write(tab, tab.Grant(most, total))
+			}
+			if tab.Decide(most, total) == budget.DecisionServe {
+				tab.Begin(most)
+				flying = append(flying, turn{tab, most})
+			}
+		case 3, 4:
+			if len(flying) > 0 {
+				at := rng.IntN(len(flying))
+				done := flying[at]
+				flying = append(flying[:at], flying[at+1:]...)
+				spent := rng.Int64N(2) * done.most
+				handed += spent
+				done.tab.End(done.most, spent)
+			}
+		case 5:
+			if ledger := tab.Release(); ledger != nil {
+				write(tab, ledger)
+			}
+		case 6, 7: // late writes arrive, or the row is read again
+			if len(pending) > 0 && rng.IntN(2) == 0 {
+				last := pending[len(pending)-1]
+				r.write(t, last.ledger, last.version)
+				pending = pending[:len(pending)-1]
+			} else {
+				tab.Written(r.read(t), r.version)
+			}
+		case 8: // the instance dies: its turns handed out what they could
+			for i := len(flying) - 1; i >= 0; i-- {
+				if flying[i].tab == tab {
+					handed += flying[i].most
+					flying = append(flying[:i], flying[i+1:]...)
+				}
+			}
+			for i := range tabs {
+				if tabs[i] == tab {
+					tabs[i] = open()
+				}
+			}
+		}
+		promised := handed
+		for _, turn := range flying {
+			promised += turn.most
+		}
+		require.LessOrEqual(t, promised, total, "seed %d", seed)
+	}
+}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -55,11 +55,12 @@
 }
 
 // Holders returns the owners of the accounts, other than owner's, that grant
-// more than they are known to have used.
+// anything. What they have used is as of when the row was written: turns
+// that ended since may have left some over.
 func (ledger *Ledger) Holders(owner string) []string {
 	var holders []string
 	for name, account := range ledger.Accounts {
-		if name != owner && account.Granted > account.Used {
+		if name != owner && account.Granted > 0 {
 			holders = append(holders, name)
 		}
 	}
--- /dev/null
+++ b/eventstream/reader_test.go
@@ -0,0 +1,79 @@
+package eventstream_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/eventstream"
+)
+
+func readAll(r io.Reader) ([]eventstream.Event, error) {
+	reader := eventstream.NewReader(r)
+	var events []eventstream.Event
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+func TestEventsKeepTheirBytes(t *testing.T) {
+	text := "id: 1\ndata: one\n\nx-note: 4\nid:2\r\ndata:two\r\ndata: more\r\n\r\n: comment\n\ndata\n\n"
+	events, err := readAll(iotest.OneByteReader(strings.NewReader(text)))
+	require.ErrorIs(t, err, io.EOF)
+	require.Len(t, events, 4)
+	var raw []byte
+	for _, event := range events {
+		raw = append(raw, event.Raw...)
+	}
+	assert.Equal(t, text, string(raw))
+	assert.Equal(t, "1", events[0].ID)
+	assert.Equal(t, "one", string(events[0].Data))
+	assert.Equal(t, "2", events[1].ID)
+	assert.Equal(t, "two\nmore", string(events[1].Data))
+	assert.False(t, events[2].HasData)
+	assert.True(t, events[3].HasData)
+	assert.Empty(t, events[3].Data)
+}
+
+// Symptom: a stream resumed at another engine has the start of an event
+// twice. Events: an engine stops in the middle of an event; the half was
+// passed on. Cause: bytes, not events, were passed on.
+func TestUnfinishedEventIsNotReturned(t *testing.T) {
+	events, err := readAll(strings.NewReader("id: 1\ndata: one\n\nid: 2\ndata: tw"))
+	require.ErrorIs(t, err, eventstream.ErrTruncated)
+	assert.Len(t, events, 1)
+	broken := errors.New("reset")
+	events, err = readAll(io.MultiReader(strings.NewReader("id: 1\ndata: one\n\nid: 2\n"), iotest.ErrReader(broken)))
+	require.ErrorIs(t, err, broken)
+	assert.Len(t, events, 1)
+}
+
+func TestEndlessEventIsGivenUp(t *testing.T) {
+	_, err := readAll(strings.NewReader(strings.Repeat("x", 3<<20)))
+	var tooLong *eventstream.TooLongError
+	assert.ErrorAs(t, err, &tooLong)
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: one\n\n"))
+	f.Add([]byte("\n\n\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		events, err := readAll(bytes.NewReader(data))
+		require.Error(t, err)
+		var raw []byte
+		for _, event := range events {
+			raw = append(raw, event.Raw...)
+		}
+		require.True(t, bytes.HasPrefix(data, raw), "events are the stream's own bytes, in order")
+	})
+}
--- a/history/turn.go
+++ b/history/turn.go
@@ -68,8 +68,9 @@
 	Events    [][]byte `msgpack:"e"`
 }
 
-// partHeader is the first byte of each row of a turn: how many rows follow.
-const partHeader = 1
+// partHeader is the start of each row of a turn, in bytes: the row's number
+// and the last one's.
+const partHeader = 2
 
 // maxParts is the most rows that one turn is split into: what partHeader
 // can count, far above the body limit of any deployment.
@@ -105,7 +106,7 @@
 	parts := make([][]byte, 0, count)
 	for i := range count {
 		chunk := data[i*most : min((i+1)*most, len(data))]
-		part := append(make([]byte, 0, len(chunk)+partHeader), byte(count-1-i))
+		part := append(make([]byte, 0, len(chunk)+partHeader), byte(i), byte(count-1))
 		parts = append(parts, append(part, chunk...))
 	}
 	return parts, nil
@@ -123,7 +124,7 @@
 func Decode(id string, parts [][]byte) (*Turn, error) {
 	var data []byte
 	for i, part := range parts {
-		if len(part) < partHeader || int(part[0]) != len(parts)-1-i {
+		if len(part) < partHeader || int(part[0]) != i || int(part[1]) != len(parts)-1 {
 			return nil, &IncompleteError{id: id}
 		}
 		data = append(data, part[partHeader:]...)
--- /dev/null
+++ b/store/storetest/doc_test.go
@@ -0,0 +1,5 @@
+package storetest
+
+import "github.com/wagtaildrum/wagtaildrum/store"
+
+var _ store.Store = (*Memory)(nil)
