--- /dev/null
+++ b/discovery/follower_test.go
@@ -0,0 +1,98 @@
+package discovery_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// view is a copy of a table, kept by a follower.
+type view struct {
+	mu         sync.Mutex
+	rows       map[string]string
+	lost, back int
+}
+
+func (v *view) source() discovery.Source {
+	return discovery.Source{Table: "t",
+		Apply: func(row store.Row) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			if row.Removed {
+				delete(v.rows, row.Key.Name)
+				return
+			}
+			v.rows[row.Key.Name] = string(row.Value)
+		},
+		Whole: func(rows []store.Row) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.rows = map[string]string{}
+			for _, row := range rows {
+				v.rows[row.Key.Name] = string(row.Value)
+			}
+		},
+		Lost: func() { v.lost++ }, Back: func() { v.back++ }}
+}
+
+func (v *view) get(name string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.rows[name]
+}
+
+func put(t *testing.T, memory *storetest.Memory, name, value string) {
+	t.Helper()
+	_, err := memory.Commit(context.Background(), store.Transaction{Puts: []store.Put{{Key: store.Key{Table: "t", Name: name}, Value: []byte(value)}}})
+	require.NoError(t, err)
+}
+
+// Symptom: an instance goes on with a list of seconds ago. Events: changes
+// are made while the store is away, and while its feed hears nothing and its
+// history is dropped. Cause: a feed that began again only after the gap.
+func TestFollowerMissesNothing(t *testing.T) {
+	memory := storetest.New()
+	put(t, memory, "before", "1")
+	v := &view{}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go discovery.NewFollower(memory, v.source(), clock.Real{}, log, tally.NoopScope).Run(ctx, done)
+	require.Eventually(t, func() bool { return v.get("before") == "1" }, time.Second, time.Millisecond)
+	for n := range 5 {
+		put(t, memory, "x", strconv.Itoa(n))
+	}
+	require.Eventually(t, func() bool { return v.get("x") == "4" }, time.Second, time.Millisecond)
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.None
+		}
+		return storetest.Refuse
+	})
+	put(t, memory, "away", "1")
+	_, err := memory.Commit(ctx, store.Transaction{Deletes: []store.Key{{Table: "t", Name: "before"}}})
+	require.NoError(t, err)
+	memory.Compact()
+	time.Sleep(100 * time.Millisecond)
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	require.Eventually(t, func() bool { return v.get("away") == "1" && v.get("before") == "" }, 2*time.Second, time.Millisecond)
+	put(t, memory, "after", "1")
+	require.Eventually(t, func() bool { return v.get("after") == "1" }, time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+	assert.Equal(t, 1, v.lost)
+	assert.Equal(t, 1, v.back)
+}
--- /dev/null
+++ b/entrypeer/entrypeer_test.go
@@ -0,0 +1,123 @@
+package entrypeer_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/entrypeer"
+	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// instance is what an entry instance needs to speak to the others.
+type instance struct {
+	owner     string
+	door      *platformtest.Door
+	directory *entrypeer.Directory
+	client    *entrypeer.Client
+	relay     *entrypeer.Relay
+	server    *httptest.Server
+	asked     atomic.Pointer[string]
+}
+
+func start(t *testing.T, memory *storetest.Memory, name string) *instance {
+	t.Helper()
+	i := &instance{owner: name + "-1", door: platformtest.NewDoor(memory)}
+	t.Cleanup(i.door.Close)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	clk := clock.Real{}
+	direct := store.NewGuard(store.NewPersistent(platform.NewStore(i.door.Address()), clk), clk, func(string, bool, error) {})
+	handler := &entrypeer.Server{Store: direct, Log: log, GiveBack: func(_ context.Context, program string) error {
+		i.asked.Store(&program)
+		return nil
+	}}
+	i.server = httptest.NewServer(handler.Handler())
+	t.Cleanup(i.server.Close)
+	i.directory = entrypeer.NewDirectory(entrypeer.Instance{Name: name, Owner: i.owner, Address: i.server.Listener.Addr().String(), DataCentre: "a"}, clk)
+	i.client = entrypeer.NewClient(i.directory)
+	i.relay = entrypeer.NewRelay(direct, i.client)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	joined, done := make(chan error, 1), make(chan error, 2)
+	i.directory.Join(direct, log)(ctx, joined)
+	require.NoError(t, <-joined)
+	go discovery.NewFollower(i.relay, i.directory.Source(log), clk, log, tally.NoopScope).Run(ctx, done)
+	go i.relay.Probe(ctx, done)
+	return i
+}
+
+var key = store.Key{Table: "t", Partition: "p", Name: "a"}
+
+func (i *instance) put(t *testing.T) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := i.relay.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: key, Value: []byte(i.owner)}}})
+	return err
+}
+
+// Symptom: machines that the store turns away serve no turn, though others
+// are served. Events: the store refuses, resets or ignores the calls of one
+// instance. Cause: an instance had only its own way.
+func TestStoreIsReachedThroughAnotherInstance(t *testing.T) {
+	memory := storetest.New()
+	shut, open := start(t, memory, "shut"), start(t, memory, "open")
+	time.Sleep(50 * time.Millisecond) // they find each other
+	for _, mode := range []platformtest.Mode{platformtest.Busy, platformtest.Many, platformtest.Reset, platformtest.Silent} {
+		shut.door.Set(mode)
+		for range 5 {
+			require.NoError(t, shut.put(t), "%v", mode)
+		}
+		row, err := store.Get(context.Background(), shut.relay, key)
+		require.NoError(t, err)
+		assert.Equal(t, shut.owner, string(row.Value))
+		_, err = shut.relay.Commit(context.Background(), store.Transaction{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key}}})
+		require.True(t, store.Is(err, store.FailureConflict), "%v: %v", mode, err)
+		page, err := shut.relay.Watch(context.Background(), key.Table, row.Version-1, 100*time.Millisecond)
+		require.NoError(t, err)
+		assert.Len(t, page.Rows, 1)
+		shut.door.Set(platformtest.Open)
+		calls := shut.door.Calls()
+		require.Eventually(t, func() bool { _ = shut.put(t); return shut.door.Calls() > calls+1 }, 2*time.Second, 20*time.Millisecond, "its own way is used again")
+	}
+	assert.False(t, shut.directory.Isolated())
+	open.door.Set(platformtest.Busy)
+	shut.door.Set(platformtest.Busy)
+	err := shut.put(t)
+	assert.True(t, store.Unserved(err), "%v", err)
+	assert.False(t, shut.directory.Isolated(), "others answer: the store is away for all")
+	open.server.CloseClientConnections()
+	open.server.Close()
+	assert.True(t, store.Unserved(shut.put(t)))
+	assert.True(t, shut.directory.Isolated())
+}
+
+func TestHolderIsAskedByItsAccount(t *testing.T) {
+	memory := storetest.New()
+	asker, holder, other := start(t, memory, "asker"), start(t, memory, "holder"), start(t, memory, "other")
+	time.Sleep(50 * time.Millisecond)
+	asker.client.GiveBack(context.Background(), "p", []string{"holder-1.7", "gone-1.2", "odd"})
+	require.NotNil(t, holder.asked.Load())
+	assert.Equal(t, "p", *holder.asked.Load())
+	assert.Nil(t, other.asked.Load())
+	require.NoError(t, holder.directory.Leave(context.Background(), memory))
+	holder.asked.Store(nil)
+	require.Eventually(t, func() bool {
+		holder.asked.Store(nil)
+		asker.client.GiveBack(context.Background(), "p", []string{"holder-1.7"})
+		return holder.asked.Load() == nil
+	}, time.Second, 10*time.Millisecond, "who left is not asked")
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -39,26 +39,10 @@
 	*T
 	Validator
 }](name, data string) (*T, error) {
-	// First pass: syntax only. Whatever fails in the second pass is then
-	// a value of the wrong type for its key.
-	var raw map[string]any
-	if _, err := toml.Decode(data, &raw); err != nil {
-		return nil, &Error{file: name, problem: ProblemSyntax, detail: err.Error()}
-	}
 	v := PT(new(T))
-	md, err := toml.Decode(data, v)
-	if err != nil {
-		var perr toml.ParseError
-		if errors.As(err, &perr) {
-			return nil, &Error{file: name, key: perr.LastKey, problem: ProblemBadValue, detail: perr.Message}
-		}
-		// A value of the wrong TOML type comes back as a plain error that
-		// names the key only in its text.
-		key := ""
-		if m := lastKey.FindStringSubmatch(err.Error()); m != nil {
-			key = m[1]
-		}
-		return nil, &Error{file: name, key: key, problem: ProblemBadValue, detail: err.Error()}
+	md, fault := decode(name, data, v)
+	if fault != nil {
+		return nil, fault
 	}
 	if undecoded := md.Undecoded(); len(undecoded) > 0 {
 		return nil, &Error{file: name, key: undecoded[0].String(), problem: ProblemUnknownKey, detail: "not a setting of this process"}
@@ -71,6 +55,39 @@
 	return (*T)(v), nil
 }
 
+// DecodeOpen decodes TOML text into v, ignoring keys that v does not have.
+// It returns a *Error for a syntax error or a value of the wrong type.
+func DecodeOpen(name, data string, v any) error {
+	if _, fault := decode(name, data, v); fault != nil {
+		return fault
+	}
+	return nil
+}
+
+func decode(name, data string, v any) (toml.MetaData, *Error) {
+	// First pass: syntax only. Whatever fails in the second pass is then
+	// a value of the wrong type for its key.
+	var raw map[string]any
+	if _, err := toml.Decode(data, &raw); err != nil {
+		return toml.MetaData{}, &Error{file: name, problem: ProblemSyntax, detail: err.Error()}
+	}
+	md, err := toml.Decode(data, v)
+	if err == nil {
+		return md, nil
+	}
+	var perr toml.ParseError
+	if errors.As(err, &perr) {
+		return md, &Error{file: name, key: perr.LastKey, problem: ProblemBadValue, detail: perr.Message}
+	}
+	// A value of the wrong TOML type comes back as a plain error that
+	// names the key only in its text.
+	key := ""
+	if m := lastKey.FindStringSubmatch(err.Error()); m != nil {
+		key = m[1]
+	}
+	return md, &Error{file: name, key: key, problem: ProblemBadValue, detail: err.Error()}
+}
+
 // Checker collects the first fault found by a Validator.
 type Checker struct {
 	file  string
--- /dev/null
+++ b/store/guard_test.go
@@ -0,0 +1,139 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+func in(partition string) store.Transaction {
+	return store.Transaction{Puts: []store.Put{{Key: store.Key{Table: "t", Partition: partition, Name: "a"}}}}
+}
+
+// Symptom: all turns are refused while two thirds of the store's partitions
+// are served. Events: a third of the partitions go away. Cause: failures
+// were counted for the store as a whole.
+func TestGuardKeepsPartitionsApart(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	guard := store.NewGuard(memory, clk, func(string, bool, error) {})
+	calls := 0
+	memory.SetFault(func(_, partition string) storetest.Fault {
+		if partition == "p1" {
+			calls++
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	for range 20 {
+		_, err := guard.Commit(ctx, in("p1"))
+		assert.True(t, store.Is(err, store.FailureRefused))
+		_, err = guard.Commit(ctx, in("p2"))
+		require.NoError(t, err)
+	}
+	assert.Equal(t, 4, calls, "three to find out, then one probe")
+	assert.True(t, guard.Away("p1"))
+	assert.False(t, guard.Away("p2"))
+	clk.Advance(time.Second)
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	_, err := guard.Commit(ctx, in("p1"))
+	require.NoError(t, err)
+	assert.False(t, guard.Away("p1"))
+}
+
+func TestGuardFindsWholeStoreAway(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	var told []string
+	guard := store.NewGuard(memory, clock.NewFake(time.Unix(1000, 0)), func(partition string, away bool, _ error) {
+		if away {
+			told = append(told, partition)
+		}
+	})
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+	for _, partition := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		_, _ = guard.Commit(ctx, in(partition)) // refused
+	}
+	assert.True(t, guard.WholeAway())
+	assert.True(t, guard.Away("never called"))
+	assert.Equal(t, []string{"all"}, told)
+	gone, cancel := context.WithCancel(ctx)
+	cancel()
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	fresh := store.NewGuard(memory, clock.NewFake(time.Unix(1000, 0)), func(string, bool, error) {})
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.LoseAnswer })
+	for range 10 {
+		_, _ = fresh.Commit(gone, in("a")) // given up by its caller
+	}
+	assert.False(t, fresh.WholeAway(), "a call that its caller gave up says nothing")
+}
+
+// slowStore answers each call after a time, or never if it is lost.
+type slowStore struct {
+	store.Store
+	answer time.Duration
+	lose   int
+	calls  int
+}
+
+func (s *slowStore) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	s.calls++
+	wait := s.answer
+	if s.calls <= s.lose {
+		wait = time.Hour
+	}
+	version, err := s.Store.Commit(context.Background(), tx)
+	select {
+	case <-ctx.Done():
+		return 0, store.NewError(store.FailureUnanswered, "commit", "test")
+	case <-time.After(wait):
+		return version, err
+	}
+}
+
+// Symptom: turns end a second late, or not at all. Events: the store does
+// the writes and loses a third of its answers. Cause: each was waited for
+// until the long time-out.
+func TestLostAnswerIsNotWaitedFor(t *testing.T) {
+	slow := &slowStore{Store: storetest.New(), lose: 1}
+	persistent := store.NewPersistent(slow, clock.Real{})
+	key := store.Key{Table: "t", Name: "a"}
+	began := time.Now()
+	_, err := persistent.Commit(context.Background(), store.Transaction{Conditions: []store.Condition{{Key: key}}, Puts: []store.Put{{Key: key}}})
+	assert.True(t, store.Is(err, store.FailureConflict), "the first try was done: %v", err)
+	assert.Less(t, time.Since(began), 500*time.Millisecond)
+	assert.Equal(t, 2, slow.calls)
+}
+
+// A store that turned slow, as to 150 ms from 4, is waited for in the end,
+// and after a few calls at once.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	slow := &slowStore{Store: storetest.New(), answer: 150 * time.Millisecond}
+	persistent := store.NewPersistent(slow, clock.Real{})
+	for range 10 {
+		_, err := persistent.Commit(context.Background(), in("a"))
+		require.NoError(t, err)
+	}
+	before := slow.calls
+	_, err := persistent.Commit(context.Background(), in("a"))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, slow.calls-before, 2)
+}
+
+func TestNames(t *testing.T) {
+	assert.Equal(t, "9c41d07be2a35f68", store.Name("9c41d07be2a35f68"))
+	for _, odd := range []string{"", "a/b", "a b", string(make([]byte, 500)), "ü"} {
+		name := store.Name(odd)
+		assert.Less(t, len(name), 120)
+		assert.Regexp(t, `^sha256\.[0-9a-f]{64}$`, name)
+	}
+	assert.NotEqual(t, store.Name("a/b"), store.Name("a b"))
+}
