Headroom of budgets shrinks with the number of instances that hold some

Ruled out: a request to give back that failed (none logged). Change: the second account takes an eighth, the third a twelfth, none more than four turns.

--- a/account/keeper_test.go
+++ b/account/keeper_test.go
@@ -190,6 +190,34 @@
 	}
 }
 
+// Symptom: programs with many lines of turns cannot end after all instances
+// lost power, though they have spent a tenth of their budgets. Events: the
+// lines of a program come through all of eight instances; each holds part of
+// the budget when the power goes. Cause: each held a quarter of what was
+// left, which leaves a tenth.
+func TestLossOfAllHoldersLeavesMostOfBudget(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	const most, total = 589, 15100
+	first := newFleet(memory, clock.Real{}, 8)
+	for _, keeper := range first.keepers {
+		_, err := keeper.Reserve(ctx, "p", most, total)
+		require.NoError(t, err)
+	}
+	second := &fleet{}
+	second.keepers = append(second.keepers, account.NewKeeper(memory, "restarted", second, clock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope))
+	served := 0
+	for range 30 {
+		turn, err := second.keepers[0].Reserve(ctx, "p", most, total)
+		if err != nil {
+			break
+		}
+		turn.Settle(most / 2)
+		served++
+	}
+	assert.GreaterOrEqual(t, served, 12)
+}
+
 func TestStopGivesBack(t *testing.T) {
 	ctx := context.Background()
 	f := newFleet(storetest.New(), clock.Real{}, 2)
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -86,19 +86,26 @@
 	DecisionSpent
 )
 
-// headroomShare: a grant holds, beside the turn, one part in headroomShare of
-// what is left of the budget, so that a program goes on for some turns while
-// the store is away, and needs no write for each. What an instance was
-// granted counts as spent if it dies. A program's turns spend about half of
-// their most, and a budget is about 1.6 times the most of all its turns: a
-// quarter of what is left can be lost once and the program still ends; half
-// cannot.
-const headroomShare = 4
+// A grant holds some headroom beside the turn, so that a program goes on for
+// some turns while the store is away, and needs no write for each. What an
+// instance was granted counts as spent if it dies, so headroom is kept small
+// against what a program can lose: a turn spends about half of its most, and
+// a budget is about 1.6 times the most of all turns.
+const (
+	// headroomShare: one part in headroomShare of what is left, for the
+	// first account; the next accounts take half of that, a third, and so
+	// on. A program whose lines come through all instances, which then lose
+	// power together, keeps more than half of what was left.
+	headroomShare = 4
+	// headroomTurns bounds the headroom to what some nine usual turns
+	// spend, five seconds or so.
+	headroomTurns = 4
+)
 
 // decide returns the decision on a turn that needs the account of owner to
-// grant need tokens in all, with total the program's budget; for
-// DecisionGrant also the amount to grant.
-func (ledger *Ledger) decide(owner string, need, total int64) (Decision, int64) {
+// grant need tokens in all, with turn the most it generates and total the
+// program's budget; for DecisionGrant also the amount to grant.
+func (ledger *Ledger) decide(owner string, need, turn, total int64) (Decision, int64) {
 	if need <= ledger.Accounts[owner].Granted {
 		return DecisionServe, 0
 	}
@@ -110,5 +117,9 @@
 	if left < 0 {
 		return DecisionWait, 0
 	}
-	return DecisionGrant, need + left/headroomShare
+	accounts := int64(len(ledger.Accounts))
+	if _, own := ledger.Accounts[owner]; !own {
+		accounts++
+	}
+	return DecisionGrant, need + min(left/(headroomShare*accounts), headroomTurns*turn)
 }
--- a/budget/tab.go
+++ b/budget/tab.go
@@ -42,13 +42,13 @@
 // under the budget total. For DecisionGrant, Grant has to be made durable,
 // then Granted called, and the turn decided again.
 func (tab *Tab) Decide(turn, total int64) Decision {
-	decision, _ := tab.ledger.decide(tab.owner, tab.Used()+turn, total)
+	decision, _ := tab.ledger.decide(tab.owner, tab.Used()+turn, turn, total)
 	return decision
 }
 
 // Grant returns the row that grants this instance the turn.
 func (tab *Tab) Grant(turn, total int64) *Ledger {
-	_, amount := tab.ledger.decide(tab.owner, tab.Used()+turn, total)
+	_, amount := tab.ledger.decide(tab.owner, tab.Used()+turn, turn, total)
 	return tab.with(Account{Granted: amount, Used: tab.Used() + turn})
 }
 
