Log lines never hold a request up; waits for the store leave time for another try

Log lines went to standard error from the request's own goroutine; they now go to standard output through a bounded queue at a bounded rate, drops counted. A request waits for the store at most 0.4 of its time.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -22,6 +22,7 @@
 	"github.com/wagtaildrum/wagtaildrum/discovery"
 	"github.com/wagtaildrum/wagtaildrum/entrypeer"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
+	"github.com/wagtaildrum/wagtaildrum/logging"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/route"
@@ -59,7 +60,12 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	p := newProcess("front", s.Instance)
+	lines := logging.NewWriter(os.Stdout)
+	writing, endLines := context.WithCancel(context.Background())
+	written := make(chan error, 1)
+	go lines.Run(writing, written)
+	defer func() { endLines(); <-written }()
+	p := newLoggingProcess("front", s.Instance, lines)
 	ctx, stop := signalled()
 	defer stop()
 	f := newFront(p, s)
--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -27,7 +28,12 @@
 }
 
 func newProcess(role, instance string) *process {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("role", role, "instance", instance)
+	return newLoggingProcess(role, instance, os.Stderr)
+}
+
+// newLoggingProcess is newProcess for a process that logs to out.
+func newLoggingProcess(role, instance string, out io.Writer) *process {
+	log := slog.New(slog.NewTextHandler(out, nil)).With("role", role, "instance", instance)
 	return &process{log: log, metrics: debug.NewMetrics(role), done: make(chan error, 16)}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -26,6 +26,9 @@
 	// used all its tries after three of them, one that is kept waiting each
 	// time has some left after eight.
 	storePatience = time.Second
+	// patienceShare of its time is the most that a request waits so: what is
+	// left must do for the answer, or for another try.
+	patienceShare = 0.4
 	// storeRetry is the pause between looks at a store that is away.
 	storeRetry = 60 * time.Millisecond
 	// storePause is what callers are told to wait after that; they wait a
@@ -207,9 +210,10 @@
 // storePatience from the request's arrival. An instance that is cut off does
 // not wait: another one can serve the request.
 func (e *exchange) patiently(ctx context.Context, f func() error) error {
+	patience := min(storePatience, time.Duration(patienceShare*float64(e.until.Sub(e.arrived))))
 	for {
 		err := f()
-		if !store.Unserved(err) || e.cutOff() || e.Clock.Now().Sub(e.arrived) >= storePatience {
+		if !store.Unserved(err) || e.cutOff() || e.Clock.Now().Sub(e.arrived) >= patience {
 			return err
 		}
 		select {
