--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -80,7 +80,8 @@
 	p.goroutine(work, f.configuration.Run)
 	p.goroutine(work, f.endpoints.Run)
 	p.goroutine(work, f.instances.Run)
-	p.goroutine(work, f.relay.Probe)
+	p.goroutine(work, f.own.Run)
+	p.goroutine(work, f.store.Run)
 	p.goroutine(work, f.accounts.Sweep)
 	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
@@ -96,15 +97,15 @@
 
 // front is the parts of an entry instance on the platform.
 type front struct {
-	process       *process
-	owner         string
-	gateway       *gateway.Gateway
-	list          *membership.List
-	picker        *balance.Picker
-	client        *upstream.Client
-	accounts      *account.Keeper
-	store         store.Store
-	relay         *entrypeer.Relay
+	process  *process
+	owner    string
+	gateway  *gateway.Gateway
+	list     *membership.List
+	picker   *balance.Picker
+	client   *upstream.Client
+	accounts *account.Keeper
+	// own is this instance's way to the store, store all its ways.
+	own, store    *store.Guard
 	directory     *entrypeer.Directory
 	peers         *entrypeer.Server
 	configuration *discovery.Follower
@@ -115,17 +116,18 @@
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
 	owner := fmt.Sprintf("%s-%08x", s.Instance, rand.Uint32())
-	direct := store.NewGuard(store.NewPersistent(platform.NewStore(s.Store), clk), clk, func(partition string, away bool, err error) {
+	own := store.NewGuard(platform.NewStore(s.Store), func(partition string, away bool, err error) {
 		p.log.Info("own way to the store", "partition", partition, "away", away, "err", err)
 	})
+	direct := store.NewPersistent(own, clk)
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
 	peers := entrypeer.NewClient(directory)
-	relay := entrypeer.NewRelay(direct, peers)
-	guard := store.NewGuard(relay, clk, func(partition string, away bool, err error) {
+	relay := entrypeer.NewRelay(direct, own, peers)
+	guard := store.NewGuard(relay, func(partition string, away bool, err error) {
 		p.log.Info("store", "partition", partition, "away", away, "err", err)
 	})
 	current, list := &route.Current{}, membership.NewList()
-	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, relay: relay, store: guard}
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, own: own, store: guard}
 	f.accounts = account.NewKeeper(guard, owner, peers, clk, p.log, scope)
 	f.peers = &entrypeer.Server{Store: direct, GiveBack: f.accounts.GiveBack, Log: p.log}
 	f.gateway = gateway.New(gateway.Parts{
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -12,9 +12,6 @@
 	relayTimeout = 600 * time.Millisecond
 	// relayTries is how many other instances are asked for one call.
 	relayTries = 2
-	// probeInterval is how often the own way to the store is tried while it
-	// does not answer and nothing else tries it.
-	probeInterval = 300 * time.Millisecond
 )
 
 // Relay is a store that is reached through other instances while this one's
@@ -22,13 +19,15 @@
 // its conditions see to it that it is not done twice, as for any call that
 // is repeated.
 type Relay struct {
-	direct *store.Guard
+	direct store.Store
+	guard  *store.Guard
 	client *Client
 }
 
-// NewRelay returns a relay over this instance's own way.
-func NewRelay(direct *store.Guard, client *Client) *Relay {
-	return &Relay{direct: direct, client: client}
+// NewRelay returns a relay over this instance's own way, direct, whose
+// health guard knows.
+func NewRelay(direct store.Store, guard *store.Guard, client *Client) *Relay {
+	return &Relay{direct: direct, guard: guard, client: client}
 }
 
 // Commit implements store.Store.
@@ -54,7 +53,7 @@
 // Watch implements store.Store.
 func (relay *Relay) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
 	err := error(store.NewError(store.FailureRefused, "watch", "the store is away"))
-	if !relay.direct.Away("") {
+	if !relay.guard.Away("") {
 		var page store.Page
 		if page, err = relay.direct.Watch(ctx, table, after, wait); !store.Unserved(err) {
 			return page, err
@@ -96,22 +95,3 @@
 	err := relay.client.call(ctx, instance, pathStore, message, &answer)
 	return answer, err
 }
-
-// Probe tries this instance's own way while it fails, until ctx ends, then
-// reports on done.
-func (relay *Relay) Probe(ctx context.Context, done chan<- error) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			done <- nil
-			return
-		case <-ticker.C:
-			if relay.direct.Away("") {
-				// Only whether it is answered matters; the guard notes that.
-				_, _ = relay.direct.Read(ctx, store.Range{Table: table, Limit: 1})
-			}
-		}
-	}
-}
--- a/store/guard.go
+++ b/store/guard.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
-
-	"github.com/wagtaildrum/wagtaildrum/clock"
 )
 
 const (
@@ -16,17 +15,21 @@
 	// as away: with a third of the partitions away, six in a row happen once
 	// in 700 times.
 	wholeFailures = 6
-	// probeInterval is how often one call is let through to a store that is
-	// away.
+	// probeInterval is how often a store that is away is tried, probeTimeout
+	// how long each try waits.
 	probeInterval = 100 * time.Millisecond
+	probeTimeout  = time.Second
+	// probedTable is what is read to try a store; it need not exist.
+	probedTable = "probe"
 )
 
 // Guard is a Store that answers at once while the store behind it is away,
 // so that a request that needs it can be turned away while its caller has
 // time left to come back, and the store is not pressed while it recovers.
+// Requests are not used to find out whether it is back, since the one that
+// does would wait: Run does that.
 type Guard struct {
 	store  Store
-	clock  clock.Clock
 	change func(partition string, away bool, err error)
 
 	mu         sync.Mutex
@@ -38,13 +41,12 @@
 // be away while the others are served.
 type health struct {
 	failures int
-	probe    time.Time
 }
 
-// NewGuard returns a guard before s. It calls change each time that the
+// NewGuard returns a guard before s; Run must run. It calls change each time that the
 // store is found to be away or back.
-func NewGuard(s Store, clk clock.Clock, change func(partition string, away bool, err error)) *Guard {
-	return &Guard{store: s, clock: clk, change: change, partitions: map[string]*health{}}
+func NewGuard(s Store, change func(partition string, away bool, err error)) *Guard {
+	return &Guard{store: s, change: change, partitions: map[string]*health{}}
 }
 
 // Away reports whether the store does not answer for a partition.
@@ -104,25 +106,61 @@
 func (guard *Guard) enter(op, partition string) error {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	state := &guard.whole
-	if state.failures < wholeFailures {
-		state = guard.health(partition)
-		if state.failures < guardFailures {
-			return nil
+	if guard.whole.failures < wholeFailures && guard.health(partition).failures < guardFailures {
+		return nil
+	}
+	return NewError(FailureRefused, op, "the store is away")
+}
+
+// Run tries what is away until ctx ends, then reports on done.
+func (guard *Guard) Run(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case <-ticker.C:
+			guard.Probe(ctx)
+		}
+	}
+}
+
+// Probe tries each partition that is away once, or any one if all are.
+func (guard *Guard) Probe(ctx context.Context) {
+	var tries sync.WaitGroup
+	for _, partition := range guard.toProbe() {
+		tries.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			_, err := guard.store.Read(limited, Range{Table: probedTable, Partition: partition, Limit: 1})
+			guard.leave(limited, partition, err)
+		})
+	}
+	tries.Wait()
+}
+
+func (guard *Guard) toProbe() []string {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	var away []string
+	for partition, state := range guard.partitions {
+		if state.failures >= guardFailures || guard.whole.failures >= wholeFailures {
+			away = append(away, partition)
 		}
 	}
-	now := guard.clock.Now()
-	if now.Before(state.probe) {
-		return NewError(FailureRefused, op, "the store is away")
+	if guard.whole.failures >= wholeFailures && len(away) > 0 {
+		return away[:1]
 	}
-	state.probe = now.Add(probeInterval)
-	return nil
+	return away
 }
 
-// leave takes in how a call ended. One that its caller gave up says nothing.
+// leave takes in how a call ended. One that its caller gave up says nothing;
+// one that was not answered in its time does.
 func (guard *Guard) leave(ctx context.Context, partition string, err error) {
 	failed := Unserved(err)
-	if failed && ctx.Err() != nil {
+	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
 	guard.mu.Lock()
--- a/store/persistent.go
+++ b/store/persistent.go
@@ -77,14 +77,15 @@
 	return max(patienceFactor*persistent.usual, leastPatience)
 }
 
-// took notes the time of an answer. A try without one says that answers
-// take at least as long, or are lost: it counts as if it had come then, so
-// that a store that turned slow is waited for.
+// took notes the time of an answer. A try without one may mean that the
+// store turned slow: the next tries wait longer, until answers are quick
+// again.
 func (persistent *Persistent) took(d time.Duration, unanswered bool) {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
 	if unanswered {
-		d = min(d, mostPatience/patienceFactor)
+		persistent.usual = max(persistent.usual, min(d, mostPatience)/2)
+		return
 	}
 	persistent.usual += time.Duration(answerWeight * float64(d-persistent.usual))
 }
--- /dev/null
+++ b/systemtest/front_test.go
@@ -0,0 +1,282 @@
+package systemtest
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// site is the platform's stand-ins and entry instances as real processes.
+type site struct {
+	t      *testing.T
+	dir    string
+	memory *storetest.Memory
+	model  *platformtest.Endpoint
+	tool   *platformtest.Endpoint
+	fronts []*frontProcess
+}
+
+// frontProcess is one entry instance.
+type frontProcess struct {
+	cmd     *exec.Cmd
+	name    string
+	door    *platformtest.Door
+	config  string
+	log     string
+	callers string
+	ready   string
+	debug   string
+}
+
+func newSite(t *testing.T, fronts int) *site {
+	t.Helper()
+	s := &site{t: t, dir: t.TempDir(), memory: storetest.New(), model: platformtest.NewEndpoint("i-model", "model", true), tool: platformtest.NewEndpoint("i-tool", "tool", false)}
+	t.Cleanup(s.model.Close)
+	t.Cleanup(s.tool.Close)
+	platformtest.Configure(s.memory, platformtest.Configuration(3))
+	s.model.Register(s.memory, "a", "ready")
+	s.tool.Register(s.memory, "a", "ready")
+	for n := range fronts {
+		f := &frontProcess{name: fmt.Sprintf("front-%d", n+1), door: platformtest.NewDoor(s.memory), callers: freeTCP(t), ready: freeTCP(t), debug: freeTCP(t)}
+		t.Cleanup(f.door.Close)
+		f.config, f.log = filepath.Join(s.dir, f.name+".toml"), filepath.Join(s.dir, f.name+".log")
+		peer := freeTCP(t)
+		port := peer[strings.LastIndexByte(peer, ':')+1:]
+		text := fmt.Sprintf("node = %q\nip = \"127.0.0.1\"\nzone = \"a\"\nport-range = [%s,%s]\n[listen]\nfront = %q\nready = %q\n[limits]\nram-mb = 154\n[bounds]\ngrace-s = 8\n[provider]\naddr = %q\nrow-bytes = 65536\n",
+			f.name, port, port, f.callers, f.ready, f.door.Address())
+		require.NoError(t, os.WriteFile(f.config, []byte(text), 0o600))
+		s.fronts = append(s.fronts, f)
+		s.start(f)
+	}
+	return s
+}
+
+// start starts an instance and waits until it is ready.
+func (s *site) start(f *frontProcess) {
+	s.t.Helper()
+	bin, err := buildBinary()
+	require.NoError(s.t, err)
+	log, err := os.OpenFile(f.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	require.NoError(s.t, err)
+	f.cmd = exec.Command(bin, "front", "--metrics", f.debug)
+	f.cmd.Env = append(os.Environ(), "WAGTAILDRUM_CONFIG="+f.config)
+	f.cmd.Stdout, f.cmd.Stderr = log, log
+	require.NoError(s.t, f.cmd.Start())
+	require.NoError(s.t, log.Close())
+	cmd := f.cmd
+	s.t.Cleanup(func() { _ = cmd.Process.Kill(); _, _ = cmd.Process.Wait() })
+	require.Eventually(s.t, f.isReady, 5*time.Second, 10*time.Millisecond, "%s", f.name)
+}
+
+func (f *frontProcess) isReady() bool {
+	response, err := http.Get("http://" + f.ready + "/wagtaildrum/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// kill ends the instance as a loss of power does.
+func (f *frontProcess) kill() {
+	_ = f.cmd.Process.Kill()
+	_, _ = f.cmd.Process.Wait()
+}
+
+func (f *frontProcess) logged(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile(f.log)
+	require.NoError(t, err)
+	return string(data)
+}
+
+func (f *frontProcess) post(client *http.Client, path, id, body string, header map[string]string) (int, string, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.callers+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "desk.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "3000")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+func alone() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+func turnHeader(program, previous string) map[string]string {
+	header := map[string]string{"X-Program": program, "X-Session": "s", "X-Token-Budget": "9000", "X-Token-Count": "100,567"}
+	if previous != "" {
+		header["X-Previous-Turn"] = previous
+	}
+	return header
+}
+
+// Symptom: after a loss of power of all instances callers are told that
+// turns they saw the end of do not exist. Events: turns come through all
+// instances; all are killed at once and started again. Cause: a turn's end
+// was passed on before the turn was in the store.
+func TestConversationsOutliveLossOfAllInstances(t *testing.T) {
+	s := newSite(t, 2)
+	last := make([]string, 6)
+	talk := func(round int) {
+		for program := range last {
+			id := fmt.Sprintf("p%d-t%d", program, round)
+			f := s.fronts[(program+round)%len(s.fronts)]
+			status, _, err := f.post(alone(), "/keep/x", id, fmt.Sprintf("question %d ", round), turnHeader(fmt.Sprint("p", program), last[program]))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status, "%s", f.logged(t))
+			last[program] = id
+		}
+	}
+	for round := range 3 {
+		talk(round)
+	}
+	for _, f := range s.fronts {
+		f.kill()
+	}
+	for _, f := range s.fronts {
+		s.start(f)
+	}
+	talk(3)
+	for _, run := range s.model.Runs() {
+		var want strings.Builder
+		program, rounds := 0, 0
+		_, err := fmt.Sscanf(run.ID, "p%d-t%d", &program, &rounds)
+		require.NoError(t, err)
+		for round := range rounds {
+			fmt.Fprintf(&want, "question %d ", round)
+			for n := 1; n <= s.model.Events; n++ {
+				want.WriteString(platformtest.Data(fmt.Sprintf("p%d-t%d", program, round), n) + "\n")
+			}
+		}
+		fmt.Fprintf(&want, "question %d ", rounds)
+		require.Equal(t, want.String(), run.Body)
+	}
+}
+
+// Symptom: callers lose answers when an instance is replaced. Events: SIGTERM
+// while callers with kept connections and new ones send calls. Cause: see
+// gateway.Server.
+func TestStoppedProcessAnswersWhatItTook(t *testing.T) {
+	s := newSite(t, 1)
+	f := s.fronts[0]
+	s.tool.Pause = 100 * time.Millisecond
+	var lost, answered atomic.Int32
+	var callers sync.WaitGroup
+	for caller := range 6 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			for n := range 200 {
+				id := fmt.Sprintf("c%d-%d", caller, n)
+				status, _, err := f.post(client, "/post/x", id, "x", nil)
+				switch {
+				case err != nil && strings.Contains(err.Error(), "refused"):
+					return
+				case err != nil || status != http.StatusOK:
+					lost.Add(1)
+				default:
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	require.NoError(t, f.cmd.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return !f.isReady() }, time.Second, 5*time.Millisecond)
+	state, err := f.cmd.Process.Wait()
+	require.NoError(t, err)
+	callers.Wait()
+	assert.Zero(t, state.ExitCode(), "%s", f.logged(t))
+	assert.Less(t, time.Since(began), 8*time.Second)
+	assert.Zero(t, lost.Load())
+	assert.Greater(t, answered.Load(), int32(60))
+	assert.Len(t, s.tool.Runs(), int(answered.Load()))
+}
+
+// Settings that change, with and without a signal, and ones that are broken,
+// are logged, and the process goes on.
+func TestChangedSettingsAreNoticed(t *testing.T) {
+	s := newSite(t, 1)
+	f := s.fronts[0]
+	text, err := os.ReadFile(f.config)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(f.config, []byte(strings.Replace(string(text), "ram-mb = 154", "ram-mb = 200", 1)), 0o600))
+	require.NoError(t, f.cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return strings.Contains(f.logged(t), "settings changed") }, 3*time.Second, 20*time.Millisecond)
+	require.NoError(t, os.WriteFile(f.config, []byte("node = "), 0o600))
+	require.Eventually(t, func() bool { return strings.Contains(f.logged(t), "settings refused") }, 5*time.Second, 20*time.Millisecond)
+	status, _, err := f.post(alone(), "/post/x", "r1", "x", nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, status)
+	response, err := http.Get("http://" + f.debug + "/metrics")
+	require.NoError(t, err)
+	metrics, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Contains(t, string(metrics), "wagtaildrum_front")
+	response, err = http.Get("http://" + f.debug + "/debug/state")
+	require.NoError(t, err)
+	dump, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	assert.Contains(t, string(dump), `"configuration": 3`)
+}
+
+func TestBadSettingsEndTheProcess(t *testing.T) {
+	bin, err := buildBinary()
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "node.toml")
+	require.NoError(t, os.WriteFile(path, []byte("node = \"n\"\n"), 0o600))
+	cmd := exec.Command(bin, "front")
+	cmd.Env = append(os.Environ(), "WAGTAILDRUM_CONFIG="+path)
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	require.ErrorAs(t, err, &exit)
+	assert.Equal(t, 2, exit.ExitCode())
+	assert.Contains(t, string(out), `key "ip"`)
+}
+
+// Symptom: turns through an instance that the store turns away fail, though
+// other instances are served. Cause: see entrypeer.Relay.
+func TestProcessTurnedAwayByStoreServesThroughAnother(t *testing.T) {
+	s := newSite(t, 2)
+	time.Sleep(200 * time.Millisecond) // they find each other
+	shut := s.fronts[0]
+	for n, mode := range []platformtest.Mode{platformtest.Busy, platformtest.Silent, platformtest.Reset} {
+		shut.door.Set(mode)
+		for turn := range 3 {
+			status, _, err := shut.post(alone(), "/keep/x", fmt.Sprintf("t%d-%d", n, turn), "x", turnHeader(fmt.Sprintf("p%d-%d", n, turn), ""))
+			require.NoError(t, err, "%s", shut.logged(t))
+			require.Equal(t, http.StatusOK, status, "%s", shut.logged(t))
+		}
+		shut.door.Set(platformtest.Open)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
