After an outage of the store all partitions are tried at once; watches end with it

Change: watches end when the store is found away; the first answer after it clears what was known of partitions; the list of endpoints hears of the outage from the same place.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -123,10 +123,16 @@
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
 	peers := entrypeer.NewClient(directory)
 	relay := entrypeer.NewRelay(direct, own, peers)
+	current, list := &route.Current{}, membership.NewList()
 	guard := store.NewGuard(relay, func(partition string, away bool, err error) {
 		p.log.Info("store", "partition", partition, "away", away, "err", err)
+		switch {
+		case away && partition == store.AllPartitions:
+			list.StoreLost()
+		case partition == store.AllPartitions:
+			list.StoreBack(clk.Now())
+		}
 	})
-	current, list := &route.Current{}, membership.NewList()
 	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, own: own, store: guard}
 	f.accounts = account.NewKeeper(guard, owner, peers, clk, p.log, scope)
 	f.peers = &entrypeer.Server{Store: direct, GiveBack: f.accounts.GiveBack, Log: p.log}
--- a/store/guard.go
+++ b/store/guard.go
@@ -23,6 +23,9 @@
 	probedTable = "probe"
 )
 
+// AllPartitions names the store as a whole where a Guard tells a partition.
+const AllPartitions = "all"
+
 // Guard is a Store that answers at once while the store behind it is away,
 // so that a request that needs it can be turned away while its caller has
 // time left to come back, and the store is not pressed while it recovers.
@@ -35,6 +38,10 @@
 	mu         sync.Mutex
 	whole      health
 	partitions map[string]*health
+	// watches in progress are ended when the store is found away: they were
+	// begun before, and would wait for news that cannot come.
+	watches map[uint64]context.CancelFunc
+	watched uint64
 }
 
 // health is what is known of one partition of the store: a part of them may
@@ -46,7 +53,7 @@
 // NewGuard returns a guard before s; Run must run. It calls change each time that the
 // store is found to be away or back.
 func NewGuard(s Store, change func(partition string, away bool, err error)) *Guard {
-	return &Guard{store: s, change: change, partitions: map[string]*health{}}
+	return &Guard{store: s, change: change, partitions: map[string]*health{}, watches: map[uint64]context.CancelFunc{}}
 }
 
 // Away reports whether the store does not answer for a partition.
@@ -98,11 +105,29 @@
 // Watch implements Store. It is not held back: whoever watches waits
 // between failures.
 func (guard *Guard) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
-	page, err := guard.store.Watch(ctx, table, after, wait)
-	guard.leave(ctx, "", err)
+	limited, end := guard.watching(ctx)
+	defer end()
+	page, err := guard.store.Watch(limited, table, after, wait)
+	guard.leave(limited, "", err)
 	return page, err
 }
 
+// watching returns a context that ends when the store is found away.
+func (guard *Guard) watching(ctx context.Context) (context.Context, func()) {
+	limited, cancel := context.WithCancel(ctx)
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	guard.watched++
+	id := guard.watched
+	guard.watches[id] = cancel
+	return limited, func() {
+		guard.mu.Lock()
+		defer guard.mu.Unlock()
+		delete(guard.watches, id)
+		cancel()
+	}
+}
+
 func (guard *Guard) enter(op, partition string) error {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
@@ -173,10 +198,20 @@
 		state.failures, guard.whole.failures = 0, 0
 	}
 	is, isWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
+	switch {
+	case isWhole && !wasWhole:
+		for _, cancel := range guard.watches {
+			cancel()
+		}
+	case wasWhole && !isWhole:
+		// What was found out of single partitions is from the outage: left
+		// standing, their refusals would have the whole store away again.
+		clear(guard.partitions)
+	}
 	guard.mu.Unlock()
 	switch {
 	case wasWhole != isWhole:
-		guard.change("all", isWhole, err)
+		guard.change(AllPartitions, isWhole, err)
 	case was != is && !isWhole:
 		guard.change(partition, is, err)
 	}
--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -78,6 +78,54 @@
 	assert.False(t, fresh.WholeAway(), "a call that its caller gave up says nothing")
 }
 
+// Symptom: for half a second after an outage the store is taken for away
+// again and again. Events: all partitions fail; the store returns; the first
+// answer comes from one of them. Cause: the others stayed away until each
+// was tried, and their refusals counted for the whole.
+func TestReturnOfWholeStoreIsForAllPartitions(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	guard := store.NewGuard(memory, func(string, bool, error) {})
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+	for range 5 {
+		for _, partition := range []string{"a", "b", "c"} {
+			_, _ = guard.Commit(ctx, in(partition)) // refused
+		}
+	}
+	require.True(t, guard.WholeAway())
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	guard.Probe(ctx)
+	for _, partition := range []string{"a", "b", "c"} {
+		_, err := guard.Commit(ctx, in(partition))
+		assert.NoError(t, err, partition)
+	}
+}
+
+// Symptom: an instance learns seconds after an outage that there was one,
+// and drops the endpoints whose entries lapsed. Events: the store falls
+// silent while its feed is watched. Cause: the watch waited to its end.
+func TestWatchEndsWhenStoreIsFoundAway(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	guard := store.NewGuard(memory, func(string, bool, error) {})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := guard.Watch(ctx, "t", 0, time.Minute)
+		ended <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	memory.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+	for range 6 {
+		_, _ = guard.Commit(ctx, in("a")) // refused
+	}
+	select {
+	case err := <-ended:
+		assert.True(t, store.Unserved(err))
+	case <-time.After(time.Second):
+		t.Fatal("still watching")
+	}
+}
+
 // slowStore answers each call after a time, or never if it is lost.
 type slowStore struct {
 	store.Store
