--- a/store/guard.go
+++ b/store/guard.go
@@ -192,8 +192,12 @@
 	state := guard.health(partition)
 	was, wasWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
 	if failed {
+		// A partition that is known to be away, and is tried again and
+		// again, says nothing of the others.
+		if !was {
+			guard.whole.failures++
+		}
 		state.failures++
-		guard.whole.failures++
 	} else {
 		state.failures, guard.whole.failures = 0, 0
 	}
