--- a/archive/archive.go
+++ b/archive/archive.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 	"github.com/wagtaildrum/wagtaildrum/store"
@@ -208,7 +209,7 @@
 			return err
 		}
 		archive.retried.Inc(1)
-		if !sleep(ctx, firstPause/2+backoff.Next()) {
+		if !clock.Sleep(ctx, firstPause/2+backoff.Next()) {
 			return err
 		}
 	}
@@ -237,17 +238,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // homes returns the two partitions that may hold a turn: its own, and the
 // one that it is kept in while its own is away.
 func homes(id string) (own, other string) {
--- /dev/null
+++ b/clock/sleep.go
@@ -0,0 +1,19 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep pauses for d, or until ctx ends. It reports whether the pause was
+// whole.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -64,7 +64,12 @@
 	writing, endLines := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go lines.Run(writing, written)
-	defer func() { endLines(); <-written }()
+	defer func() {
+		endLines()
+		if err := <-written; err != nil {
+			fmt.Fprintln(os.Stderr, "wagtaildrum:", err)
+		}
+	}()
 	p := newLoggingProcess("front", s.Instance, lines)
 	ctx, stop := signalled()
 	defer stop()
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -92,7 +92,7 @@
 		}
 		failing = true
 		follower.stale.Update(now.Sub(since).Seconds())
-		pause(ctx, firstPause/2+backoff.Next())
+		clock.Sleep(ctx, firstPause/2+backoff.Next()) // the loop looks whether ctx ended
 	}
 	done <- nil
 }
@@ -139,15 +139,6 @@
 	return max(after, page.Version), nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Configuration returns the source of the operators' configuration at key,
 // which keeps current at the newest.
 func Configuration(key store.Key, decode func([]byte) (*route.Table, error), current *route.Current, log *slog.Logger) Source {
--- a/entry/leaseend.go
+++ b/entry/leaseend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
@@ -39,10 +40,7 @@
 		case o := <-e.ended:
 			e.endLease(ctx, o)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(endPause):
-		}
+		clock.Sleep(ctx, endPause) // the loop sees the end of ctx
 	}
 }
 
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -78,10 +78,8 @@
 				return
 			}
 			log.Warn("not joined yet", "err", err)
-			select {
-			case <-ctx.Done():
+			if !clock.Sleep(ctx, joinPause/2+backoff.Next()) {
 				return
-			case <-time.After(joinPause/2 + backoff.Next()):
 			}
 		}
 	}
--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -39,7 +39,6 @@
 // Reader splits a stream into events.
 type Reader struct {
 	buffered *bufio.Reader
-	pending  []byte
 }
 
 // NewReader returns a reader of the stream r.
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -155,8 +156,10 @@
 	}
 	began := time.Now()
 	time.Sleep(noticeTime)
-	_ = listener.Close() // Serve ends with the error of a closed listener
-	<-ended
+	_ = listener.Close()
+	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
+		server.log.Warn("accepting connections ended", "err", err)
+	}
 	for time.Since(began) < grace-stopMargin && server.closeQuiet() > 0 {
 		time.Sleep(stopPoll)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/archive"
 	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
@@ -216,10 +217,8 @@
 		if !store.Unserved(err) || e.cutOff() || e.Clock.Now().Sub(e.arrived) >= patience {
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, storeRetry) {
 			return err
-		case <-time.After(storeRetry):
 		}
 	}
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 	"github.com/wagtaildrum/wagtaildrum/tableservice"
@@ -296,10 +297,8 @@
 			return true
 		}
 		w.log.Warn("journal batch not taken", "batch", key, "bytes", len(b.raw), "try", try, "err", err)
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, pauses.Next()) {
 			return false
-		case <-time.After(pauses.Next()):
 		}
 	}
 }
--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/dghubble/sling"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 )
 
@@ -55,10 +56,8 @@
 		if !Is(err, FailureThrottled) || time.Now().After(end) {
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Sleep(ctx, pauses.Next()) {
 			return err
-		case <-time.After(pauses.Next()):
 		}
 	}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -53,9 +54,6 @@
 	// IDHeader names the header that an answer echoes; answers that carry
 	// another value belong to another request.
 	IDHeader string
-	// Fresh asks for a new connection, for requests that must not meet a
-	// connection that the endpoint is closing.
-	Fresh bool
 }
 
 // Response is an endpoint's answer. Its body ends with io.EOF only if it is
@@ -129,18 +127,24 @@
 	}
 	answer, err := c.readHead(request)
 	if err != nil {
-		stage := StageHead
-		if ne, ok := err.(net.Error); ok || err == io.EOF || err == io.ErrUnexpectedEOF || ne != nil {
-			stage = StageSend
-		}
-		return fail(stage, err)
+		return fail(stageOf(err), err)
 	}
-	response := &Response{Status: answer.StatusCode, Header: answer.Header, Reused: c.used, client: client, conn: c, body: answer.Body, stop: stop, sent: sent, reuse: !answer.Close}
+	response := &Response{Status: answer.status, Header: answer.header, Reused: c.used, client: client, conn: c, body: answer.body, stop: stop, sent: sent, reuse: !answer.last}
 	response.Body = &bodyReader{response: response}
 	c.used = true
 	return response, nil
 }
 
+// stageOf returns how far a request got whose answer's head was not read:
+// the connection failed, or what came on it is no answer.
+func stageOf(err error) Stage {
+	var netErr net.Error
+	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return StageSend
+	}
+	return StageHead
+}
+
 // send writes a long request while the answer is read: an endpoint may
 // answer before it has read the body, and would not read on.
 func (c *conn) send(head, body []byte) <-chan error {
@@ -153,9 +157,18 @@
 	return sent
 }
 
+// head is an answer whose body is yet to be read.
+type head struct {
+	status int
+	header http.Header
+	body   io.ReadCloser
+	// last: the connection ends with this answer.
+	last bool
+}
+
 // readHead reads the head of the answer to request, passing over interim
 // answers and answers of earlier requests.
-func (c *conn) readHead(request *Request) (*http.Response, error) {
+func (c *conn) readHead(request *Request) (*head, error) {
 	foreign := 0
 	for {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -168,7 +181,7 @@
 		want := request.Header.Get(request.IDHeader)
 		got := answer.Header.Get(request.IDHeader)
 		if got == "" || got == want {
-			return answer, nil
+			return &head{status: answer.StatusCode, header: answer.Header, body: answer.Body, last: answer.Close}, nil
 		}
 		foreign++
 		if foreign > maxForeign || answer.Close || answer.ContentLength < 0 {
@@ -177,6 +190,9 @@
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, err
 		}
+		if err := answer.Body.Close(); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -199,10 +215,8 @@
 }
 
 func (client *Client) connection(ctx context.Context, request *Request) (*conn, error) {
-	if !request.Fresh {
-		if c := client.kept(request.Address); c != nil {
-			return c, nil
-		}
+	if c := client.kept(request.Address); c != nil {
+		return c, nil
 	}
 	raw, err := client.dialer.DialContext(ctx, "tcp", request.Address)
 	if err != nil {
