--- a/balance/picker.go
+++ b/balance/picker.go
@@ -106,7 +106,7 @@
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
 	now := picker.clock.Now()
-	var best *Choice
+	var best Choice
 	bestAvoided := false
 	ties := 0
 	for _, candidate := range candidates {
@@ -116,23 +116,26 @@
 		state := picker.state(candidate.ID, now)
 		avoided := now.Before(state.avoid)
 		cost, missing := picker.cost(candidate, state, request, now)
-		choice := &Choice{picker: picker, endpoint: candidate, state: state, began: now, Missing: missing, Cost: cost}
+		better := best.state == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost
 		switch {
-		case best == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost:
-			best, bestAvoided, ties = choice, avoided, 1
+		case better:
+			ties = 1
 		case bestAvoided == avoided && cost == best.Cost:
 			ties++
-			if rand.IntN(ties) == 0 {
-				best = choice
-			}
+			better = rand.IntN(ties) == 0
+		}
+		if better {
+			best = Choice{picker: picker, endpoint: candidate, state: state, began: now, Missing: missing, Cost: cost}
+			bestAvoided = avoided
 		}
 	}
-	if best != nil {
-		best.state.inFlight++
-		best.state.used = now
-		best.state.parts.add(request.Parts, request.Capacity)
+	if best.state == nil {
+		return nil
 	}
-	return best
+	best.state.inFlight++
+	best.state.used = now
+	best.state.parts.add(request.Parts, request.Capacity)
+	return &best
 }
 
 func (picker *Picker) state(id string, now time.Time) *endpoint {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -354,6 +354,9 @@
 	}
 	if e.isTurn() {
 		attrs = append(attrs, slog.Int64("budget", e.call.Budget), slog.Int64("most", e.call.MaxTokens), slog.Int64("spent", e.spent()), slog.Duration("first", e.first))
+		if e.reservation != nil {
+			attrs = append(attrs, slog.Uint64("budget_version", e.reservation.Version))
+		}
 	}
 	if e.call != nil && e.call.Previous != "" {
 		attrs = append(attrs, slog.String("previous", e.call.Previous))
