Bodies of requests under way are bounded by the process's memory; fewer calls for news of entries

Cause: nothing bounded the bodies of concurrent requests together; 40 bodies as long as the limit of 4 MB exceed an entry's 154 MB, and the process is killed. Change: a quarter of the limit is for bodies and rebuilt prompts; beyond it 503.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -34,6 +34,9 @@
 	// memoryShare of the process's limit is given to the Go runtime; the
 	// rest is for what it does not count: stacks of C, socket buffers.
 	memoryShare = 0.75
+	// bodyShare of the limit is for the bodies of requests under way: ten
+	// times what the heaviest days met take at once.
+	bodyShare = 0.25
 	// cacheShare of the limit holds turns used lately.
 	cacheShare = 0.15
 	// upkeepInterval is how often endpoints that did not come back are
@@ -145,8 +148,8 @@
 		DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:   f.accounts,
 		Archive:    archive.New(guard, s.RowBytes, int(cacheShare*float64(s.Memory)), scope),
-		Durability: durability{store: guard, directory: directory},
-		Clock:      clk, Log: p.log, Metrics: scope,
+		Durability: durability{store: guard, directory: directory}, BodyBytes: int64(bodyShare * float64(s.Memory)),
+		Clock: clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, p.log), clk, p.log, scope)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// watchWait is how long the store holds a call without news. A
-	// connection that goes silent is found out after it and the call's
-	// timeout, before a change has to be in force.
-	watchWait = 1200 * time.Millisecond
+	// promptWait is how long the store holds a call without news of what has
+	// to be in force within two seconds. A connection that goes silent is
+	// found out after it and the call's timeout.
+	promptWait = 1200 * time.Millisecond
 	// firstPause and maxPause are between tries after a failure.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -28,6 +28,9 @@
 type Source struct {
 	// Table to follow; Only, if not empty, is the one row of interest.
 	Table, Only string
+	// Wait is how long a call is held without news: each call is charged,
+	// and a change that a silent connection hides is seen that much later.
+	Wait time.Duration
 	// Apply takes in one row, present or removed.
 	Apply func(row store.Row)
 	// Whole takes in all rows of the table.
@@ -127,7 +130,7 @@
 
 // next waits for changes after a version and takes them in.
 func (follower *Follower) next(ctx context.Context, after uint64) (uint64, error) {
-	page, err := follower.store.Watch(ctx, follower.source.Table, after, watchWait)
+	page, err := follower.store.Watch(ctx, follower.source.Table, after, follower.source.Wait)
 	if err != nil {
 		return after, err
 	}
@@ -156,7 +159,7 @@
 			log.Info("configuration in force", "version", table.Version(), "row_version", row.Version, "routes", table.Routes())
 		}
 	}
-	return Source{Table: key.Table, Only: key.Name, Apply: apply, Lost: func() {}, Back: func() {}, Whole: func(rows []store.Row) {
+	return Source{Table: key.Table, Only: key.Name, Wait: promptWait, Apply: apply, Lost: func() {}, Back: func() {}, Whole: func(rows []store.Row) {
 		for _, row := range rows {
 			if row.Key.Name == key.Name {
 				apply(row)
@@ -177,6 +180,7 @@
 	}
 	return Source{
 		Table: table,
+		Wait:  promptWait,
 		Lost:  list.StoreLost,
 		Back:  func() { list.StoreBack(clk.Now()) },
 		Apply: func(row store.Row) {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -27,7 +27,7 @@
 }
 
 func (v *view) source() discovery.Source {
-	return discovery.Source{Table: "t",
+	return discovery.Source{Table: "t", Wait: 200 * time.Millisecond,
 		Apply: func(row store.Row) {
 			v.mu.Lock()
 			defer v.mu.Unlock()
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -23,7 +23,10 @@
 	// out.
 	failurePause = time.Second
 	// joinPause and maxJoinPause are between tries to enter the table.
-	joinPause    = 100 * time.Millisecond
+	joinPause = 100 * time.Millisecond
+	// watchWait is how long a call for news of other instances is held. An
+	// instance that is missed for some seconds is one fewer to ask.
+	watchWait    = 8 * time.Second
 	maxJoinPause = time.Second
 )
 
@@ -93,7 +96,7 @@
 
 // Source returns the table to follow.
 func (directory *Directory) Source(log *slog.Logger) discovery.Source {
-	return discovery.Source{Table: table, Lost: func() {}, Back: func() {}, Apply: func(row store.Row) { directory.apply(row, log) }, Whole: func(rows []store.Row) {
+	return discovery.Source{Table: table, Wait: watchWait, Lost: func() {}, Back: func() {}, Apply: func(row store.Row) { directory.apply(row, log) }, Whole: func(rows []store.Row) {
 		directory.mu.Lock()
 		clear(directory.instances)
 		directory.mu.Unlock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -48,6 +48,9 @@
 	ReasonCallerGone
 	// ReasonNotKept: the turn could not be made durable.
 	ReasonNotKept
+	// ReasonNoMemory: the bodies of requests under way take all the memory
+	// that there is for them.
+	ReasonNoMemory
 )
 
 // refusal is an answer of the system's own.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,9 +27,12 @@
 	Accounts   *account.Keeper
 	Archive    *archive.Archive
 	Durability Durability
-	Clock      clock.Clock
-	Log        *slog.Logger
-	Metrics    tally.Scope
+	// BodyBytes is the memory for the bodies of all requests under way; 0
+	// is no limit.
+	BodyBytes int64
+	Clock     clock.Clock
+	Log       *slog.Logger
+	Metrics   tally.Scope
 }
 
 // Durability tells how the durable store can be reached.
@@ -47,11 +50,13 @@
 	metrics  metrics
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// bodies is the memory that bodies take, in bytes.
+	bodies atomic.Int64
 }
 
 type metrics struct {
 	requests, served, failed, sends, resumed tally.Counter
-	refused                                  [ReasonNotKept + 1]tally.Counter
+	refused                                  [ReasonNoMemory + 1]tally.Counter
 	latency, firstEvent, reserve, keep       tally.Histogram
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -472,6 +472,36 @@
 	assert.Equal(t, 200, response.StatusCode, "neither a broken nor an older one is put in force")
 }
 
+// Symptom: an instance is killed for its memory, with all that it serves.
+// Events: many callers send bodies as long as the limit, at once. Cause: the
+// bodies of requests under way had no bound together.
+func TestBodiesOfRequestsUnderWayAreBounded(t *testing.T) {
+	b := newBed(t)
+	i := b.start()
+	i.BodyBytes = 100_000
+	b.tool.Pause = 200 * time.Millisecond
+	var served, refused atomic.Int32
+	done := make(chan struct{})
+	for n := range 6 {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			switch response, _, err := i.send(ask{path: "/post/x", id: fmt.Sprint("r", n), body: strings.Repeat("x", 40_000)}); {
+			case err == nil && response.StatusCode == 200:
+				served.Add(1)
+			case err == nil && response.StatusCode == 503 && response.Header.Get("Retry-After") != "":
+				refused.Add(1)
+			}
+		}()
+	}
+	for range 6 {
+		<-done
+	}
+	assert.EqualValues(t, 2, served.Load())
+	assert.EqualValues(t, 4, refused.Load())
+	response, _ := i.must(ask{path: "/post/x", id: "later", body: strings.Repeat("x", 40_000)})
+	assert.Equal(t, 200, response.StatusCode, "what ended takes no memory")
+}
+
 func TestLeavingEndpointGetsNoWork(t *testing.T) {
 	b := newBed(t)
 	other := platformtest.NewEndpoint("i-tool-2", "tool", false)
--- a/gateway/reason_string.go
+++ b/gateway/reason_string.go
@@ -23,11 +23,12 @@
 	_ = x[ReasonTimeout-12]
 	_ = x[ReasonCallerGone-13]
 	_ = x[ReasonNotKept-14]
+	_ = x[ReasonNoMemory-15]
 }
 
-const _Reason_name = "NoneBadRequestTooLargeNoRouteNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKept"
+const _Reason_name = "NoneBadRequestTooLargeNoRouteNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
 
-var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 44, 54, 67, 72, 82, 93, 102, 116, 123, 133, 140}
+var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 44, 54, 67, 72, 82, 93, 102, 116, 123, 133, 140, 148}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -73,6 +73,8 @@
 	body    []byte
 	prompt  []byte
 
+	// held is the memory counted for the request's body and prompt.
+	held        int64
 	chain       []*history.Turn
 	reservation *account.Reservation
 
@@ -99,6 +101,7 @@
 	gateway.metrics.requests.Inc(1)
 	e := &exchange{Gateway: gateway, w: w, r: r, arrived: gateway.Clock.Now()}
 	err := e.serve()
+	gateway.bodies.Add(-e.held)
 	if e.reservation != nil {
 		e.reservation.Settle(e.spent())
 	}
@@ -156,23 +159,43 @@
 	return path
 }
 
+// holdBody counts the body's memory in, or refuses the request: a process
+// that takes more memory than it has is killed, with all that it serves.
+func (e *exchange) holdBody(size int64) error {
+	e.held += size
+	if e.bodies.Add(size) > e.BodyBytes && e.BodyBytes > 0 {
+		return refuse(ReasonNoMemory, http.StatusServiceUnavailable, busyPause, nil)
+	}
+	return nil
+}
+
 func (e *exchange) readBody() error {
 	limit := e.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = maxBody
 	}
-	if e.r.ContentLength > 0 && e.r.ContentLength <= limit {
+	if e.r.ContentLength > limit {
+		return refuse(ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, nil)
+	}
+	if e.r.ContentLength >= 0 {
+		if err := e.holdBody(e.r.ContentLength); err != nil {
+			return err
+		}
 		e.body = make([]byte, e.r.ContentLength)
 		if _, err := io.ReadFull(e.r.Body, e.body); err != nil {
 			return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
 		}
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	body, err := io.ReadAll(&heldReader{exchange: e, body: http.MaxBytesReader(e.w, e.r.Body, limit)})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refuse(ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, err)
 	}
+	var own *refusal
+	if errors.As(err, &own) {
+		return own
+	}
 	if err != nil {
 		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
 	}
@@ -180,6 +203,21 @@
 	return nil
 }
 
+// heldReader counts the memory of a body of unknown length as it comes.
+type heldReader struct {
+	exchange *exchange
+	body     io.Reader
+}
+
+// Read returns the refusal of holdBody if there is no memory left.
+func (reader *heldReader) Read(p []byte) (int, error) {
+	n, err := reader.body.Read(p)
+	if held := reader.exchange.holdBody(int64(n)); held != nil {
+		return n, held
+	}
+	return n, err
+}
+
 // rebuild puts the conversation before the new input of a turn.
 func (e *exchange) rebuild(ctx context.Context) error {
 	e.prompt = e.body
@@ -204,7 +242,7 @@
 	}
 	e.chain = chain
 	e.prompt = history.Prompt(chain, e.body)
-	return nil
+	return e.holdBody(int64(len(e.prompt)))
 }
 
 // patiently calls f again while the store does not serve it, for
