--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -221,11 +221,11 @@
 // An answer without a length ends with its connection: a proper end is
 // whole, a reset is not.
 func TestAnswerWithoutLength(t *testing.T) {
-	reset := false
+	var reset atomic.Bool
 	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
 		id, _, _, _ := read(reader)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nall of it", id)
-		if reset {
+		if reset.Load() {
 			time.Sleep(20 * time.Millisecond)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
@@ -233,7 +233,7 @@
 	body, _, err := do(t, upstream.NewClient(), request(address, "r", "x"))
 	require.NoError(t, err)
 	assert.Equal(t, "all of it", body)
-	reset = true
+	reset.Store(true)
 	_, _, err = do(t, upstream.NewClient(), request(address, "r", "x"))
 	assert.Equal(t, upstream.StageBody, stage(t, err))
 }
