platformtest: entry instances as processes, for the tests of more than one package

The system tests started entry instances with code of their own, and built the binary apart from that. A soak needs the same, so both now use platformtest.Front and platformtest.Build; no test changed what it checks.

--- a/systemtest/front_test.go
+++ b/systemtest/front_test.go
@@ -31,16 +31,10 @@
 	fronts []*frontProcess
 }
 
-// frontProcess is one entry instance.
+// frontProcess is one entry instance with its own way to the store.
 type frontProcess struct {
-	cmd     *exec.Cmd
-	name    string
-	door    *platformtest.Door
-	config  string
-	log     string
-	callers string
-	ready   string
-	debug   string
+	*platformtest.Front
+	door *platformtest.Door
 }
 
 func newSite(t *testing.T, fronts int) *site {
@@ -52,14 +46,11 @@
 	s.model.Register(s.memory, "a", "ready")
 	s.tool.Register(s.memory, "a", "ready")
 	for n := range fronts {
-		f := &frontProcess{name: fmt.Sprintf("front-%d", n+1), door: platformtest.NewDoor(s.memory), callers: freeTCP(t), ready: freeTCP(t), debug: freeTCP(t)}
-		t.Cleanup(f.door.Close)
-		f.config, f.log = filepath.Join(s.dir, f.name+".toml"), filepath.Join(s.dir, f.name+".log")
-		peer := freeTCP(t)
-		port := peer[strings.LastIndexByte(peer, ':')+1:]
-		text := fmt.Sprintf("node = %q\nip = \"127.0.0.1\"\nzone = \"a\"\nport-range = [%s,%s]\n[listen]\nfront = %q\nready = %q\n[limits]\nram-mb = 154\n[bounds]\ngrace-s = 8\n[provider]\naddr = %q\nrow-bytes = 65536\n",
-			f.name, port, port, f.callers, f.ready, f.door.Address())
-		require.NoError(t, os.WriteFile(f.config, []byte(text), 0o600))
+		door := platformtest.NewDoor(s.memory)
+		t.Cleanup(door.Close)
+		front, err := platformtest.NewFront(s.dir, fmt.Sprintf("front-%d", n+1), "a", door.Address())
+		require.NoError(t, err)
+		f := &frontProcess{Front: front, door: door}
 		s.fronts = append(s.fronts, f)
 		s.start(f)
 	}
@@ -69,44 +60,13 @@
 // start starts an instance and waits until it is ready.
 func (s *site) start(f *frontProcess) {
 	s.t.Helper()
-	bin, err := buildBinary()
-	require.NoError(s.t, err)
-	log, err := os.OpenFile(f.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	require.NoError(s.t, err)
-	f.cmd = exec.Command(bin, "front", "--metrics", f.debug)
-	f.cmd.Env = append(os.Environ(), "WAGTAILDRUM_CONFIG="+f.config)
-	f.cmd.Stdout, f.cmd.Stderr = log, log
-	require.NoError(s.t, f.cmd.Start())
-	require.NoError(s.t, log.Close())
-	cmd := f.cmd
-	s.t.Cleanup(func() { _ = cmd.Process.Kill(); _, _ = cmd.Process.Wait() })
-	require.Eventually(s.t, f.isReady, 5*time.Second, 10*time.Millisecond, "%s", f.name)
-}
-
-func (f *frontProcess) isReady() bool {
-	response, err := http.Get("http://" + f.ready + "/wagtaildrum/ready")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-// kill ends the instance as a loss of power does.
-func (f *frontProcess) kill() {
-	_ = f.cmd.Process.Kill()
-	_, _ = f.cmd.Process.Wait()
-}
-
-func (f *frontProcess) logged(t *testing.T) string {
-	t.Helper()
-	data, err := os.ReadFile(f.log)
-	require.NoError(t, err)
-	return string(data)
+	require.NoError(s.t, f.Start())
+	s.t.Cleanup(f.Kill)
+	require.Eventually(s.t, f.IsReady, 5*time.Second, 10*time.Millisecond, "%s", f.Name)
 }
 
 func (f *frontProcess) post(client *http.Client, path, id, body string, header map[string]string) (int, string, error) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+f.callers+path, strings.NewReader(body))
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -150,7 +110,7 @@
 			f := s.fronts[(program+round)%len(s.fronts)]
 			status, _, err := f.post(alone(), "/keep/x", id, fmt.Sprintf("question %d ", round), turnHeader(fmt.Sprint("p", program), last[program]))
 			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, status, "%s", f.logged(t))
+			require.Equal(t, http.StatusOK, status, "%s", f.Logged())
 			last[program] = id
 		}
 	}
@@ -158,7 +118,7 @@
 		talk(round)
 	}
 	for _, f := range s.fronts {
-		f.kill()
+		f.Kill()
 	}
 	for _, f := range s.fronts {
 		s.start(f)
@@ -208,12 +168,12 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	began := time.Now()
-	require.NoError(t, f.cmd.Process.Signal(syscall.SIGTERM))
-	require.Eventually(t, func() bool { return !f.isReady() }, time.Second, 5*time.Millisecond)
-	state, err := f.cmd.Process.Wait()
+	require.NoError(t, f.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return !f.IsReady() }, time.Second, 5*time.Millisecond)
+	exit, err := f.Wait()
 	require.NoError(t, err)
 	callers.Wait()
-	assert.Zero(t, state.ExitCode(), "%s", f.logged(t))
+	assert.Zero(t, exit, "%s", f.Logged())
 	assert.Less(t, time.Since(began), 8*time.Second)
 	assert.Zero(t, lost.Load())
 	assert.Greater(t, answered.Load(), int32(60))
@@ -225,23 +185,23 @@
 func TestChangedSettingsAreNoticed(t *testing.T) {
 	s := newSite(t, 1)
 	f := s.fronts[0]
-	text, err := os.ReadFile(f.config)
+	text, err := os.ReadFile(f.Settings)
 	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(f.config, []byte(strings.Replace(string(text), "ram-mb = 154", "ram-mb = 200", 1)), 0o600))
-	require.NoError(t, f.cmd.Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return strings.Contains(f.logged(t), "settings changed") }, 3*time.Second, 20*time.Millisecond)
-	require.NoError(t, os.WriteFile(f.config, []byte("node = "), 0o600))
-	require.Eventually(t, func() bool { return strings.Contains(f.logged(t), "settings refused") }, 5*time.Second, 20*time.Millisecond)
+	require.NoError(t, os.WriteFile(f.Settings, []byte(strings.Replace(string(text), "ram-mb = 154", "ram-mb = 200", 1)), 0o600))
+	require.NoError(t, f.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return strings.Contains(f.Logged(), "settings changed") }, 3*time.Second, 20*time.Millisecond)
+	require.NoError(t, os.WriteFile(f.Settings, []byte("node = "), 0o600))
+	require.Eventually(t, func() bool { return strings.Contains(f.Logged(), "settings refused") }, 5*time.Second, 20*time.Millisecond)
 	status, _, err := f.post(alone(), "/post/x", "r1", "x", nil)
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, status)
-	response, err := http.Get("http://" + f.debug + "/metrics")
+	response, err := http.Get("http://" + f.Debug + "/metrics")
 	require.NoError(t, err)
 	metrics, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
 	_ = response.Body.Close()
 	assert.Contains(t, string(metrics), "wagtaildrum_front")
-	response, err = http.Get("http://" + f.debug + "/debug/state")
+	response, err = http.Get("http://" + f.Debug + "/debug/state")
 	require.NoError(t, err)
 	dump, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
@@ -250,7 +210,7 @@
 }
 
 func TestBadSettingsEndTheProcess(t *testing.T) {
-	bin, err := buildBinary()
+	bin, err := platformtest.Build()
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "node.toml")
 	require.NoError(t, os.WriteFile(path, []byte("node = \"n\"\n"), 0o600))
@@ -273,8 +233,8 @@
 		shut.door.Set(mode)
 		for turn := range 3 {
 			status, _, err := shut.post(alone(), "/keep/x", fmt.Sprintf("t%d-%d", n, turn), "x", turnHeader(fmt.Sprintf("p%d-%d", n, turn), ""))
-			require.NoError(t, err, "%s", shut.logged(t))
-			require.Equal(t, http.StatusOK, status, "%s", shut.logged(t))
+			require.NoError(t, err, "%s", shut.Logged())
+			require.Equal(t, http.StatusOK, status, "%s", shut.Logged())
 		}
 		shut.door.Set(platformtest.Open)
 		time.Sleep(500 * time.Millisecond)
--- a/systemtest/load_test.go
+++ b/systemtest/load_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/load"
 	"github.com/wagtaildrum/wagtaildrum/operator"
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/tableservice"
-
-	"github.com/wagtaildrum/wagtaildrum/config"
 )
 
 // TestShortExperiment runs a small experiment from its file to its report,
@@ -53,7 +53,7 @@
 
 // startFleet starts the processes that load.WriteFleet listed in dir.
 func startFleet(t *testing.T, dir string) *fleet {
-	bin, err := buildBinary()
+	bin, err := platformtest.Build()
 	require.NoError(t, err)
 	f := &fleet{t: t, bin: bin, dir: dir, procs: map[string]*exec.Cmd{}}
 	t.Cleanup(f.stopAll)
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,25 +20,12 @@
 	"github.com/wagtaildrum/wagtaildrum/config"
 	"github.com/wagtaildrum/wagtaildrum/operator"
 	"github.com/wagtaildrum/wagtaildrum/peer"
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/standin"
 	"github.com/wagtaildrum/wagtaildrum/tableservice"
 )
 
-// buildBinary builds the one binary once per test run.
-var buildBinary = sync.OnceValues(func() (string, error) {
-	dir, err := os.MkdirTemp("", "wagtaildrum-test")
-	if err != nil {
-		return "", err
-	}
-	bin := filepath.Join(dir, "wagtaildrum")
-	out, err := exec.Command("go", "build", "-o", bin, "../cmd/wagtaildrum").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("build: %w: %s", err, out)
-	}
-	return bin, nil
-})
-
 // fleet is a deployment of separate processes: the platform, one engine
 // and one tool stand-in with their sidecars, and two entry instances.
 type fleet struct {
@@ -53,7 +39,7 @@
 }
 
 func newFleet(t *testing.T, leaseTTL time.Duration) *fleet {
-	bin, err := buildBinary()
+	bin, err := platformtest.Build()
 	require.NoError(t, err)
 	f := &fleet{t: t, bin: bin, dir: t.TempDir(), procs: map[string]*exec.Cmd{}}
 	t.Cleanup(f.stopAll)
