balance: what engines keep and what endpoints do decide where requests go

Endpoints that failed, hung or were slow were left out only when no connection could be made.

Ruled out: the instances' processor (0.035 cores in the mean), the queue of single engines (busiest to mean 1.11).

An endpoint's failures, slowness and silence are part of its cost, and fade.

--- a/balance/outcome_string.go
+++ b/balance/outcome_string.go
@@ -13,11 +13,12 @@
 	_ = x[OutcomeUnreachable-2]
 	_ = x[OutcomeBroken-3]
 	_ = x[OutcomeAbandoned-4]
+	_ = x[OutcomeFailed-5]
 }
 
-const _Outcome_name = "ServedRefusedUnreachableBrokenAbandoned"
+const _Outcome_name = "ServedRefusedUnreachableBrokenAbandonedFailed"
 
-var _Outcome_index = [...]uint8{0, 6, 13, 24, 30, 39}
+var _Outcome_index = [...]uint8{0, 6, 13, 24, 30, 39, 45}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -36,13 +36,18 @@
 	// prefillTokensPerMillisecond is how fast an engine reads a prompt; the
 	// slower of the engines in use reads 328, the faster 471.
 	prefillTokensPerMillisecond = 400
+	// yieldFactor: what is read takes the room of as much that has to be
+	// read again. Without it conversations moved between full engines, and
+	// these read 5,100 tokens a turn where 1,500 were new.
+	yieldFactor = 2
 	// slotCost is what one more request in the batch of an engine costs
 	// each: a step takes 1.3 to 2.2 % longer per request, 4 to 6 ms over an
 	// answer of 300 ms.
 	slotCost = 5 * time.Millisecond
-	// remoteCost is what another data centre costs: two ways of 0.9 ms and
-	// its priced bytes. It is worth two requests in the batch.
-	remoteCost = 10 * time.Millisecond
+	// remoteCost is what another data centre costs: two ways of 0.9 ms, its
+	// priced bytes, and those of the turns that follow where the
+	// conversation is. It is worth five requests in the batch.
+	remoteCost = 25 * time.Millisecond
 	// typicalService is a request's time at an endpoint before one was
 	// measured.
 	typicalService = 100 * time.Millisecond
@@ -63,7 +68,15 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	services  map[string]time.Duration
+	services  map[string]*service
+	homes     *homes
+}
+
+// service is what is usual at the endpoints of a service.
+type service struct {
+	// whole is the mean time of a request, head that to the head of its
+	// answer without the reading of the prompt; 0 before the first answer.
+	whole, head time.Duration
 }
 
 type endpoint struct {
@@ -75,12 +88,12 @@
 	parts    *partCache
 	failures int
 	avoid    time.Time
-	used     time.Time
+	standing standing
 }
 
 // NewPicker returns a picker that knows nothing yet.
 func NewPicker(clk clock.Clock) *Picker {
-	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]time.Duration{}}
+	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]*service{}, homes: newHomes()}
 }
 
 // Choice is a request given to an endpoint, until Done.
@@ -89,6 +102,7 @@
 	endpoint *membership.Endpoint
 	state    *endpoint
 	began    time.Time
+	answered bool
 	// Missing is how many tokens of the prompt the endpoint is expected to
 	// read anew.
 	Missing int64
@@ -106,6 +120,7 @@
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
 	now := picker.clock.Now()
+	isHome := picker.isHome(candidates, request)
 	var best Choice
 	bestAvoided := false
 	ties := 0
@@ -113,9 +128,9 @@
 		if skip(candidate.ID) {
 			continue
 		}
-		state := picker.state(candidate.ID, now)
+		state := picker.state(candidate.ID)
 		avoided := now.Before(state.avoid)
-		cost, missing := picker.cost(candidate, state, request, now)
+		cost, missing := picker.cost(candidate, state, request, isHome, now)
 		better := best.state == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost
 		switch {
 		case better:
@@ -133,30 +148,48 @@
 		return nil
 	}
 	best.state.inFlight++
-	best.state.used = now
-	best.state.parts.add(request.Parts, request.Capacity)
+	best.state.standing.sent(now)
+	best.state.parts.add(request.Parts, request.Capacity, now)
 	return &best
 }
 
-func (picker *Picker) state(id string, now time.Time) *endpoint {
+func (picker *Picker) state(id string) *endpoint {
 	state, ok := picker.endpoints[id]
 	if !ok {
-		state = &endpoint{parts: newPartCache(), used: now}
+		state = &endpoint{parts: newPartCache()}
 		picker.endpoints[id] = state
 	}
 	return state
 }
 
+// isHome returns whether an endpoint keeps the part that the request shares
+// with others.
+func (picker *Picker) isHome(candidates []*membership.Endpoint, request *Request) func(*membership.Endpoint) bool {
+	if len(request.Parts) == 0 || len(candidates) == 0 {
+		return func(*membership.Endpoint) bool { return false }
+	}
+	s := picker.homes.note(request.Parts[0], candidates)
+	kept := map[string]int{}
+	for dataCentre := range s.sizes {
+		kept[dataCentre] = picker.homes.kept(s, dataCentre, request.Capacity)
+	}
+	return func(endpoint *membership.Endpoint) bool { return s.ranks[endpoint.ID] < kept[endpoint.DataCentre] }
+}
+
 // cost returns how long candidate is expected to delay the request's answer.
-func (picker *Picker) cost(candidate *membership.Endpoint, state *endpoint, request *Request, now time.Time) (time.Duration, int64) {
+func (picker *Picker) cost(candidate *membership.Endpoint, state *endpoint, request *Request, isHome func(*membership.Endpoint) bool, now time.Time) (time.Duration, int64) {
 	slots := max(candidate.Slots, 1)
 	load := state.load(now)
 	cost := time.Duration(load) * slotCost
+	usual := picker.service(candidate.Service)
 	if load >= slots {
-		cost += picker.serviceTime(candidate.Service) * time.Duration(load-slots+1) / time.Duration(slots)
+		cost += usual.whole * time.Duration(load-slots+1) / time.Duration(slots)
 	}
-	missing := state.parts.missing(request.Parts)
-	cost += time.Duration(missing) * time.Millisecond / prefillTokensPerMillisecond
+	cost += state.standing.cost(usual.head, now)
+	missing := state.parts.missing(request.Parts, isHome(candidate), now)
+	// While an engine reads a prompt all that it has wait, too, and what it
+	// reads pushes out what others need.
+	cost += prefillTime(missing) * time.Duration(yieldFactor*(1+load))
 	if candidate.DataCentre != request.DataCentre {
 		cost += remoteCost
 	}
@@ -173,11 +206,35 @@
 	return state.inFlight + int(float64(state.others)*left+0.5)
 }
 
-func (picker *Picker) serviceTime(service string) time.Duration {
-	if mean, ok := picker.services[service]; ok {
-		return mean
+// prefillTime returns how long an engine takes to read tokens of a prompt.
+func prefillTime(tokens int64) time.Duration {
+	return time.Duration(tokens) * time.Millisecond / prefillTokensPerMillisecond
+}
+
+func (picker *Picker) service(name string) *service {
+	usual, ok := picker.services[name]
+	if !ok {
+		usual = &service{whole: typicalService}
+		picker.services[name] = usual
+	}
+	return usual
+}
+
+// Answered takes in that the head of the endpoint's answer came.
+func (choice *Choice) Answered() {
+	picker := choice.picker
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	now := picker.clock.Now()
+	choice.answered = true
+	choice.state.standing.settled(now, true)
+	head := max(now.Sub(choice.began)-prefillTime(choice.Missing), 0)
+	choice.state.standing.took(head, now)
+	usual := picker.service(choice.endpoint.Service)
+	if usual.head == 0 {
+		usual.head = head
 	}
-	return typicalService
+	usual.head += time.Duration(serviceWeight * float64(head-usual.head))
 }
 
 // Told takes in what the endpoint said of its load while it has the
@@ -208,6 +265,8 @@
 	OutcomeBroken
 	// OutcomeAbandoned: given up by the caller or its deadline.
 	OutcomeAbandoned
+	// OutcomeFailed: the endpoint answered with a failure of its own.
+	OutcomeFailed
 )
 
 // Done ends the choice.
@@ -218,12 +277,24 @@
 	now := picker.clock.Now()
 	state := choice.state
 	state.inFlight--
+	if !choice.answered {
+		state.standing.settled(now, outcome == OutcomeRefused)
+	}
+	usual := picker.service(choice.endpoint.Service)
+	took := now.Sub(choice.began)
 	switch outcome {
 	case OutcomeServed:
 		state.failures = 0
-		service := choice.endpoint.Service
-		mean := picker.serviceTime(service)
-		picker.services[service] = mean + time.Duration(serviceWeight*float64(now.Sub(choice.began)-mean))
+		state.standing.ended(false, now)
+		usual.whole += time.Duration(serviceWeight * float64(took-usual.whole))
+	case OutcomeBroken, OutcomeFailed:
+		state.standing.ended(true, now)
+	case OutcomeAbandoned:
+		// Callers leave for reasons of their own, but they leave an endpoint
+		// that hangs, too.
+		if !choice.answered && took > allowance(usual.head) {
+			state.standing.ended(true, now)
+		}
 	case OutcomeUnreachable:
 		state.failures++
 		state.avoid = now.Add(min(failureCooldown<<min(state.failures-1, 10), maxCooldown))
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -49,7 +49,7 @@
 		e.tried = append(e.tried, choice.Endpoint().ID)
 		outcome, err := e.ask(ctx, choice)
 		choice.Done(outcome)
-		if outcome == balance.OutcomeServed {
+		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
 			return nil
 		}
 		e.lastError = err
@@ -91,6 +91,7 @@
 	case verdict.NotRun:
 		return balance.OutcomeRefused, errors.New("endpoint did not run it: " + strconv.Itoa(response.Status))
 	}
+	choice.Answered()
 	e.runs++
 	if !verdict.Stamped {
 		return balance.OutcomeBroken, errUnstamped
@@ -173,16 +174,20 @@
 		}
 		return balance.OutcomeBroken, err
 	}
+	outcome := balance.OutcomeServed
+	if response.Status >= http.StatusInternalServerError {
+		outcome = balance.OutcomeFailed
+	}
 	if len(body) <= wholeBody {
 		e.head(response, len(body))
 		_, _ = e.w.Write(body) // the caller may be gone; the request has run
-		return balance.OutcomeServed, nil
+		return outcome, nil
 	}
 	e.head(response, -1)
 	if _, err := io.Copy(e.w, io.MultiReader(bytes.NewReader(body), response.Body)); err != nil {
 		return balance.OutcomeBroken, err
 	}
-	return balance.OutcomeServed, nil
+	return outcome, nil
 }
 
 // relayStream passes whole events on as they come. An event that an
