account: a program's home lends its budget to the other instances

Cause: on the grown jsak site 22,707 of 35,166 writes to the store were rows of budgets, 4.2 for each of 5,461 programs, though one program in four needed one (trial with a line for each call): the turns of a program come through two instances in the mean and up to eleven, and each had an account of its own. In the burst that is 1,900 writes a second against the store's 1,500; the rest was refused, and turns with it.

Ruled out: gathering the writes of several programs (an instance writes one each 40 ms), a larger part of the budget for each account (measured before: what a killed instance held locked programs out).

Change: rendezvous hashing names a home for each program among the instances that can be reached. Others borrow a turn's tokens there and repay what was not spent, gathered over 25 ms. What the home was granted is durable as before, a loan counts as used until it is repaid, and as spent after 30 s. A home that cannot be asked within 150 ms leaves the turn to an account of the instance's own. The first account takes a third of what is left, so that programs of three to eleven turns need no second grant; the next ones a quarter of that, a ninth.

--- a/account/keeper.go
+++ b/account/keeper.go
@@ -56,6 +56,16 @@
 	return fmt.Sprintf("program %s: budget of %d tokens is spent (%d used here)", e.program, e.total, e.used)
 }
 
+// NewSpentError returns the error of a turn that the budget does not hold,
+// as another instance found.
+func NewSpentError(program string, total int64) *SpentError {
+	return &SpentError{program: program, total: total}
+}
+
+// NewHeldError returns the error of a turn that has to wait, as another
+// instance found.
+func NewHeldError(program string) *HeldError { return &HeldError{program: program} }
+
 // HeldError is a turn that has to wait, since other instances hold what is
 // left of the budget.
 type HeldError struct {
@@ -80,10 +90,12 @@
 	store   store.Store
 	owner   string
 	holders Holders
+	lenders Lenders
+	loans   *loans
 	clock   clock.Clock
 	log     *slog.Logger
 
-	granted, spent, held, released, failed tally.Counter
+	granted, spent, held, released, failed, borrowed, lent tally.Counter
 
 	mu       sync.Mutex
 	programs map[string]*program
@@ -158,8 +170,9 @@
 
 // NewKeeper returns a keeper over s. The owner must differ between any two
 // starts of any instances; accounts are named OWNER.NUMBER.
-func NewKeeper(s store.Store, owner string, holders Holders, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Keeper {
-	return &Keeper{store: s, owner: owner, holders: holders, clock: clk, log: log, programs: map[string]*program{},
+func NewKeeper(s store.Store, owner string, holders Holders, lenders Lenders, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Keeper {
+	return &Keeper{store: s, owner: owner, holders: holders, lenders: lenders, loans: newLoans(), clock: clk, log: log, programs: map[string]*program{},
+		borrowed: scope.Counter("budget_borrowed"), lent: scope.Counter("budget_lent"),
 		granted: scope.Counter("budget_grants"), spent: scope.Counter("budget_spent"), held: scope.Counter("budget_held"),
 		released: scope.Counter("budget_releases"), failed: scope.Counter("budget_write_failures")}
 }
@@ -169,10 +182,17 @@
 	keeper  *Keeper
 	program *program
 	turn    int64
-	// Version is the version of the row that grants the turn.
+	// Version is the version of the row that grants the turn, 0 for a loan.
 	Version uint64
+	// home is the instance that lent the turn, loan its name for that; empty
+	// if the account is this instance's.
+	home string
+	loan uint64
 }
 
+// Home returns the instance whose account grants the turn; "" for this one.
+func (reservation *Reservation) Home() string { return reservation.home }
+
 // Reserve makes turn tokens of the program's budget of total durable for a
 // turn. It returns a *SpentError if the budget does not hold them, a
 // *HeldError if it may later, or the store's *store.Error; then nothing is
@@ -180,14 +200,38 @@
 func (keeper *Keeper) Reserve(ctx context.Context, id string, turn, total int64) (*Reservation, error) {
 	p := keeper.program(id)
 	defer keeper.done(p)
+	if reservation := keeper.own(p, turn, total); reservation != nil {
+		return reservation, nil
+	}
+	if keeper.knownSpent(p, turn) {
+		keeper.spent.Inc(1)
+		return nil, &SpentError{program: id, used: p.used(), total: total}
+	}
+	if reservation, err := keeper.borrow(ctx, p, turn, total); reservation != nil || err != nil {
+		return reservation, err
+	}
+	return keeper.reserve(ctx, p, turn, total)
+}
+
+// own reserves the turn if the account here grants it already.
+func (keeper *Keeper) own(p *program, turn, total int64) *Reservation {
 	if decision, _ := p.begin(turn, total); decision != budget.DecisionServe {
-		if keeper.knownSpent(p, turn) {
-			keeper.spent.Inc(1)
-			return nil, &SpentError{program: id, used: p.used(), total: total}
-		}
-		if err := keeper.grant(ctx, p, turn, total); err != nil {
-			return nil, err
-		}
+		return nil
+	}
+	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}
+}
+
+// reserve reserves the turn by this instance's own account.
+func (keeper *Keeper) reserve(ctx context.Context, p *program, turn, total int64) (*Reservation, error) {
+	if reservation := keeper.own(p, turn, total); reservation != nil {
+		return reservation, nil
+	}
+	if keeper.knownSpent(p, turn) {
+		keeper.spent.Inc(1)
+		return nil, &SpentError{program: p.id, used: p.used(), total: total}
+	}
+	if err := keeper.grant(ctx, p, turn, total); err != nil {
+		return nil, err
 	}
 	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}, nil
 }
@@ -296,6 +340,25 @@
 	return err
 }
 
+// KnownSpent reports whether the program's budget was found spent just now
+// for a turn no larger than this, which the account does not hold by now
+// either: Reserve would return a *SpentError.
+func (keeper *Keeper) KnownSpent(id string, turn, total int64) bool {
+	keeper.mu.Lock()
+	p := keeper.programs[id]
+	keeper.mu.Unlock()
+	if p == nil || !keeper.knownSpent(p, turn) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if decision, _ := p.tab.Decide(turn, total); decision == budget.DecisionServe {
+		return false
+	}
+	keeper.spent.Inc(1)
+	return true
+}
+
 // knownSpent reports whether the budget was found spent just now for a turn
 // no larger than this.
 func (keeper *Keeper) knownSpent(p *program, turn int64) bool {
@@ -306,16 +369,21 @@
 
 func (keeper *Keeper) refuse(p *program, decision budget.Decision, turn, total int64) error {
 	if decision == budget.DecisionSpent {
-		p.mu.Lock()
-		p.spent, p.spentFor = keeper.clock.Now(), turn
-		p.mu.Unlock()
-		keeper.spent.Inc(1)
+		keeper.foundSpent(p, turn)
 		return &SpentError{program: p.id, used: p.used(), total: total}
 	}
 	keeper.held.Inc(1)
 	return &HeldError{program: p.id}
 }
 
+// foundSpent notes that the budget does not hold a turn.
+func (keeper *Keeper) foundSpent(p *program, turn int64) {
+	p.mu.Lock()
+	p.spent, p.spentFor = keeper.clock.Now(), turn
+	p.mu.Unlock()
+	keeper.spent.Inc(1)
+}
+
 // read takes in the program's row.
 func (keeper *Keeper) read(ctx context.Context, p *program) error {
 	row, err := store.Get(ctx, keeper.store, key(p.id))
@@ -375,6 +443,13 @@
 	keeper, p := reservation.keeper, reservation.program
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if reservation.home != "" {
+		p.last = keeper.clock.Now()
+		if !keeper.loans.repay(reservation.home, Repayment{Loan: reservation.loan, Spent: spent}) {
+			keeper.log.Warn("repayment dropped: the loan counts as spent", "program", p.id, "home", reservation.home)
+		}
+		return
+	}
 	p.tab.End(reservation.turn, spent)
 	p.last = keeper.clock.Now()
 }
@@ -392,6 +467,7 @@
 			return
 		case <-ticker.C:
 		}
+		keeper.expireLoans()
 		for _, p := range keeper.resting() {
 			if err := keeper.GiveBack(ctx, p.id); err != nil {
 				keeper.log.Info("budget not given back yet", "program", p.id, "err", err)
@@ -424,6 +500,7 @@
 // Stop gives back what all programs were granted here and do not use, until
 // ctx ends: a stopping instance must not keep what others could hand out.
 func (keeper *Keeper) Stop(ctx context.Context) {
+	keeper.loans.stop()
 	keeper.mu.Lock()
 	ids := make(chan string, len(keeper.programs))
 	for id := range keeper.programs {
--- /dev/null
+++ b/account/loan.go
@@ -0,0 +1,234 @@
+package account
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+)
+
+const (
+	// borrowTimeout bounds asking the home of a program: a write there and
+	// the way, some 10 ms, and 50 ms while many write. After it the turn is
+	// granted by an account of this instance's own.
+	borrowTimeout = 150 * time.Millisecond
+	// loanLifetime is after how long a loan counts as spent: the longest
+	// request and the time for its repayment are over by then.
+	loanLifetime = 30 * time.Second
+	// repayInterval is how long repayments are gathered. A program's next
+	// turn comes 50 ms later or more.
+	repayInterval = 25 * time.Millisecond
+	// repayTimeout bounds telling a home of repayments.
+	repayTimeout = 300 * time.Millisecond
+	// maxRepayments are kept while the homes cannot be told, some seconds'
+	// worth of one instance's turns; a loan that is never repaid counts as
+	// spent.
+	maxRepayments = 4096
+)
+
+// Repayment tells how much of a loan was spent; what it left over may be
+// handed out again.
+type Repayment struct {
+	Loan  uint64
+	Spent int64
+}
+
+// Lenders are the instances that keep the accounts of programs for others.
+// The turns of one program come through several instances; if each had an
+// account of its own, each would write the program's row.
+type Lenders interface {
+	// Home returns the instance that keeps a program's account; "" if that
+	// is this one.
+	Home(program string) string
+	// Borrow has instance set turn tokens of a program's budget aside. It
+	// returns a *SpentError or a *HeldError if there are none, and another
+	// error if it cannot be known.
+	Borrow(ctx context.Context, instance, program string, turn, total int64) (loan uint64, err error)
+	// Repay tells instance what was spent of loans. A failure has no
+	// consequence but that they count as spent.
+	Repay(ctx context.Context, instance string, repayments []Repayment) error
+}
+
+// loan is what this instance lent of a program's account.
+type loan struct {
+	reservation *Reservation
+	at          time.Time
+}
+
+// loans are the loans given and the repayments due.
+type loans struct {
+	mu      sync.Mutex
+	given   map[uint64]loan
+	last    uint64
+	stopped bool
+	// due are the repayments to tell, by home.
+	due   map[string][]Repayment
+	count int
+	wake  chan struct{}
+}
+
+func newLoans() *loans {
+	return &loans{given: map[uint64]loan{}, due: map[string][]Repayment{}, wake: make(chan struct{}, 1)}
+}
+
+// borrow reserves a turn at the program's home. It returns nil and no error
+// if this instance has to grant it by itself.
+func (keeper *Keeper) borrow(ctx context.Context, p *program, turn, total int64) (*Reservation, error) {
+	home := keeper.lenders.Home(p.id)
+	if home == "" {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	id, err := keeper.lenders.Borrow(ctx, home, p.id, turn, total)
+	var spent *SpentError
+	var held *HeldError
+	switch {
+	case err == nil:
+		keeper.borrowed.Inc(1)
+		return &Reservation{keeper: keeper, program: p, turn: turn, home: home, loan: id}, nil
+	case errors.As(err, &spent):
+		keeper.foundSpent(p, turn)
+		return nil, err
+	case errors.As(err, &held):
+		keeper.held.Inc(1)
+		return nil, err
+	}
+	// A home that cannot be asked leaves its account as it is; one of this
+	// instance's own may still be granted something.
+	keeper.log.Info("home of a program cannot be asked", "program", p.id, "home", home, "err", err)
+	return nil, nil
+}
+
+// Lend sets turn tokens of a program's budget aside for another instance, as
+// Reserve does for this one, until Repaid, or until loanLifetime has passed:
+// then they count as spent. It returns a *StoppedError while the instance
+// stops, since what it gave back must not be granted again.
+func (keeper *Keeper) Lend(ctx context.Context, id string, turn, total int64) (uint64, error) {
+	if keeper.loans.isStopped() {
+		return 0, &StoppedError{}
+	}
+	p := keeper.program(id)
+	defer keeper.done(p)
+	reservation, err := keeper.reserve(ctx, p, turn, total)
+	if err != nil {
+		return 0, err
+	}
+	keeper.lent.Inc(1)
+	return keeper.loans.give(reservation, keeper.clock.Now()), nil
+}
+
+// StoppedError is a loan asked of an instance that stops.
+type StoppedError struct{}
+
+// Error says so.
+func (e *StoppedError) Error() string { return "the instance stops" }
+
+// Repaid settles loans given here. Unknown ones were settled before.
+func (keeper *Keeper) Repaid(repayments []Repayment) {
+	for _, repayment := range repayments {
+		if reservation := keeper.loans.take(repayment.Loan); reservation != nil {
+			reservation.Settle(min(max(repayment.Spent, 0), reservation.turn))
+		}
+	}
+}
+
+// expireLoans settles the loans that were not repaid in time as spent.
+func (keeper *Keeper) expireLoans() {
+	for _, reservation := range keeper.loans.expired(keeper.clock.Now()) {
+		keeper.log.Info("loan not repaid: counted as spent", "program", reservation.program.id, "tokens", reservation.turn)
+		reservation.Settle(reservation.turn)
+	}
+}
+
+// Repay tells the homes of programs what was spent of loans, until ctx ends;
+// then it reports on done.
+func (keeper *Keeper) Repay(ctx context.Context, done chan<- error) {
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+			return
+		case <-keeper.loans.wake:
+		}
+		clock.Sleep(ctx, repayInterval)
+		var calls sync.WaitGroup
+		for home, repayments := range keeper.loans.takeDue() {
+			calls.Go(func() {
+				limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), repayTimeout)
+				defer cancel()
+				if err := keeper.lenders.Repay(limited, home, repayments); err != nil {
+					keeper.log.Info("loans not repaid", "home", home, "loans", len(repayments), "err", err)
+				}
+			})
+		}
+		calls.Wait()
+	}
+}
+
+func (loans *loans) give(reservation *Reservation, now time.Time) uint64 {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	loans.last++
+	loans.given[loans.last] = loan{reservation: reservation, at: now}
+	return loans.last
+}
+
+func (loans *loans) take(id uint64) *Reservation {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	given := loans.given[id]
+	delete(loans.given, id)
+	return given.reservation
+}
+
+func (loans *loans) expired(now time.Time) []*Reservation {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	var expired []*Reservation
+	for id, given := range loans.given {
+		if now.Sub(given.at) >= loanLifetime {
+			expired = append(expired, given.reservation)
+			delete(loans.given, id)
+		}
+	}
+	return expired
+}
+
+// repay notes a repayment that is due. It reports whether there was room.
+func (loans *loans) repay(home string, repayment Repayment) bool {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	if loans.count >= maxRepayments {
+		return false
+	}
+	loans.count++
+	loans.due[home] = append(loans.due[home], repayment)
+	select {
+	case loans.wake <- struct{}{}:
+	default: // woken already
+	}
+	return true
+}
+
+func (loans *loans) takeDue() map[string][]Repayment {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	due := loans.due
+	loans.due, loans.count = map[string][]Repayment{}, 0
+	return due
+}
+
+func (loans *loans) stop() {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	loans.stopped = true
+}
+
+func (loans *loans) isStopped() bool {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	return loans.stopped
+}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -93,13 +93,15 @@
 // a budget is about 1.6 times the most of all turns.
 const (
 	// headroomShare: one part in headroomShare of what is left, for the
-	// first account; the next accounts take half of that, a third, and so
-	// on. A program whose lines come through all instances, which then lose
-	// power together, keeps more than half of what was left.
-	headroomShare = 4
-	// headroomTurns bounds the headroom to what some nine usual turns
-	// spend, five seconds or so.
-	headroomTurns = 4
+	// first account; the next accounts take a quarter of that, a ninth, and
+	// so on: they are there while the first cannot be asked. With a third, programs of the usual three to eleven turns need no
+	// second grant; with a quarter they do. A program whose lines come
+	// through all instances, which then lose power together, keeps half of
+	// what was left.
+	headroomShare = 3
+	// headroomTurns bounds the headroom to what some twelve usual turns
+	// spend, six seconds or so.
+	headroomTurns = 6
 )
 
 // decide returns the decision on a turn that needs the account of owner to
@@ -121,5 +123,5 @@
 	if _, own := ledger.Accounts[owner]; !own {
 		accounts++
 	}
-	return DecisionGrant, need + min(left/(headroomShare*accounts), headroomTurns*turn)
+	return DecisionGrant, need + min(left/(headroomShare*accounts*accounts), headroomTurns*turn)
 }
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -91,6 +91,7 @@
 	p.goroutine(work, f.own.Run)
 	p.goroutine(work, f.store.Run)
 	p.goroutine(work, f.accounts.Sweep)
+	p.goroutine(work, f.accounts.Repay)
 	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
 	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, p.log, done) })
@@ -141,8 +142,8 @@
 		}
 	})
 	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, own: own, store: guard}
-	f.accounts = account.NewKeeper(guard, owner, peers, clk, p.log, scope)
-	f.peers = &entrypeer.Server{Store: own, GiveBack: f.accounts.GiveBack, Log: p.log}
+	f.accounts = account.NewKeeper(guard, owner, peers, peers, clk, p.log, scope)
+	f.peers = &entrypeer.Server{Store: own, Lender: f.accounts, Log: p.log}
 	f.gateway = gateway.New(gateway.Parts{
 		DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:   f.accounts,
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -21,6 +21,9 @@
 	// one way of a millisecond or less off.
 	connectTimeout = 300 * time.Millisecond
 	unackedTimeout = 600 * time.Millisecond
+	// idleConnections are kept to each other instance: what is asked of it at
+	// a time, and some more.
+	idleConnections = 8
 	// idleTime is how long an unused connection to an instance is kept.
 	idleTime = 10 * time.Second
 )
@@ -38,7 +41,8 @@
 	return fmt.Sprintf("instance %s: status %d: %s", e.instance, e.status, e.detail)
 }
 
-// Client calls other entry instances. It implements account.Holders.
+// Client calls other entry instances. It implements account.Holders and
+// account.Lenders.
 type Client struct {
 	directory *Directory
 	http      *http.Client
@@ -46,7 +50,7 @@
 
 // NewClient returns a client for the instances of directory.
 func NewClient(directory *Directory) *Client {
-	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, IdleConnTimeout: idleTime, DisableCompression: true}
+	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTime, DisableCompression: true}
 	return &Client{directory: directory, http: &http.Client{Transport: transport}}
 }
 
@@ -90,7 +94,7 @@
 		client.directory.failed(instance)
 		return eris.Wrapf(err, "instance %s", instance.Name)
 	}
-	client.directory.reached()
+	client.directory.reached(instance)
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return &StatusError{instance: instance.Name, status: response.StatusCode, detail: string(data)}
 	}
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -20,8 +20,10 @@
 	// table holds a row for each entry instance.
 	table = "entries"
 	// failurePause is how long an instance that could not be reached is left
-	// out.
-	failurePause = time.Second
+	// out, doubled with each failure in a row up to maxFailurePause: the row
+	// of one that is gone for good stays.
+	failurePause    = time.Second
+	maxFailurePause = 16 * time.Second
 	// joinPause and maxJoinPause are between tries to enter the table.
 	joinPause = 100 * time.Millisecond
 	// watchWait is how long a call for news of other instances is held. An
@@ -48,7 +50,7 @@
 
 	mu        sync.Mutex
 	instances map[string]Instance
-	avoid     map[string]time.Time
+	avoid     map[string]absence
 	// displaced is told when the own row was found to be another's.
 	displaced chan struct{}
 	// answered is when another instance last answered, unanswered when one
@@ -56,9 +58,15 @@
 	answered, unanswered time.Time
 }
 
+// absence is an instance that could not be reached.
+type absence struct {
+	until    time.Time
+	failures int
+}
+
 // NewDirectory returns a directory that knows only self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]time.Time{}, displaced: make(chan struct{}, 1)}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, displaced: make(chan struct{}, 1)}
 }
 
 func (directory *Directory) key() store.Key {
@@ -137,6 +145,9 @@
 		default: // told already
 		}
 	default:
+		if directory.instances[row.Key.Name] != instance {
+			delete(directory.avoid, row.Key.Name) // started anew
+		}
 		directory.instances[row.Key.Name] = instance
 	}
 }
@@ -147,7 +158,7 @@
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	for _, instance := range directory.instances {
-		if instance.Owner == owner && !directory.clock.Now().Before(directory.avoid[instance.Name]) {
+		if instance.Owner == owner && !directory.left(instance.Name, directory.clock.Now()) {
 			return instance, true
 		}
 	}
@@ -162,7 +173,7 @@
 	now := directory.clock.Now()
 	var near, far []Instance
 	for _, instance := range directory.instances {
-		if now.Before(directory.avoid[instance.Name]) {
+		if directory.left(instance.Name, now) {
 			continue
 		}
 		if instance.DataCentre == directory.self.DataCentre {
@@ -177,19 +188,28 @@
 	return all[:min(n, len(all))]
 }
 
+// left reports whether an instance is left out. The caller holds mu.
+func (directory *Directory) left(name string, now time.Time) bool {
+	return now.Before(directory.avoid[name].until)
+}
+
 // failed leaves an instance out for a while.
 func (directory *Directory) failed(instance Instance) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	now := directory.clock.Now()
-	directory.avoid[instance.Name] = now.Add(failurePause)
+	absent := directory.avoid[instance.Name]
+	absent.until = now.Add(min(failurePause<<min(absent.failures, 10), maxFailurePause))
+	absent.failures++
+	directory.avoid[instance.Name] = absent
 	directory.unanswered = now
 }
 
-// reached notes that another instance answered.
-func (directory *Directory) reached() {
+// reached notes that an instance answered.
+func (directory *Directory) reached(instance Instance) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
+	delete(directory.avoid, instance.Name)
 	directory.answered = directory.clock.Now()
 }
 
--- /dev/null
+++ b/entrypeer/lending.go
@@ -0,0 +1,138 @@
+package entrypeer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+)
+
+// verdict is what a home says of a turn that another instance asks it for.
+type verdict int
+
+const (
+	verdictLent verdict = iota
+	// verdictSpent: the program's budget does not hold the turn.
+	verdictSpent
+	// verdictHeld: it may later.
+	verdictHeld
+	// verdictUnknown: the home cannot tell.
+	verdictUnknown
+)
+
+// borrowMessage asks for tokens of a program's budget for one turn.
+type borrowMessage struct {
+	Program     string
+	Turn, Total int64
+}
+
+type borrowAnswer struct {
+	Verdict verdict
+	Loan    uint64
+	Detail  string
+}
+
+type repayMessage struct {
+	Repayments []account.Repayment
+}
+
+// LendError is a home that could not tell whether a program's budget holds a
+// turn.
+type LendError struct {
+	instance, detail string
+}
+
+// Error names the instance and what it said.
+func (e *LendError) Error() string { return "instance " + e.instance + ": " + e.detail }
+
+// Home implements account.Lenders: of all instances known here that were not
+// found out of reach just now, rendezvous hashing picks one. Instances that
+// know others pick others: then a program has two accounts, which costs a
+// write more.
+func (client *Client) Home(program string) string {
+	return client.directory.home(program)
+}
+
+func (directory *Directory) home(program string) string {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	home, best := "", xxhash.Sum64String(program+"/"+directory.key().Name)
+	now := directory.clock.Now()
+	for name := range directory.instances {
+		score := xxhash.Sum64String(program + "/" + name)
+		if score > best && !directory.left(name, now) {
+			home, best = name, score
+		}
+	}
+	return home
+}
+
+// Borrow implements account.Lenders.
+func (client *Client) Borrow(ctx context.Context, name, program string, turn, total int64) (uint64, error) {
+	instance, ok := client.directory.named(name)
+	if !ok {
+		return 0, &LendError{instance: name, detail: "left meanwhile"}
+	}
+	var answer borrowAnswer
+	if err := client.call(ctx, instance, pathBorrow, &borrowMessage{Program: program, Turn: turn, Total: total}, &answer); err != nil {
+		return 0, err
+	}
+	switch answer.Verdict {
+	case verdictLent:
+		return answer.Loan, nil
+	case verdictSpent:
+		return 0, account.NewSpentError(program, total)
+	case verdictHeld:
+		return 0, account.NewHeldError(program)
+	}
+	return 0, &LendError{instance: name, detail: answer.Detail}
+}
+
+// Repay implements account.Lenders.
+func (client *Client) Repay(ctx context.Context, name string, repayments []account.Repayment) error {
+	instance, ok := client.directory.named(name)
+	if !ok {
+		return &LendError{instance: name, detail: "left meanwhile"}
+	}
+	return client.call(ctx, instance, pathRepay, &repayMessage{Repayments: repayments}, nil)
+}
+
+func (directory *Directory) named(name string) (Instance, bool) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	instance, ok := directory.instances[name]
+	return instance, ok
+}
+
+func (server *Server) borrow(w http.ResponseWriter, r *http.Request) {
+	var message borrowMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	answer := borrowAnswer{}
+	var err error
+	answer.Loan, err = server.Lender.Lend(r.Context(), message.Program, message.Turn, message.Total)
+	var spent *account.SpentError
+	var held *account.HeldError
+	switch {
+	case errors.As(err, &spent):
+		answer.Verdict = verdictSpent
+	case errors.As(err, &held):
+		answer.Verdict = verdictHeld
+	case err != nil:
+		answer.Verdict, answer.Detail = verdictUnknown, err.Error()
+	}
+	server.reply(w, &answer)
+}
+
+func (server *Server) repay(w http.ResponseWriter, r *http.Request) {
+	var message repayMessage
+	if !decode(w, r, &message) {
+		return
+	}
+	server.Lender.Repaid(message.Repayments)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -10,6 +10,8 @@
 const (
 	pathGiveBack = "/entry/give-back"
 	pathStore    = "/entry/store"
+	pathBorrow   = "/entry/borrow"
+	pathRepay    = "/entry/repay"
 )
 
 // giveBackMessage asks for what is held of a program's budget.
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
@@ -20,10 +21,19 @@
 type Server struct {
 	// Store is reached by this instance itself, never through another: a
 	// call goes one step at most.
-	Store store.Store
+	Store  store.Store
+	Lender Lender
+	Log    *slog.Logger
+}
+
+// Lender keeps accounts of programs, as *account.Keeper does.
+type Lender interface {
 	// GiveBack gives back what this instance holds of a program's budget.
-	GiveBack func(ctx context.Context, program string) error
-	Log      *slog.Logger
+	GiveBack(ctx context.Context, program string) error
+	// Lend sets tokens aside for a turn at another instance.
+	Lend(ctx context.Context, program string, turn, total int64) (loan uint64, err error)
+	// Repaid settles loans.
+	Repaid(repayments []account.Repayment)
 }
 
 // Handler returns the calls that other instances make.
@@ -31,6 +41,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathGiveBack, server.giveBack)
 	mux.HandleFunc("POST "+pathStore, server.relay)
+	mux.HandleFunc("POST "+pathBorrow, server.borrow)
+	mux.HandleFunc("POST "+pathRepay, server.repay)
 	return mux
 }
 
@@ -39,7 +51,7 @@
 	if !decode(w, r, &message) {
 		return
 	}
-	if err := server.GiveBack(r.Context(), message.Program); err != nil {
+	if err := server.Lender.GiveBack(r.Context(), message.Program); err != nil {
 		server.Log.Info("budget not given back to another instance", "program", message.Program, "err", err)
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -66,7 +78,11 @@
 	if errors.As(err, &failure) {
 		answer.Failed, answer.Failure, answer.Detail, answer.Rows = true, failure.Failure(), failure.Error(), failure.Rows()
 	}
-	body, err := msgpack.Marshal(&answer)
+	server.reply(w, &answer)
+}
+
+func (server *Server) reply(w http.ResponseWriter, answer any) {
+	body, err := msgpack.Marshal(answer)
 	if err != nil {
 		server.Log.Error("answer to another instance cannot be encoded", "err", err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
