gateway: requests wait at the instance while endpoints have queues, programs in time first

Cause: in a burst of the grown opms site engines had queues of 0.3 to 0.9 s before the first event; all programs were late, and stayed late for twenty seconds after the burst, since late ones held up those that could have been in time, and each engine read again what the queue had pushed out.

Change: each instance lets as many requests to a service as its window holds; the window shrinks while the mean wait that endpoints tell of is above 40 ms and a third of a request's usual time, and opens when it is below half of that. Requests wait in the order: programs in time before late ones, then by priority, then those that have begun, the one that ends first; new ones the newest first. A tool's call is as urgent as the program that waits for it.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -230,15 +230,29 @@
 
 func (g *Gate[O]) freeOne() {
 	g.running--
+	g.admit()
+	if g.running == 0 && g.queue.Len() == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+// admit lets calls through while there are places.
+func (g *Gate[O]) admit() {
 	for g.queue.Len() > 0 && g.free(g.queue[0].urgency) {
 		w := heap.Pop(&g.queue).(*waiter)
 		g.running++
 		w.verdict <- nil
 	}
-	if g.running == 0 && g.queue.Len() == 0 && g.idle != nil {
-		close(g.idle)
-		g.idle = nil
-	}
+}
+
+// SetRunning changes how many calls are let through at once. Fewer take
+// effect as calls end.
+func (g *Gate[O]) SetRunning(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits.Running = n
+	g.admit()
 }
 
 // Drain refuses every new call from now on and returns a channel closed
@@ -266,5 +280,17 @@
 	return g.running, g.queue.Len(), g.draining
 }
 
+// Usual returns how long an admitted call takes in the mean; 0 if none ended
+// yet.
+func (g *Gate[O]) Usual() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.service
+}
+
 // Limits returns the gate's limits.
-func (g *Gate[O]) Limits() Limits { return g.limits }
+func (g *Gate[O]) Limits() Limits {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits
+}
--- a/admission/order.go
+++ b/admission/order.go
@@ -15,10 +15,17 @@
 	// engines have spent on it so far.
 	Started  time.Time
 	Attained int64
+	// Finish is when the program should be finished; zero if unknown.
+	Finish time.Time
+	// New tells that no call of the program was served yet.
+	New bool
 	// Deadline is when nobody waits for the call any more; zero: never.
 	Deadline time.Time
 }
 
+// Late reports whether the program should have been finished before.
+func (t *Ticket) Late() bool { return !t.Finish.IsZero() && !t.Arrived.Before(t.Finish) }
+
 // Order gives a ticket its place within its urgency class: the lowest key
 // goes first. A key is fixed when the ticket arrives and lies a bounded
 // time from its arrival, so calls that arrive later than that bound cannot
@@ -103,3 +110,45 @@
 	}
 	return t.Arrived.Sub(epoch) - min(max(age, 0), o.Most)
 }
+
+// Ranks of programs within a class, the highest first.
+const (
+	rankLate = iota
+	rankNew
+	rankStarted
+	ranks
+)
+
+// InTime ends as many programs in time as it can when not all of them can
+// be: those that have begun first, then new ones, the newest first, and last
+// those that are late already. In order of arrival all would be late under a
+// load that is a little too high: a new program's first turn takes its place
+// from one that is about to end, and by the time that it begins itself it is
+// late, too. A program that has begun is served before new ones, so that it
+// ends in time; which new ones begin does not matter, and the newest has
+// the most time left. Calls must have a deadline: old ones wait until it.
+type InTime struct{}
+
+// Class returns the class of a ticket of an urgency: a late program of an
+// urgent class goes after one of a less urgent class that is in time.
+func (InTime) Class(urgency int, t *Ticket) int {
+	const urgencies = 1 << 16
+	switch {
+	case t.Late():
+		return (urgency-urgencies)*ranks + rankLate
+	case t.New:
+		return urgency*ranks + rankNew
+	}
+	return urgency*ranks + rankStarted
+}
+
+// Key implements Order.
+func (InTime) Key(t *Ticket) time.Duration {
+	switch {
+	case t.New && !t.Late():
+		return -t.Arrived.Sub(epoch)
+	case t.Finish.IsZero() || t.Late():
+		return t.Arrived.Sub(epoch)
+	}
+	return t.Finish.Sub(epoch)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,29 +47,30 @@
 // Gateway serves callers. It implements http.Handler.
 type Gateway struct {
 	Parts
-	metrics  metrics
-	draining atomic.Bool
-	inFlight atomic.Int64
+	metrics   metrics
+	entrances *entrances
+	draining  atomic.Bool
+	inFlight  atomic.Int64
 	// bodies is the memory that bodies take, in bytes.
 	bodies atomic.Int64
 }
 
 type metrics struct {
-	requests, served, failed, sends, resumed tally.Counter
-	refused                                  [ReasonNoMemory + 1]tally.Counter
-	latency, firstEvent, reserve, keep       tally.Histogram
+	requests, served, failed, sends, resumed  tally.Counter
+	refused                                   [ReasonNoMemory + 1]tally.Counter
+	latency, firstEvent, reserve, keep, queue tally.Histogram
 }
 
 // New returns a gateway of parts.
 func New(parts Parts) *Gateway {
-	gateway := &Gateway{Parts: parts}
+	gateway := &Gateway{Parts: parts, entrances: newEntrances(parts.Clock)}
 	scope := parts.Metrics
 	buckets := tally.MustMakeExponentialDurationBuckets(latencyLowest, latencyFactor, latencyBuckets)
 	gateway.metrics = metrics{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), failed: scope.Counter("failed"),
 		sends: scope.Counter("sends"), resumed: scope.Counter("resumed"),
 		latency: scope.Histogram("request_seconds", buckets), firstEvent: scope.Histogram("first_event_seconds", buckets),
-		reserve: scope.Histogram("budget_seconds", buckets), keep: scope.Histogram("keep_turn_seconds", buckets),
+		reserve: scope.Histogram("budget_seconds", buckets), keep: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets),
 	}
 	for reason := range gateway.metrics.refused {
 		gateway.metrics.refused[reason] = scope.Tagged(map[string]string{"reason": Reason(reason).String()}).Counter("refused")
@@ -116,12 +117,22 @@
 	InFlight      int64          `json:"in_flight"`
 	Programs      int            `json:"programs"`
 	Load          []balance.View `json:"load"`
+	Services      []ServiceState `json:"services"`
+}
+
+// ServiceState is what a state dump tells of the way to one service.
+type ServiceState struct {
+	Name    string `json:"name"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	// Window is how many requests may run at once.
+	Window int `json:"window"`
 }
 
 // State returns the state dump.
 func (gateway *Gateway) State() any {
 	state := State{Ready: gateway.Ready(), Draining: gateway.draining.Load(), Endpoints: gateway.Endpoints.Len(),
-		InFlight: gateway.InFlight(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views()}
+		InFlight: gateway.InFlight(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.entrances.state()}
 	if table := gateway.Routes.Load(); table != nil {
 		state.Configuration, state.Routes = table.Version(), table.Routes()
 	}
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -84,6 +84,7 @@
 	verdict := e.Dialect.Verdict(response.Status, response.Header)
 	if verdict.Load != nil {
 		choice.Told(*verdict.Load)
+		e.entrance.told(*verdict.Load)
 	}
 	switch {
 	case verdict.Misdirected:
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -78,6 +78,11 @@
 	chain       []*history.Turn
 	reservation *account.Reservation
 
+	// entrance is the way to the service, queued the wait there.
+	entrance *entrance
+	priority int
+	queued   time.Duration
+
 	// tried are the endpoints that were offered the request; runs counts
 	// those that may have run it.
 	tried []string
@@ -93,8 +98,9 @@
 	lastError error
 }
 
-// ServeHTTP serves one request: it finds its route, rebuilds its prompt,
-// reserves its budget, has an endpoint answer it, and keeps the turn.
+// ServeHTTP serves one request: it finds its route, waits for its turn,
+// rebuilds its prompt, reserves its budget, has an endpoint answer it, and
+// keeps the turn.
 func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	gateway.inFlight.Add(1)
 	defer gateway.inFlight.Add(-1)
@@ -114,6 +120,23 @@
 	}
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.until)
 	defer cancel()
+	if err := e.run(ctx); err != nil {
+		return err
+	}
+	return e.keep(ctx)
+}
+
+// run has the request run once it is its turn. Only then is the store asked
+// for what it needs: one that is turned away costs no call.
+func (e *exchange) run(ctx context.Context) error {
+	if e.spends() && e.Accounts.KnownSpent(e.call.Program, e.call.MaxTokens, e.call.Budget) {
+		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
+	}
+	release, err := e.admit(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if err := e.rebuild(ctx); err != nil {
 		return err
 	}
@@ -123,7 +146,10 @@
 	if err := e.offer(ctx); err != nil {
 		return err
 	}
-	return e.keep(ctx)
+	if e.spends() {
+		e.entrances.started(e.call.Program, e.priority)
+	}
+	return nil
 }
 
 // accept reads the request and finds its route.
@@ -390,10 +416,13 @@
 	if len(e.tried) > 0 {
 		attrs = append(attrs, slog.Any("endpoints", e.tried), slog.Int("runs", e.runs))
 	}
+	if e.queued >= time.Millisecond {
+		attrs = append(attrs, slog.Duration("queued", e.queued), slog.Int("priority", e.priority))
+	}
 	if e.spends() {
 		attrs = append(attrs, slog.Int64("budget", e.call.Budget), slog.Int64("most", e.call.MaxTokens), slog.Int64("spent", e.spent()), slog.Duration("first", e.first))
 		if e.reservation != nil {
-			attrs = append(attrs, slog.Uint64("budget_version", e.reservation.Version))
+			attrs = append(attrs, slog.Uint64("budget_version", e.reservation.Version), slog.String("budget_home", e.reservation.Home()))
 		}
 	}
 	if e.call != nil && e.call.Previous != "" {
