soak: seeds of faults against entry instances as processes

Faults in series and overlapping: kills (one, all), freezes, stops by signal, hangups, the store away, slow, turning single instances away, losing answers, applying writes late, forgetting its history; ways to store and endpoints silent, cut one way, reset, slow; endpoints that fail, break off, answer twice, leave, and addresses that another service uses again; configurations. Checked from callers' and endpoints' sides: runs per request, refusals that ran, prompts byte for byte, whole answers, budgets, turns that cannot be continued, drains, cuts by planned work (each fourth seed has only that), and that everything is served by the newest configuration six seconds after. The system uses no wall clock, so none is stepped; a freeze stops the steady one.

Found by seed 1: a hangup right after the start ended the instance, since the signal was handled only once it served. Ruled out: the freeze of another instance and the store's faults at that time (log ends 30 ms after the start, no further start). Mend: the first thing that the process does. Test: TestHangupDuringStartIsHarmless (fails without it: the process is gone). The soak waits 0.1 s after a start: earlier signals reach a process that has not begun to run.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -58,6 +58,10 @@
 
 // Execute serves callers until SIGTERM.
 func (c *frontCommand) Execute([]string) error {
+	// Unhandled, a hangup ends the process; one may come before it serves.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
@@ -94,7 +98,7 @@
 	p.goroutine(work, f.accounts.Repay)
 	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
-	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, p.log, done) })
+	p.goroutine(work, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, hangups, p.log, done) })
 	if err := f.serve(ctx, work, s, end); err != nil {
 		return err
 	}
@@ -248,10 +252,7 @@
 
 // watchSettings logs changes of the settings file, told by SIGHUP or found.
 // All that may change while a process runs is taken from the store.
-func watchSettings(ctx context.Context, path string, current *platform.Settings, log *slog.Logger, done chan<- error) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, path string, current *platform.Settings, hangups <-chan os.Signal, log *slog.Logger, done chan<- error) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	modified := time.Time{}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -62,13 +62,13 @@
 			return
 		}
 		proxy.mu.Lock()
-		refuse, held := proxy.refuse, proxy.hold
+		refuse, held, target := proxy.refuse, proxy.hold, proxy.target
 		proxy.mu.Unlock()
 		if refuse {
 			reset(near)
 			continue
 		}
-		far, err := net.Dial("tcp", proxy.target)
+		far, err := net.Dial("tcp", target)
 		if err != nil {
 			reset(near)
 			continue
@@ -152,6 +152,15 @@
 	}
 }
 
+// retarget passes new connections on to another target, and resets the open
+// ones, as when an address is used again.
+func (proxy *proxy) retarget(target string) {
+	proxy.mu.Lock()
+	proxy.target = target
+	proxy.mu.Unlock()
+	proxy.resetAll(false)
+}
+
 // slow adds d to each way.
 func (proxy *proxy) slow(d time.Duration) {
 	proxy.mu.Lock()
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,240 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// Sizes of a site. Three data centres, so that calls go to others, too.
+const (
+	frontCount = 5
+	modelCount = 4
+	toolCount  = 3
+)
+
+// startTime is how long a process takes until it handles signals.
+const startTime = 100 * time.Millisecond
+
+var dataCentres = []string{"a", "b", "c"}
+
+// site is one deployment: entry instances as processes of their own, and
+// stand-ins of the store and the endpoints, each behind a proxy.
+type site struct {
+	t      *testing.T
+	memory *storetest.Memory
+	fronts []*front
+
+	mu        sync.Mutex
+	endpoints []*endpoint
+	version   int
+	named     int
+	// failing is the share of requests that endpoints fail in some way.
+	failing float64
+	rng     *rand.Rand
+}
+
+// front is an entry instance, with its own way to the store.
+type front struct {
+	*platformtest.Front
+	door  *platformtest.Door
+	proxy *proxy
+	// life is held by whoever stops or starts the process.
+	life sync.Mutex
+	// stopped by SIGSTOP; a restart ends that.
+	stopped bool
+}
+
+// endpoint is an endpoint behind a proxy.
+type endpoint struct {
+	*platformtest.Endpoint
+	proxy *proxy
+	gone  bool
+}
+
+func newSite(t *testing.T, seed uint64) *site {
+	t.Helper()
+	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1))}
+	s.configure()
+	for n := range modelCount + toolCount {
+		s.add(n < modelCount, nil)
+	}
+	dir := t.TempDir()
+	for n := range frontCount {
+		door := platformtest.NewDoor(s.memory)
+		t.Cleanup(door.Close)
+		p, err := newProxy(door.Address())
+		require.NoError(t, err)
+		t.Cleanup(p.close)
+		process, err := platformtest.NewFront(dir, fmt.Sprintf("front-%d", n+1), dataCentres[n%len(dataCentres)], p.address())
+		require.NoError(t, err)
+		f := &front{Front: process, door: door, proxy: p}
+		require.NoError(t, f.Start())
+		t.Cleanup(f.Kill)
+		s.fronts = append(s.fronts, f)
+	}
+	for _, f := range s.fronts {
+		require.Eventually(t, f.IsReady, 10*time.Second, 10*time.Millisecond, "%s: %s", f.Name, f.Logged())
+	}
+	return s
+}
+
+// configure puts the next version of the configuration in force.
+func (s *site) configure() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 1 + s.named%3
+	platformtest.Configure(s.memory, platformtest.Configuration(s.version))
+	return s.version
+}
+
+// add registers a new endpoint, at an address of its own or at that of one
+// that is gone.
+func (s *site) add(model bool, before *endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.named++
+	e := &endpoint{Endpoint: platformtest.NewEndpoint(fmt.Sprintf("e%d", s.named), map[bool]string{true: "model", false: "tool"}[model], model)}
+	s.t.Cleanup(e.Close)
+	e.Pause = 5 * time.Millisecond
+	e.Behave(s.behave(model))
+	if before != nil {
+		e.proxy = before.proxy
+		e.proxy.retarget(e.Address())
+	} else {
+		var err error
+		if e.proxy, err = newProxy(e.Address()); err != nil {
+			s.t.Error(err)
+			return
+		}
+		s.t.Cleanup(e.proxy.close)
+	}
+	e.Public = e.proxy.address()
+	e.Register(s.memory, dataCentres[s.named%len(dataCentres)], "ready")
+	s.endpoints = append(s.endpoints, e)
+}
+
+// behave draws what endpoints do with each request.
+func (s *site) behave(model bool) func(*platformtest.Run) platformtest.Behaviour {
+	return func(*platformtest.Run) platformtest.Behaviour {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.rng.Float64() >= s.failing {
+			return platformtest.Behaviour{}
+		}
+		if !model {
+			return []platformtest.Behaviour{{Full: true}, {Lose: true}, {Foreign: true}, {Status: 500}}[s.rng.IntN(4)]
+		}
+		return []platformtest.Behaviour{{Full: true}, {Lose: true}, {BreakAfter: -1}, {BreakAfter: 1}, {BreakAfter: 2}}[s.rng.IntN(5)]
+	}
+}
+
+func (s *site) fail(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = share
+}
+
+// living returns the endpoints that have not left.
+func (s *site) living(service string) []*endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var living []*endpoint
+	for _, e := range s.endpoints {
+		if !e.gone && e.Service == service {
+			living = append(living, e)
+		}
+	}
+	return living
+}
+
+func (s *site) all() []*endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*endpoint(nil), s.endpoints...)
+}
+
+// leave has an endpoint drain, and go after the time that it serves on.
+func (s *site) leave(e *endpoint, serves time.Duration) {
+	s.mu.Lock()
+	e.gone = true
+	s.mu.Unlock()
+	e.Register(s.memory, "a", "draining")
+	time.Sleep(serves)
+	e.Unregister(s.memory)
+}
+
+// restart ends the process by signal, or kills it, and starts it again after
+// pause.
+func (s *site) restart(f *front, signal syscall.Signal, pause time.Duration) {
+	f.life.Lock()
+	defer f.life.Unlock()
+	if signal == syscall.SIGTERM && !f.stopped {
+		s.check(f.Signal(signal))
+		if code, err := f.Wait(); err != nil || code != 0 {
+			s.t.Errorf("%s ended by SIGTERM with code %d: %v", f.Name, code, err)
+		}
+	}
+	f.Kill()
+	f.stopped = false
+	time.Sleep(pause)
+	s.check(f.Start())
+	// Before it handles signals, any ends the process.
+	time.Sleep(startTime)
+}
+
+// freeze stops the process for a while, as a machine that stands still.
+func (s *site) freeze(f *front, d time.Duration) {
+	f.life.Lock()
+	s.check(f.Signal(syscall.SIGSTOP))
+	f.stopped = true
+	f.life.Unlock()
+	time.Sleep(d)
+	f.life.Lock()
+	defer f.life.Unlock()
+	if f.stopped {
+		s.check(f.Signal(syscall.SIGCONT))
+		f.stopped = false
+	}
+}
+
+func (s *site) hangup(f *front) {
+	f.life.Lock()
+	defer f.life.Unlock()
+	s.check(f.Signal(syscall.SIGHUP))
+}
+
+func (s *site) check(err error) {
+	if err != nil {
+		s.t.Error(err)
+	}
+}
+
+// heal ends all faults and waits until all instances take callers.
+func (s *site) heal() {
+	s.fail(0)
+	s.memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	s.memory.ApplyLate()
+	for _, f := range s.fronts {
+		f.door.Set(platformtest.Open)
+		f.door.Delay(0)
+		f.proxy.heal()
+	}
+	for _, e := range s.all() {
+		e.proxy.heal()
+	}
+	for _, f := range s.fronts {
+		require.Eventually(s.t, f.IsReady, 15*time.Second, 20*time.Millisecond, "%s is not ready: %s", f.Name, tail(f.Logged()))
+	}
+}
+
+// tail returns the end of a log.
+func tail(log string) string { return log[max(len(log)-4000, 0):] }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+)
+
+var (
+	seeds = flag.Int("soak.seeds", 2, "how many seeds TestSoak plays")
+	first = flag.Uint64("soak.first", 1, "the first of these seeds")
+	span  = flag.Duration("soak.time", 5*time.Second, "how long faults are injected for each seed")
+	logs  = flag.String("soak.logs", "", "folder for the instances' logs of broken seeds")
+)
+
+// callerCount callers play programs at a time.
+const callerCount = 24
+
+// recovery is how long after the last fault everything is served again.
+const recovery = 6 * time.Second
+
+// TestSoak plays seeds: faults of all kinds, and each fourth seed planned
+// work only.
+func TestSoak(t *testing.T) {
+	for n := range *seeds {
+		seed := *first + uint64(n)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, *span) })
+	}
+}
+
+// TestSeedsThatFailed plays the seeds that once broke a promise.
+func TestSeedsThatFailed(t *testing.T) {
+	for _, regression := range []struct {
+		seed  uint64
+		cause string
+	}{} {
+		t.Run(fmt.Sprint(regression.seed), func(t *testing.T) {
+			t.Log(regression.cause)
+			soak(t, regression.seed, *span)
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64, span time.Duration) {
+	s := newSite(t, seed)
+	b := &book{attempts: map[string]*attempt{}}
+	planned := seed%4 == 0
+	faults := &faults{site: s, rng: rand.New(rand.NewPCG(seed, 2)), planned: planned, log: t.Logf}
+	calls, stop := context.WithCancel(context.Background())
+	defer stop()
+	var callers sync.WaitGroup
+	for n := range callerCount {
+		callers.Go(func() { newCaller(s, b, seed, uint64(n)).play(calls, n) })
+	}
+	injecting, end := context.WithTimeout(calls, span)
+	faults.run(injecting)
+	end()
+	s.heal()
+	time.Sleep(recovery / 2)
+	stop()
+	callers.Wait()
+	s.checkRecovered(b, seed)
+	// A write that was lost may come late; what it does must harm nobody.
+	s.memory.ApplyLate()
+	for _, broken := range b.broken(s.runsByID(), planned) {
+		t.Error(broken)
+	}
+	t.Log(b.summary())
+	if t.Failed() && *logs != "" {
+		s.keepLogs(seed)
+	}
+}
+
+// checkRecovered checks that after the last fault every turn that was
+// answered whole can be continued, that all kinds of requests are served at
+// every front by the newest configuration, and that a leaving endpoint gets
+// no work.
+func (s *site) checkRecovered(b *book, seed uint64) {
+	b.mu.Lock()
+	var turns []*attempt
+	for _, a := range b.attempts {
+		if a.kind == kindKeep && a.status == http.StatusOK && a.whole {
+			turns = append(turns, a)
+		}
+	}
+	b.mu.Unlock()
+	require.NotEmpty(s.t, turns, "no retained turn was served")
+	version := s.configure()
+	leaving := s.living("model")[0]
+	leaving.Register(s.memory, "a", "draining")
+	time.Sleep(2 * time.Second)
+	before := len(leaving.Runs())
+	c := newCaller(s, b, seed, callerCount)
+	ctx := context.Background()
+	for i, previous := range turns {
+		if i >= 100 {
+			break
+		}
+		a := c.turn(ctx, previous.program+"-again", kindKeep, usualBudget, 99, previous)
+		if !assert.NotNil(s.t, a, "turn %s cannot be continued", previous.id) {
+			break
+		}
+	}
+	for _, f := range s.fronts {
+		c.front = f
+		for _, k := range []kind{kindKeep, kindChat, kindLook, kindPost} {
+			a := &attempt{program: "last-" + f.Name + string(k), kind: k, budget: usualBudget, body: "x", prompt: "x"}
+			if k == kindLook {
+				a.body, a.prompt = "", ""
+			}
+			c.send(ctx, a)
+			assert.Equal(s.t, http.StatusOK, a.status, "%s at %s: %s %v", k, f.Name, a.answer, a.err)
+		}
+		assert.Contains(s.t, f.state(), fmt.Sprintf(`"configuration": %d`, version), f.Name)
+	}
+	assert.Len(s.t, leaving.Runs(), before, "a leaving endpoint got work")
+}
+
+// state returns the state dump of an instance.
+func (front *front) state() string {
+	return platformtest.Get("http://" + front.Debug + "/debug/state")
+}
+
+func (s *site) keepLogs(seed uint64) {
+	for _, f := range s.fronts {
+		s.check(os.WriteFile(filepath.Join(*logs, fmt.Sprintf("%d-%s.log", seed, f.Name)), []byte(f.Logged()), 0o600))
+	}
+}
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -88,6 +88,15 @@
 	memory.late = nil
 }
 
+// Apply does what tx says whatever faults are set, as whoever does not go
+// through the instances' ways to the store.
+func (memory *Memory) Apply(tx store.Transaction) error {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	_, err := memory.apply(tx)
+	return err
+}
+
 // Compact forgets the history of changes.
 func (memory *Memory) Compact() {
 	memory.mu.Lock()
--- a/systemtest/front_test.go
+++ b/systemtest/front_test.go
@@ -209,6 +209,32 @@
 	assert.Contains(t, string(dump), `"configuration": 3`)
 }
 
+// Symptom: an instance ends by itself right after its start. Events: it is
+// started, and told to read its settings again while it reads them for the
+// first time. Cause: the signal was handled only once the instance served.
+func TestHangupDuringStartIsHarmless(t *testing.T) {
+	s := newSite(t, 1)
+	f := s.fronts[0]
+	f.Kill()
+	text, err := os.ReadFile(f.Settings)
+	require.NoError(t, err)
+	// The process waits for its settings until somebody writes them.
+	require.NoError(t, os.Remove(f.Settings))
+	require.NoError(t, syscall.Mkfifo(f.Settings, 0o600))
+	require.NoError(t, f.Start())
+	pipe, err := os.OpenFile(f.Settings, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, f.Signal(syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+	file := f.Settings + ".file"
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	require.NoError(t, os.Rename(file, f.Settings))
+	_, err = pipe.Write(text)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	require.Eventually(t, f.IsReady, 5*time.Second, 10*time.Millisecond, "%s", f.Logged())
+}
+
 func TestBadSettingsEndTheProcess(t *testing.T) {
 	bin, err := platformtest.Build()
 	require.NoError(t, err)
