account: the home of a program tells where its conversations are kept

Cause: on the grown opms site engines read 138 M tokens in 28,700 turns, 99 M of them beside the shared parts, where some 40 M were new: a program's turns come through 3.5 instances in the mean, and an instance that had not sent the turn before did not know at which engine the conversation is.

Change: the repayment of a loan names the engine that keeps the turn's conversation, and the next loan tells it to whoever serves the next turn.

--- a/account/keeper.go
+++ b/account/keeper.go
@@ -108,6 +108,7 @@
 	// tokens.
 	spent    time.Time
 	spentFor int64
+	places   places
 }
 
 func newProgram(id, owner string) *program {
@@ -185,42 +186,60 @@
 	// if the account is this instance's.
 	home string
 	loan uint64
+	// places are where parts of the turn's prompt are, as far as known;
+	// place is where the turn left its own.
+	places []Place
+	place  Place
 }
 
+// Places returns where the parts of the turn's prompt that Reserve was asked
+// for were left by turns before it, through whichever instance.
+func (reservation *Reservation) Places() []Place { return reservation.places }
+
+// KeptAt notes where the turn left a part of its prompt, for Settle.
+func (reservation *Reservation) KeptAt(place Place) { reservation.place = place }
+
 // Home returns the instance whose account grants the turn; "" for this one.
 func (reservation *Reservation) Home() string { return reservation.home }
 
 // Reserve makes turn tokens of the program's budget of total durable for a
 // turn. It returns a *SpentError if the budget does not hold them, a
 // *HeldError if it may later, or the store's *store.Error; then nothing is
-// reserved.
-func (keeper *Keeper) Reserve(ctx context.Context, id string, turn, total int64) (*Reservation, error) {
+// reserved. Parts name those of its prompt whose places it asks for.
+func (keeper *Keeper) Reserve(ctx context.Context, id string, turn, total int64, parts ...string) (*Reservation, error) {
 	p := keeper.program(id)
 	defer keeper.done(p)
-	if reservation := keeper.own(p, turn, total); reservation != nil {
+	if reservation := keeper.own(p, turn, total, parts); reservation != nil {
 		return reservation, nil
 	}
 	if keeper.knownSpent(p, turn) {
 		keeper.spent.Inc(1)
 		return nil, &SpentError{program: id, used: p.used(), total: total}
 	}
-	if reservation, err := keeper.borrow(ctx, p, turn, total); reservation != nil || err != nil {
+	if reservation, err := keeper.borrow(ctx, p, turn, total, parts); reservation != nil || err != nil {
 		return reservation, err
 	}
-	return keeper.reserve(ctx, p, turn, total)
+	return keeper.reserve(ctx, p, turn, total, parts)
 }
 
 // own reserves the turn if the account here grants it already.
-func (keeper *Keeper) own(p *program, turn, total int64) *Reservation {
+func (keeper *Keeper) own(p *program, turn, total int64, parts []string) *Reservation {
 	if decision, _ := p.begin(turn, total); decision != budget.DecisionServe {
 		return nil
 	}
-	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}
+	return keeper.reservation(p, turn, parts)
+}
+
+// reservation returns that of a turn that was begun.
+func (keeper *Keeper) reservation(p *program, turn int64, parts []string) *Reservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.tab.Version(), places: p.places.of(parts)}
 }
 
 // reserve reserves the turn by this instance's own account.
-func (keeper *Keeper) reserve(ctx context.Context, p *program, turn, total int64) (*Reservation, error) {
-	if reservation := keeper.own(p, turn, total); reservation != nil {
+func (keeper *Keeper) reserve(ctx context.Context, p *program, turn, total int64, parts []string) (*Reservation, error) {
+	if reservation := keeper.own(p, turn, total, parts); reservation != nil {
 		return reservation, nil
 	}
 	if keeper.knownSpent(p, turn) {
@@ -230,7 +249,7 @@
 	if err := keeper.grant(ctx, p, turn, total); err != nil {
 		return nil, err
 	}
-	return &Reservation{keeper: keeper, program: p, turn: turn, Version: p.version()}, nil
+	return keeper.reservation(p, turn, parts), nil
 }
 
 // grant returns once the row grants the turn and the turn is begun. If the
@@ -401,12 +420,13 @@
 	defer p.mu.Unlock()
 	if reservation.home != "" {
 		p.last = keeper.clock.Now()
-		if !keeper.loans.repay(reservation.home, Repayment{Loan: reservation.loan, Spent: spent}) {
+		if !keeper.loans.repay(reservation.home, Repayment{Loan: reservation.loan, Spent: spent, Place: reservation.place}) {
 			keeper.log.Warn("repayment dropped: the loan counts as spent", "program", p.id, "home", reservation.home)
 		}
 		return
 	}
 	p.tab.End(reservation.turn, spent)
+	p.places.note(reservation.place)
 	p.last = keeper.clock.Now()
 }
 
--- a/account/keeper_test.go
+++ b/account/keeper_test.go
@@ -42,8 +42,8 @@
 
 func (nobody) Home(string) string { return "" }
 
-func (nobody) Borrow(context.Context, string, string, int64, int64) (uint64, error) {
-	return 0, nil
+func (nobody) Borrow(context.Context, string, string, int64, int64, []string) (account.Loan, error) {
+	return account.Loan{}, nil
 }
 
 func (nobody) Repay(context.Context, string, []account.Repayment) error { return nil }
--- a/account/loan.go
+++ b/account/loan.go
@@ -33,6 +33,16 @@
 type Repayment struct {
 	Loan  uint64
 	Spent int64
+	// Place is where the turn left its conversation.
+	Place Place
+}
+
+// Loan is what a home set aside for a turn.
+type Loan struct {
+	// ID names the loan to its home.
+	ID uint64
+	// Places are where parts of the turn's prompt are.
+	Places []Place
 }
 
 // Lenders are the instances that keep the accounts of programs for others.
@@ -42,17 +52,17 @@
 	// Home returns the instance that keeps a program's account; "" if that
 	// is this one.
 	Home(program string) string
-	// Borrow has instance set turn tokens of a program's budget aside. It
-	// returns a *SpentError or a *HeldError if there are none, and another
+	// Borrow has instance set turn tokens of a program's budget aside, and
+	// asks for the places of parts of the turn's prompt. It returns a *SpentError or a *HeldError if there are none, and another
 	// error if it cannot be known.
-	Borrow(ctx context.Context, instance, program string, turn, total int64) (loan uint64, err error)
+	Borrow(ctx context.Context, instance, program string, turn, total int64, parts []string) (Loan, error)
 	// Repay tells instance what was spent of loans. A failure has no
 	// consequence but that they count as spent.
 	Repay(ctx context.Context, instance string, repayments []Repayment) error
 }
 
-// loan is what this instance lent of a program's account.
-type loan struct {
+// givenLoan is what this instance lent of a program's account.
+type givenLoan struct {
 	reservation *Reservation
 	at          time.Time
 }
@@ -60,7 +70,7 @@
 // loans are the loans given and the repayments due.
 type loans struct {
 	mu      sync.Mutex
-	given   map[uint64]loan
+	given   map[uint64]givenLoan
 	last    uint64
 	stopped bool
 	// due are the repayments to tell, by home.
@@ -70,25 +80,25 @@
 }
 
 func newLoans() *loans {
-	return &loans{given: map[uint64]loan{}, due: map[string][]Repayment{}, wake: make(chan struct{}, 1)}
+	return &loans{given: map[uint64]givenLoan{}, due: map[string][]Repayment{}, wake: make(chan struct{}, 1)}
 }
 
 // borrow reserves a turn at the program's home. It returns nil and no error
 // if this instance has to grant it by itself.
-func (keeper *Keeper) borrow(ctx context.Context, p *program, turn, total int64) (*Reservation, error) {
+func (keeper *Keeper) borrow(ctx context.Context, p *program, turn, total int64, parts []string) (*Reservation, error) {
 	home := keeper.lenders.Home(p.id)
 	if home == "" {
 		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	id, err := keeper.lenders.Borrow(ctx, home, p.id, turn, total)
+	loan, err := keeper.lenders.Borrow(ctx, home, p.id, turn, total, parts)
 	var spent *SpentError
 	var held *HeldError
 	switch {
 	case err == nil:
 		keeper.borrowed.Inc(1)
-		return &Reservation{keeper: keeper, program: p, turn: turn, home: home, loan: id}, nil
+		return &Reservation{keeper: keeper, program: p, turn: turn, home: home, loan: loan.ID, places: loan.Places}, nil
 	case errors.As(err, &spent):
 		keeper.foundSpent(p, turn)
 		return nil, err
@@ -106,18 +116,18 @@
 // Reserve does for this one, until Repaid, or until loanLifetime has passed:
 // then they count as spent. It returns a *StoppedError while the instance
 // stops, since what it gave back must not be granted again.
-func (keeper *Keeper) Lend(ctx context.Context, id string, turn, total int64) (uint64, error) {
+func (keeper *Keeper) Lend(ctx context.Context, id string, turn, total int64, parts []string) (Loan, error) {
 	if keeper.loans.isStopped() {
-		return 0, &StoppedError{}
+		return Loan{}, &StoppedError{}
 	}
 	p := keeper.program(id)
 	defer keeper.done(p)
-	reservation, err := keeper.reserve(ctx, p, turn, total)
+	reservation, err := keeper.reserve(ctx, p, turn, total, parts)
 	if err != nil {
-		return 0, err
+		return Loan{}, err
 	}
 	keeper.lent.Inc(1)
-	return keeper.loans.give(reservation, keeper.clock.Now()), nil
+	return Loan{ID: keeper.loans.give(reservation, keeper.clock.Now()), Places: reservation.places}, nil
 }
 
 // StoppedError is a loan asked of an instance that stops.
@@ -130,6 +140,7 @@
 func (keeper *Keeper) Repaid(repayments []Repayment) {
 	for _, repayment := range repayments {
 		if reservation := keeper.loans.take(repayment.Loan); reservation != nil {
+			reservation.KeptAt(repayment.Place)
 			reservation.Settle(min(max(repayment.Spent, 0), reservation.turn))
 		}
 	}
@@ -172,7 +183,7 @@
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
 	loans.last++
-	loans.given[loans.last] = loan{reservation: reservation, at: now}
+	loans.given[loans.last] = givenLoan{reservation: reservation, at: now}
 	return loans.last
 }
 
--- a/account/loan_test.go
+++ b/account/loan_test.go
@@ -46,13 +46,13 @@
 	return "i0"
 }
 
-func (l lender) Borrow(ctx context.Context, _, program string, turn, total int64) (uint64, error) {
+func (l lender) Borrow(ctx context.Context, _, program string, turn, total int64, parts []string) (account.Loan, error) {
 	if l.deaf.Load() {
-		return 0, errUnanswered
+		return account.Loan{}, errUnanswered
 	}
-	loan, err := l.keepers[0].Lend(ctx, program, turn, total)
+	loan, err := l.keepers[0].Lend(ctx, program, turn, total, parts)
 	if l.lose() {
-		return 0, errUnanswered
+		return account.Loan{}, errUnanswered
 	}
 	return loan, err
 }
@@ -115,6 +115,31 @@
 	assert.Equal(t, 1, memory.Commits())
 }
 
+// Symptom: engines read conversations anew that another engine holds, 3,700
+// tokens a turn. Events: a program's turns come through several instances;
+// each knows only what it sent itself. Cause: nobody told the next instance
+// where the conversation is. Its home does, also of turns that it served
+// itself, and of the newest place only.
+func TestHomeTellsWhereConversationsAre(t *testing.T) {
+	ctx := context.Background()
+	l := newLending(t, storetest.New(), clock.Real{}, 3, never)
+	turn := func(instance int, endpoint string) []account.Place {
+		reservation, err := l.keepers[instance].Reserve(ctx, "p", 100, 9900, "conversation", "helper")
+		require.NoError(t, err)
+		before := l.repaid.Load()
+		reservation.KeptAt(account.Place{Part: "conversation", Endpoint: endpoint, Tokens: 5000})
+		reservation.Settle(50)
+		if reservation.Home() != "" {
+			require.Eventually(t, func() bool { return l.repaid.Load() > before }, time.Second, time.Millisecond)
+		}
+		return reservation.Places()
+	}
+	assert.Empty(t, turn(1, "e1"))
+	assert.Equal(t, []account.Place{{Part: "conversation", Endpoint: "e1", Tokens: 5000}}, turn(2, "e2"))
+	assert.Equal(t, []account.Place{{Part: "conversation", Endpoint: "e2", Tokens: 5000}}, turn(0, "e3"))
+	assert.Equal(t, []account.Place{{Part: "conversation", Endpoint: "e3", Tokens: 5000}}, turn(1, "e1"))
+}
+
 // What a loan left over is there for the next turn, and a budget that is
 // spent is spent wherever the program asks.
 func TestRepaidLoanIsLentAgain(t *testing.T) {
@@ -168,7 +193,7 @@
 	ctx := context.Background()
 	clk := clock.NewFake(time.Unix(1000, 0))
 	l := newLending(t, storetest.New(), clk, 1, never)
-	_, err := l.keepers[0].Lend(ctx, "p", 567, 1000)
+	_, err := l.keepers[0].Lend(ctx, "p", 567, 1000, nil)
 	require.NoError(t, err)
 	clk.Advance(time.Minute)
 	_, err = l.keepers[0].Reserve(ctx, "p", 567, 1000)
@@ -182,7 +207,7 @@
 	ctx := context.Background()
 	l := newLending(t, storetest.New(), clock.Real{}, 1, never)
 	l.keepers[0].Stop(ctx)
-	_, err := l.keepers[0].Lend(ctx, "p", 567, 1000)
+	_, err := l.keepers[0].Lend(ctx, "p", 567, 1000, nil)
 	var stopped *account.StoppedError
 	assert.ErrorAs(t, err, &stopped)
 }
--- /dev/null
+++ b/account/place.go
@@ -0,0 +1,45 @@
+package account
+
+import "slices"
+
+// Place is where an engine keeps a part of a program's prompts, a
+// conversation or what a helper's prompt shares with it. The home of a
+// program remembers the places, since its turns come through several
+// instances: one that does not know where the conversation is has it read
+// anew, 5,000 tokens and more.
+type Place struct {
+	Part     string
+	Endpoint string
+	// Tokens are those of the part when it was left there.
+	Tokens int64
+}
+
+// maxPlaces are remembered of a program: its own conversation and those of
+// the helpers that work at a time.
+const maxPlaces = 8
+
+// places are those of one program, the newest last.
+type places []Place
+
+// note remembers a place.
+func (p *places) note(place Place) {
+	if place.Part == "" {
+		return
+	}
+	*p = slices.DeleteFunc(*p, func(old Place) bool { return old.Part == place.Part })
+	*p = append(*p, place)
+	if len(*p) > maxPlaces {
+		*p = slices.Delete(*p, 0, 1)
+	}
+}
+
+// of returns the places of the named parts.
+func (p places) of(parts []string) []Place {
+	var found []Place
+	for _, place := range p {
+		if slices.Contains(parts, place.Part) {
+			found = append(found, place)
+		}
+	}
+	return found
+}
--- a/balance/homes.go
+++ b/balance/homes.go
@@ -41,13 +41,17 @@
 // shared is one shared part.
 type shared struct {
 	uses float64
-	// ranks are the engines' places within their data centres, of the
-	// candidates that begin with first and are count.
-	ranks map[string]int
-	first *membership.Endpoint
-	count int
-	// sizes are the numbers of engines by data centre.
-	sizes map[string]int
+	// places are those of candidates, in their order.
+	places     []rankedPlace
+	candidates []*membership.Endpoint
+	// sizes are the numbers of candidates by data centre.
+	sizes []int
+}
+
+// rankedPlace is a candidate's rank for a part within its data centre, which
+// is an index of sizes.
+type rankedPlace struct {
+	rank, dataCentre int
 }
 
 func newHomes() *homes {
@@ -71,7 +75,8 @@
 	if homes.total > countWindow {
 		homes.halve()
 	}
-	if s.first != candidates[0] || s.count != len(candidates) {
+	// A list of candidates is never changed, a new one takes its place.
+	if len(s.candidates) != len(candidates) || &s.candidates[0] != &candidates[0] {
 		s.rank(part.ID, candidates)
 	}
 	return s
@@ -85,30 +90,37 @@
 	}
 }
 
-// kept returns how many engines of a data centre keep the part, given an
+// kept returns, by data centre, how many engines keep the part, given an
 // engine's memory in tokens.
-func (homes *homes) kept(s *shared, dataCentre string, capacity int64) int {
-	size := s.sizes[dataCentre]
+func (homes *homes) kept(s *shared, capacity int64) []int {
 	perEngine := homeShare * float64(capacity) / (homes.tokens / homes.total)
-	kept := int(math.Round(perEngine * float64(size) * s.uses / homes.total))
-	return min(max(kept, leastHomes), size)
+	kept := make([]int, len(s.sizes))
+	for i, size := range s.sizes {
+		wanted := int(math.Round(perEngine * float64(size) * s.uses / homes.total))
+		kept[i] = min(max(wanted, leastHomes), size)
+	}
+	return kept
 }
 
 // rank puts the candidates of each data centre in the part's order.
 func (s *shared) rank(part string, candidates []*membership.Endpoint) {
-	type scored struct {
-		endpoint *membership.Endpoint
-		score    uint64
-	}
-	all := make([]scored, 0, len(candidates))
-	for _, candidate := range candidates {
-		all = append(all, scored{endpoint: candidate, score: xxhash.Sum64String(part + "/" + candidate.ID)})
+	scores := make([]uint64, len(candidates))
+	order := make([]int, len(candidates))
+	for i, candidate := range candidates {
+		scores[i], order[i] = xxhash.Sum64String(part+"/"+candidate.ID), i
 	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	s.ranks, s.sizes = make(map[string]int, len(all)), map[string]int{}
-	for _, next := range all {
-		s.ranks[next.endpoint.ID] = s.sizes[next.endpoint.DataCentre]
-		s.sizes[next.endpoint.DataCentre]++
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	s.places, s.sizes = make([]rankedPlace, len(candidates)), nil
+	known := map[string]int{}
+	for _, i := range order {
+		dataCentre, ok := known[candidates[i].DataCentre]
+		if !ok {
+			dataCentre = len(s.sizes)
+			known[candidates[i].DataCentre] = dataCentre
+			s.sizes = append(s.sizes, 0)
+		}
+		s.places[i] = rankedPlace{rank: s.sizes[dataCentre], dataCentre: dataCentre}
+		s.sizes[dataCentre]++
 	}
-	s.first, s.count = candidates[0], len(candidates)
+	s.candidates = candidates
 }
--- a/balance/parts.go
+++ b/balance/parts.go
@@ -71,13 +71,18 @@
 		return
 	}
 	for _, part := range parts {
-		old, _ := cache.parts.Peek(part.ID)
-		cache.tokens += part.Tokens - old.tokens
-		cache.parts.Add(part.ID, held{tokens: part.Tokens, at: now})
+		cache.learn(part, now)
 	}
 	for cache.tokens > int64(cachedShare*float64(capacity)) && cache.parts.Len() > 0 {
 		cache.parts.RemoveOldest()
 	}
 }
 
+// learn notes that a part is held.
+func (cache *partCache) learn(part Part, now time.Time) {
+	old, _ := cache.parts.Peek(part.ID)
+	cache.tokens += part.Tokens - old.tokens
+	cache.parts.Add(part.ID, held{tokens: part.Tokens, at: now})
+}
+
 func (cache *partCache) len() int { return cache.parts.Len() }
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -120,17 +120,17 @@
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
 	now := picker.clock.Now()
-	isHome := picker.isHome(candidates, request)
+	keepers := picker.keepers(candidates, request)
 	var best Choice
 	bestAvoided := false
 	ties := 0
-	for _, candidate := range candidates {
+	for i, candidate := range candidates {
 		if skip(candidate.ID) {
 			continue
 		}
 		state := picker.state(candidate.ID)
 		avoided := now.Before(state.avoid)
-		cost, missing := picker.cost(candidate, state, request, isHome, now)
+		cost, missing := picker.cost(candidate, state, request, keepers.has(i), now)
 		better := best.state == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost
 		switch {
 		case better:
@@ -162,22 +162,33 @@
 	return state
 }
 
-// isHome returns whether an endpoint keeps the part that the request shares
-// with others.
-func (picker *Picker) isHome(candidates []*membership.Endpoint, request *Request) func(*membership.Endpoint) bool {
+// keepers returns which candidates keep the part that the request shares
+// with others, and nil if it shares none.
+func (picker *Picker) keepers(candidates []*membership.Endpoint, request *Request) *keepers {
 	if len(request.Parts) == 0 || len(candidates) == 0 {
-		return func(*membership.Endpoint) bool { return false }
+		return nil
 	}
 	s := picker.homes.note(request.Parts[0], candidates)
-	kept := map[string]int{}
-	for dataCentre := range s.sizes {
-		kept[dataCentre] = picker.homes.kept(s, dataCentre, request.Capacity)
+	return &keepers{shared: s, kept: picker.homes.kept(s, request.Capacity)}
+}
+
+// keepers are the candidates that keep a shared part.
+type keepers struct {
+	shared *shared
+	kept   []int
+}
+
+// has reports whether candidate i is one of them.
+func (keepers *keepers) has(i int) bool {
+	if keepers == nil {
+		return false
 	}
-	return func(endpoint *membership.Endpoint) bool { return s.ranks[endpoint.ID] < kept[endpoint.DataCentre] }
+	place := keepers.shared.places[i]
+	return place.rank < keepers.kept[place.dataCentre]
 }
 
 // cost returns how long candidate is expected to delay the request's answer.
-func (picker *Picker) cost(candidate *membership.Endpoint, state *endpoint, request *Request, isHome func(*membership.Endpoint) bool, now time.Time) (time.Duration, int64) {
+func (picker *Picker) cost(candidate *membership.Endpoint, state *endpoint, request *Request, keeps bool, now time.Time) (time.Duration, int64) {
 	slots := max(candidate.Slots, 1)
 	load := state.load(now)
 	cost := time.Duration(load) * slotCost
@@ -186,7 +197,7 @@
 		cost += usual.whole * time.Duration(load-slots+1) / time.Duration(slots)
 	}
 	cost += state.standing.cost(usual.head, now)
-	missing := state.parts.missing(request.Parts, isHome(candidate), now)
+	missing := state.parts.missing(request.Parts, keeps, now)
 	// While an engine reads a prompt all that it has wait, too, and what it
 	// reads pushes out what others need.
 	cost += prefillTime(missing) * time.Duration(yieldFactor*(1+load))
@@ -237,6 +248,14 @@
 	usual.head += time.Duration(serviceWeight * float64(head-usual.head))
 }
 
+// Learn takes in that an endpoint keeps a part of prompts, as another
+// instance left it there.
+func (picker *Picker) Learn(endpoint string, part Part) {
+	picker.mu.Lock()
+	defer picker.mu.Unlock()
+	picker.state(endpoint).parts.learn(part, picker.clock.Now())
+}
+
 // Told takes in what the endpoint said of its load while it has the
 // request.
 func (choice *Choice) Told(load Load) {
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// A conversation that another instance left at an engine is found there, once
+// that is known, though another engine of the data centre is as idle.
+func TestTurnFollowsConversationOfAnotherInstance(t *testing.T) {
+	for range 20 {
+		picker := balance.NewPicker(clock.NewFake(start))
+		request := &balance.Request{DataCentre: "a", Parts: prompt("s"), Capacity: 413343}
+		picker.Learn("a-3", balance.Part{ID: "s", Tokens: 1680})
+		assert.Equal(t, "a-3", picker.Pick(fleet(4, "a"), request, all).Endpoint().ID)
+	}
+}
+
 // Symptom: engines read shared parts of prompts again that they had read
 // seconds before: a third of all that they read, and with it a third of what
 // they could do. Events: 37 instances send prompts that begin with one of
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -44,16 +44,16 @@
 
 // Lend lends each program a turn of 567 tokens; "held" has to wait, and of
 // "unknown" nothing can be told.
-func (i *instance) Lend(_ context.Context, program string, turn, total int64) (uint64, error) {
+func (i *instance) Lend(_ context.Context, program string, turn, total int64, parts []string) (account.Loan, error) {
 	switch {
 	case program == "held":
-		return 0, account.NewHeldError(program)
+		return account.Loan{}, account.NewHeldError(program)
 	case program == "unknown":
-		return 0, store.NewError(store.FailureRefused, "commit", "test")
+		return account.Loan{}, store.NewError(store.FailureRefused, "commit", "test")
 	case turn > total:
-		return 0, account.NewSpentError(program, total)
+		return account.Loan{}, account.NewSpentError(program, total)
 	}
-	return 7, nil
+	return account.Loan{ID: 7, Places: []account.Place{{Part: parts[0], Endpoint: "e1", Tokens: 5000}}}, nil
 }
 
 func (i *instance) Repaid(repayments []account.Repayment) {
@@ -174,7 +174,7 @@
 	memory := storetest.New()
 	a, b := start(t, memory, "a"), start(t, memory, "b")
 	ctx := context.Background()
-	program := ""
+	program, parts := "", []string{"conversation"}
 	require.Eventually(t, func() bool {
 		for n := range 100 {
 			if id := fmt.Sprint("p", n); a.client.Home(id) == "b" {
@@ -183,23 +183,24 @@
 		}
 		return program != "" && b.client.Home(program) == ""
 	}, time.Second, 5*time.Millisecond)
-	loan, err := a.client.Borrow(ctx, "b", program, 567, 9900)
+	loan, err := a.client.Borrow(ctx, "b", program, 567, 9900, parts)
 	require.NoError(t, err)
-	require.NoError(t, a.client.Repay(ctx, "b", []account.Repayment{{Loan: loan, Spent: 300}}))
+	assert.Equal(t, []account.Place{{Part: "conversation", Endpoint: "e1", Tokens: 5000}}, loan.Places)
+	require.NoError(t, a.client.Repay(ctx, "b", []account.Repayment{{Loan: loan.ID, Spent: 300}}))
 	assert.Equal(t, int64(300), b.repaid.Load())
 	var spent *account.SpentError
-	_, err = a.client.Borrow(ctx, "b", program, 567, 100)
+	_, err = a.client.Borrow(ctx, "b", program, 567, 100, parts)
 	require.ErrorAs(t, err, &spent)
 	var held *account.HeldError
-	_, err = a.client.Borrow(ctx, "b", "held", 567, 9900)
+	_, err = a.client.Borrow(ctx, "b", "held", 567, 9900, parts)
 	require.ErrorAs(t, err, &held)
 	var lend *entrypeer.LendError
-	_, err = a.client.Borrow(ctx, "b", "unknown", 567, 9900)
+	_, err = a.client.Borrow(ctx, "b", "unknown", 567, 9900, parts)
 	require.ErrorAs(t, err, &lend)
-	_, err = a.client.Borrow(ctx, "nobody", program, 567, 9900)
+	_, err = a.client.Borrow(ctx, "nobody", program, 567, 9900, parts)
 	require.ErrorAs(t, err, &lend)
 	b.server.Close()
-	_, err = a.client.Borrow(ctx, "b", program, 567, 9900)
+	_, err = a.client.Borrow(ctx, "b", program, 567, 9900, parts)
 	require.Error(t, err)
 	assert.Empty(t, a.client.Home(program))
 }
--- a/entrypeer/lending.go
+++ b/entrypeer/lending.go
@@ -27,11 +27,12 @@
 type borrowMessage struct {
 	Program     string
 	Turn, Total int64
+	Parts       []string
 }
 
 type borrowAnswer struct {
 	Verdict verdict
-	Loan    uint64
+	Loan    account.Loan
 	Detail  string
 }
 
@@ -71,24 +72,24 @@
 }
 
 // Borrow implements account.Lenders.
-func (client *Client) Borrow(ctx context.Context, name, program string, turn, total int64) (uint64, error) {
+func (client *Client) Borrow(ctx context.Context, name, program string, turn, total int64, parts []string) (account.Loan, error) {
 	instance, ok := client.directory.named(name)
 	if !ok {
-		return 0, &LendError{instance: name, detail: "left meanwhile"}
+		return account.Loan{}, &LendError{instance: name, detail: "left meanwhile"}
 	}
 	var answer borrowAnswer
-	if err := client.call(ctx, instance, pathBorrow, &borrowMessage{Program: program, Turn: turn, Total: total}, &answer); err != nil {
-		return 0, err
+	if err := client.call(ctx, instance, pathBorrow, &borrowMessage{Program: program, Turn: turn, Total: total, Parts: parts}, &answer); err != nil {
+		return account.Loan{}, err
 	}
 	switch answer.Verdict {
 	case verdictLent:
 		return answer.Loan, nil
 	case verdictSpent:
-		return 0, account.NewSpentError(program, total)
+		return account.Loan{}, account.NewSpentError(program, total)
 	case verdictHeld:
-		return 0, account.NewHeldError(program)
+		return account.Loan{}, account.NewHeldError(program)
 	}
-	return 0, &LendError{instance: name, detail: answer.Detail}
+	return account.Loan{}, &LendError{instance: name, detail: answer.Detail}
 }
 
 // Repay implements account.Lenders.
@@ -114,7 +115,7 @@
 	}
 	answer := borrowAnswer{}
 	var err error
-	answer.Loan, err = server.Lender.Lend(r.Context(), message.Program, message.Turn, message.Total)
+	answer.Loan, err = server.Lender.Lend(r.Context(), message.Program, message.Turn, message.Total, message.Parts)
 	var spent *account.SpentError
 	var held *account.HeldError
 	switch {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -62,7 +62,9 @@
 
 func (alone) Home(string) string { return "" }
 
-func (alone) Borrow(context.Context, string, string, int64, int64) (uint64, error) { return 0, nil }
+func (alone) Borrow(context.Context, string, string, int64, int64, []string) (account.Loan, error) {
+	return account.Loan{}, nil
+}
 
 func (alone) Repay(context.Context, string, []account.Repayment) error { return nil }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	if e.spends() {
-		e.entrances.started(e.call.Program, e.priority)
+		e.noteServed()
 	}
 	return nil
 }
@@ -309,7 +309,7 @@
 	began := e.Clock.Now()
 	var reservation *account.Reservation
 	err := e.patiently(ctx, func() (err error) {
-		reservation, err = e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget)
+		reservation, err = e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget, e.ownParts()...)
 		return err
 	})
 	e.metrics.reserve.RecordDuration(e.Clock.Now().Sub(began))
@@ -324,9 +324,33 @@
 		return e.orGone(ctx, e.storeAway(err))
 	}
 	e.reservation = reservation
+	for _, place := range reservation.Places() {
+		e.Picker.Learn(place.Endpoint, balance.Part{ID: place.Part, Tokens: place.Tokens})
+	}
 	return nil
 }
 
+// ownParts returns the IDs of the prompt's parts that belong to the program;
+// the first is shared with others.
+func (e *exchange) ownParts() []string {
+	var ids []string
+	for i, part := range e.call.Parts {
+		if i > 0 {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
+// noteServed notes that an endpoint served the turn, and keeps its prompt.
+func (e *exchange) noteServed() {
+	e.entrances.started(e.call.Program, e.priority)
+	if parts := e.call.Parts; len(parts) > 1 {
+		last := parts[len(parts)-1]
+		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.tried[len(e.tried)-1], Tokens: last.Tokens + e.spent()})
+	}
+}
+
 // spent returns how many tokens the caller was handed.
 func (e *exchange) spent() int64 { return e.count * e.eventTokens() }
 
