gateway: services that tell no load hold requests back by their refusals

Cause: the window of a service follows what endpoints tell of their queues; some services tell nothing, and would be sent everything. Ruled out: nothing else tells. Change: a refusal counts as a queue as long as the places, an answer as none.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -121,8 +121,18 @@
 	entrances.programs.Add(program, standing{priority: priority, started: true})
 }
 
-// told takes in what an endpoint told of its load.
-func (entrance *entrance) told(load balance.Load) {
+// answered takes in what an endpoint's answer tells of its queue. One that
+// tells no load has a queue as long as its places if it is full, else none.
+func (entrance *entrance) answered(verdict Verdict) {
+	load := balance.Load{Slots: 1}
+	switch {
+	case verdict.Load != nil:
+		load = *verdict.Load
+	case verdict.Misdirected:
+		return
+	case verdict.NotRun:
+		load.Waiting = 1
+	}
 	running, waiting, _ := entrance.gate.Stats()
 	entrance.mu.Lock()
 	defer entrance.mu.Unlock()
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -84,8 +84,8 @@
 	verdict := e.Dialect.Verdict(response.Status, response.Header)
 	if verdict.Load != nil {
 		choice.Told(*verdict.Load)
-		e.entrance.told(*verdict.Load)
 	}
+	e.entrance.answered(verdict)
 	switch {
 	case verdict.Misdirected:
 		return balance.OutcomeUnreachable, errors.New("the address belongs to another endpoint")
