--- a/entry/tidy.go
+++ b/entry/tidy.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/program"
 )
 
@@ -17,18 +18,10 @@
 // Tidy keeps this instance's memory and journal small until ctx ends, then
 // reports on done.
 func (e *Entry) Tidy(ctx context.Context, done chan<- error) {
-	ticker := time.NewTicker(tidyPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			done <- nil
-			return
-		case <-ticker.C:
-			e.forgetEnded()
-			e.catchUp(ctx)
-		}
-	}
+	clock.Every(ctx, tidyPeriod, func(time.Time) {
+		e.forgetEnded()
+		e.catchUp(ctx)
+	}, done)
 }
 
 // forgetEnded drops ended programs from memory once endedFor has passed;
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -431,7 +431,7 @@
 // take the request for one that may have run.
 func (e *exchange) discardBody() {
 	_ = http.NewResponseController(e.w).SetReadDeadline(e.Clock.Now().Add(discardTime)) // a test's recorder has none
-	_, _ = io.Copy(io.Discard, io.LimitReader(e.r.Body, maxBody)) // the caller may be gone
+	_, _ = io.Copy(io.Discard, io.LimitReader(e.r.Body, maxBody))                       // the caller may be gone
 }
 
 // endConnection has the answer end its connection while the instance drains
--- a/sidecar/cachewatch.go
+++ b/sidecar/cachewatch.go
@@ -9,6 +9,7 @@
 	"github.com/dghubble/sling"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/engine"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 )
@@ -80,19 +81,11 @@
 
 // run reads the engine's events until ctx ends, then reports on done.
 func (w *cacheWatch) run(ctx context.Context, done chan<- error) {
-	ticker := time.NewTicker(cachePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			done <- nil
-			return
-		case <-ticker.C:
-			if err := w.poll(ctx); err != nil && ctx.Err() == nil {
-				w.log.Info("cache events not read", "err", err)
-			}
+	clock.Every(ctx, cachePeriod, func(time.Time) {
+		if err := w.poll(ctx); err != nil && ctx.Err() == nil {
+			w.log.Info("cache events not read", "err", err)
 		}
-	}
+	}, done)
 }
 
 type afterQuery struct {
