balance, gateway, admission: names as a newcomer reads them

A program has a home, an instance; that the engines which keep a shared part were called homes, too, needed explaining: they are its keepers. Endpoints have slots, conversations places.

--- a/admission/window.go
+++ b/admission/window.go
@@ -10,9 +10,9 @@
 	// leastDelay and delayShare of the usual time of a request are the wait
 	// in endpoints' queues above which work comes faster than it is done.
 	// Calls of 20 ms are spread by news that is older than they last, which
-	// takes a queue of one or two for each place at full use. Requests held
+	// takes a queue of one or two for each slot at full use. Requests held
 	// back sooner wait longer at instances that have more callers than
-	// others, while places are free: at 80 ms for turns of half a second
+	// others, while slots are free: at 80 ms for turns of half a second
 	// fleets of eight instances lost a tenth of their worth in a burst.
 	leastDelay = 40 * time.Millisecond
 	delayShare = 0.35
@@ -31,16 +31,16 @@
 	// before the first says nothing of it, and a turn of a model and the
 	// mean of ten answers take that long.
 	shrinkPause = 150 * time.Millisecond
-	// leastWindow keeps an instance's part of the places in use: 37
-	// instances share 66 places of plain calls on the larger fleets.
+	// leastWindow keeps an instance's part of the slots in use: 37
+	// instances share 66 slots of plain calls on the larger fleets.
 	leastWindow = 2
 	// firstWindow is above what one instance has under way at a service
-	// without a queue there: the endpoints of a fleet have 400 places.
+	// without a queue there: the endpoints of a fleet have 400 slots.
 	firstWindow = 400
 )
 
 // Window is how many requests an instance has at a service at once. All
-// instances share the endpoints' places without knowing of each other: each
+// instances share the endpoints' slots without knowing of each other: each
 // takes fewer while endpoints tell of queues, and more again when they tell
 // of none. So requests wait here, in order of urgency, and not in the queues
 // of endpoints, which know none. It is not safe for concurrent use.
@@ -57,11 +57,11 @@
 // Size returns the size.
 func (window *Window) Size() int { return max(int(window.size), leastWindow) }
 
-// Told takes in what an endpoint told of its queue and places, while this
+// Told takes in what an endpoint told of its queue and slots, while this
 // instance had running requests at the service and waiting ones here. A
 // request takes usual there.
-func (window *Window) Told(queue, places, running, waiting int, usual time.Duration) {
-	delay := usual * time.Duration(queue) / time.Duration(max(places, 1))
+func (window *Window) Told(queue, slots, running, waiting int, usual time.Duration) {
+	delay := usual * time.Duration(queue) / time.Duration(max(slots, 1))
 	window.delay += time.Duration(delayWeight * float64(delay-window.delay))
 	most := leastDelay + time.Duration(delayShare*float64(usual))
 	switch {
--- a/admission/window_test.go
+++ b/admission/window_test.go
@@ -20,9 +20,9 @@
 )
 
 // A burst of three times what the endpoints can do: 37 instances share 344
-// places. Each answer tells of a queue, one comes every 20 ms to this
+// slots. Each answer tells of a queue, one comes every 20 ms to this
 // instance. Within two seconds the instance has no more under way than its
-// share of the places; when the queues are gone and its own requests wait,
+// share of the slots; when the queues are gone and its own requests wait,
 // it is back at ten times that with 100 answers.
 func TestWindowFollowsQueuesOfEndpoints(t *testing.T) {
 	clk := clock.NewFake(morning)
@@ -42,11 +42,11 @@
 	assert.GreaterOrEqual(t, window.Size(), 10*small)
 }
 
-// Symptom: callers are refused while a third of the places are free. Events:
-// 37 instances spread short calls over eleven endpoints with six places, by
+// Symptom: callers are refused while a third of the slots are free. Events:
+// 37 instances spread short calls over eleven endpoints with six slots, by
 // news that is older than a call lasts; at most endpoints some calls queue
 // while others have room. Cause: any queue shrank the window. Four calls
-// waiting at six places are 13 ms of wait.
+// waiting at six slots are 13 ms of wait.
 func TestQueuesOfShortCallsLeaveWindowAlone(t *testing.T) {
 	clk := clock.NewFake(morning)
 	window := admission.NewWindow(clk)
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -71,7 +71,7 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
 	services  map[string]*service
-	homes     *homes
+	shared    *sharedParts
 }
 
 // service is what is usual at the endpoints of a service.
@@ -95,7 +95,7 @@
 
 // NewPicker returns a picker that knows nothing yet.
 func NewPicker(clk clock.Clock) *Picker {
-	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]*service{}, homes: newHomes()}
+	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]*service{}, shared: newSharedParts()}
 }
 
 // Choice is a request given to an endpoint, until Done.
@@ -170,23 +170,8 @@
 	if len(request.Parts) == 0 || len(candidates) == 0 {
 		return nil
 	}
-	s := picker.homes.note(request.Parts[0], candidates)
-	return &keepers{shared: s, kept: picker.homes.kept(s, request.Capacity)}
-}
-
-// keepers are the candidates that keep a shared part.
-type keepers struct {
-	shared *shared
-	kept   []int
-}
-
-// has reports whether candidate i is one of them.
-func (keepers *keepers) has(i int) bool {
-	if keepers == nil {
-		return false
-	}
-	place := keepers.shared.places[i]
-	return place.rank < keepers.kept[place.dataCentre]
+	s := picker.shared.note(request.Parts[0], candidates)
+	return &keepers{part: s, kept: picker.shared.kept(s, request.Capacity)}
 }
 
 // cost returns how long candidate is expected to delay the request's answer.
--- a/balance/homes.go
+++ b/balance/shared.go
@@ -12,14 +12,14 @@
 )
 
 const (
-	// homeShare is the part of an engine's memory that shared parts of
+	// keptShare is the part of an engine's memory that shared parts of
 	// prompts may take together; conversations and the requests that run
 	// have the rest. A third of 240,000 tokens is six of the sixteen shared
 	// parts that the larger fleets have in use.
-	homeShare = 0.35
-	// leastHomes of a data centre keep a shared part, so that the loss of
+	keptShare = 0.35
+	// leastKeepers of a data centre keep a shared part, so that the loss of
 	// one engine does not have it read anew everywhere.
-	leastHomes = 2
+	leastKeepers = 2
 	// maxShared bounds the shared parts that are remembered.
 	maxShared = 1024
 	// countWindow is after how many prompts the counts of shared parts are
@@ -27,19 +27,23 @@
 	countWindow = 512
 )
 
-// homes says which engines keep a shared part of prompts. All engines of a
-// larger fleet cannot keep all of them, and an instance sees only its own
-// few requests to each engine. So all instances agree without a word: the
-// engines of a data centre are ranked for each part by rendezvous hashing,
-// and as many of the first keep it as its share of the prompts needs.
-type homes struct {
-	shared *simplelru.LRU[string, *shared]
+// sharedParts says which engines keep the parts that prompts share. The
+// engines of a larger fleet cannot keep all of them each, and an instance
+// sees only its own few requests to each engine. So all instances agree
+// without a word: the engines of a data centre are ranked for each part by
+// rendezvous hashing, and as many of the first keep it as its share of the
+// prompts needs.
+type sharedParts struct {
+	parts *simplelru.LRU[string, *sharedPart]
+	// total prompts began with a shared part, tokens are those of these
+	// parts together; both fade.
 	total  float64
 	tokens float64
 }
 
-// shared is one shared part.
-type shared struct {
+// sharedPart is one of them.
+type sharedPart struct {
+	// uses are the prompts that began with it; they fade as total does.
 	uses float64
 	// places are those of candidates, in their order.
 	places     []rankedPlace
@@ -54,26 +58,26 @@
 	rank, dataCentre int
 }
 
-func newHomes() *homes {
-	h := &homes{}
+func newSharedParts() *sharedParts {
+	parts := &sharedParts{}
 	// The size is a positive constant, the only thing NewLRU refuses.
-	h.shared, _ = simplelru.NewLRU[string, *shared](maxShared, nil)
-	return h
+	parts.parts, _ = simplelru.NewLRU[string, *sharedPart](maxShared, nil)
+	return parts
 }
 
 // note counts a prompt that begins with part and returns what is known of
 // the part among candidates.
-func (homes *homes) note(part Part, candidates []*membership.Endpoint) *shared {
-	s, ok := homes.shared.Get(part.ID)
+func (parts *sharedParts) note(part Part, candidates []*membership.Endpoint) *sharedPart {
+	s, ok := parts.parts.Get(part.ID)
 	if !ok {
-		s = &shared{}
-		homes.shared.Add(part.ID, s)
+		s = &sharedPart{}
+		parts.parts.Add(part.ID, s)
 	}
 	s.uses++
-	homes.total++
-	homes.tokens += float64(part.Tokens)
-	if homes.total > countWindow {
-		homes.halve()
+	parts.total++
+	parts.tokens += float64(part.Tokens)
+	if parts.total > countWindow {
+		parts.halve()
 	}
 	// A list of candidates is never changed, a new one takes its place.
 	if len(s.candidates) != len(candidates) || &s.candidates[0] != &candidates[0] {
@@ -82,28 +86,28 @@
 	return s
 }
 
-func (homes *homes) halve() {
-	homes.total /= 2
-	homes.tokens /= 2
-	for _, s := range homes.shared.Values() {
+func (parts *sharedParts) halve() {
+	parts.total /= 2
+	parts.tokens /= 2
+	for _, s := range parts.parts.Values() {
 		s.uses /= 2
 	}
 }
 
 // kept returns, by data centre, how many engines keep the part, given an
 // engine's memory in tokens.
-func (homes *homes) kept(s *shared, capacity int64) []int {
-	perEngine := homeShare * float64(capacity) / (homes.tokens / homes.total)
+func (parts *sharedParts) kept(s *sharedPart, capacity int64) []int {
+	perEngine := keptShare * float64(capacity) / (parts.tokens / parts.total)
 	kept := make([]int, len(s.sizes))
 	for i, size := range s.sizes {
-		wanted := int(math.Round(perEngine * float64(size) * s.uses / homes.total))
-		kept[i] = min(max(wanted, leastHomes), size)
+		wanted := int(math.Round(perEngine * float64(size) * s.uses / parts.total))
+		kept[i] = min(max(wanted, leastKeepers), size)
 	}
 	return kept
 }
 
 // rank puts the candidates of each data centre in the part's order.
-func (s *shared) rank(part string, candidates []*membership.Endpoint) {
+func (s *sharedPart) rank(part string, candidates []*membership.Endpoint) {
 	scores := make([]uint64, len(candidates))
 	order := make([]int, len(candidates))
 	for i, candidate := range candidates {
@@ -124,3 +128,18 @@
 	}
 	s.candidates = candidates
 }
+
+// keepers are the candidates that keep a shared part.
+type keepers struct {
+	part *sharedPart
+	kept []int
+}
+
+// has reports whether candidate i is one of them.
+func (keepers *keepers) has(i int) bool {
+	if keepers == nil {
+		return false
+	}
+	place := keepers.part.places[i]
+	return place.rank < keepers.kept[place.dataCentre]
+}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -41,11 +41,11 @@
 
 	mu       sync.Mutex
 	services map[string]*entrance
-	programs *simplelru.LRU[string, standing]
+	programs *simplelru.LRU[string, programState]
 }
 
-// standing is what is remembered of a program whose turns came here.
-type standing struct {
+// programState is what is remembered of a program whose turns came here.
+type programState struct {
 	// priority is that of its turns: the calls of its tools are as urgent as
 	// the program that waits for them.
 	priority int
@@ -63,7 +63,7 @@
 func newEntrances(clk clock.Clock) *entrances {
 	e := &entrances{clock: clk, services: map[string]*entrance{}}
 	// The size is a positive constant, the only thing NewLRU refuses.
-	e.programs, _ = simplelru.NewLRU[string, standing](maxPrograms, nil)
+	e.programs, _ = simplelru.NewLRU[string, programState](maxPrograms, nil)
 	return e
 }
 
@@ -93,36 +93,36 @@
 	return states
 }
 
-// standing returns what is known of the program of a request with the
+// program returns what is known of the program of a request with the
 // priority of its route. A program whose tools call has begun, whether or not
 // its turns came here.
-func (entrances *entrances) standing(program string, priority int, isTurn bool) standing {
-	asked := standing{priority: priority, started: !isTurn}
-	if program == "" {
-		return asked
+func (entrances *entrances) program(id string, priority int, isTurn bool) programState {
+	state := programState{priority: priority, started: !isTurn}
+	if id == "" {
+		return state
 	}
 	entrances.mu.Lock()
 	defer entrances.mu.Unlock()
-	known, ok := entrances.programs.Get(program)
+	known, ok := entrances.programs.Get(id)
 	if ok {
-		asked.priority = min(asked.priority, known.priority)
-		asked.started = asked.started || known.started
+		state.priority = min(state.priority, known.priority)
+		state.started = state.started || known.started
 	}
 	if isTurn {
-		entrances.programs.Add(program, standing{priority: asked.priority, started: known.started})
+		entrances.programs.Add(id, programState{priority: state.priority, started: known.started})
 	}
-	return asked
+	return state
 }
 
 // started notes that a turn of the program was served.
 func (entrances *entrances) started(program string, priority int) {
 	entrances.mu.Lock()
 	defer entrances.mu.Unlock()
-	entrances.programs.Add(program, standing{priority: priority, started: true})
+	entrances.programs.Add(program, programState{priority: priority, started: true})
 }
 
 // answered takes in what an endpoint's answer tells of its queue. One that
-// tells no load has a queue as long as its places if it is full, else none.
+// tells no load has a queue as long as its slots if it is full, else none.
 func (entrance *entrance) answered(verdict Verdict) {
 	load := balance.Load{Slots: 1}
 	switch {
@@ -152,7 +152,7 @@
 	e.entrance = e.entrances.of(e.service)
 	now := e.Clock.Now()
 	patience := e.entrance.patience(e.until.Sub(now))
-	of := e.entrances.standing(e.call.Program, e.route.Priority, e.spends())
+	of := e.entrances.program(e.call.Program, e.route.Priority, e.spends())
 	e.priority = of.priority
 	ticket := admission.Ticket{Urgency: -of.priority, New: !of.started, Arrived: now, Deadline: now.Add(delaySlack * patience)}
 	if e.call.Finish > 0 {
--- a/gateway/admit_test.go
+++ b/gateway/admit_test.go
@@ -16,10 +16,10 @@
 
 // Symptom: an urgent conversation of eleven turns is late, since each of its
 // turns waits as long as those of a burst. Events: thirty programs of lower
-// priority keep an engine busy that has four places; a turn takes 90 ms
+// priority keep an engine busy that has four slots; a turn takes 90 ms
 // there, so that each of theirs waits some 0.6 s; an urgent program begins.
 // Cause: engines know no priorities, and all turns waited in the engine's
-// queue. Held back at the instance, the urgent one waits for the next place.
+// queue. Held back at the instance, the urgent one waits for the next slot.
 func TestUrgentTurnsPassBurst(t *testing.T) {
 	b := newBed(t)
 	b.model.Limited, b.model.Slots, b.model.Pause = true, 4, 30*time.Millisecond
