--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtaildrum/wagtaildrum/debug"
+	"github.com/wagtaildrum/wagtaildrum/logging"
 )
 
 // process holds what every long-running subcommand shares: its logger,
@@ -33,7 +34,7 @@
 
 // newLoggingProcess is newProcess for a process that logs to out.
 func newLoggingProcess(role, instance string, out io.Writer) *process {
-	log := slog.New(slog.NewTextHandler(out, nil)).With("role", role, "instance", instance)
+	log := slog.New(logging.NewHandler(out)).With("role", role, "instance", instance)
 	return &process{log: log, metrics: debug.NewMetrics(role), done: make(chan error, 16)}
 }
 
