--- a/account/loan.go
+++ b/account/loan.go
@@ -54,8 +54,9 @@
 	// is this one.
 	Home(program string) string
 	// Borrow has instance set turn tokens of a program's budget aside, and
-	// asks for the places of parts of the turn's prompt. It returns a *SpentError or a *HeldError if there are none, and another
-	// error if it cannot be known.
+	// asks for the places of parts of the turn's prompt. It returns a
+	// *SpentError or a *HeldError if there are no tokens left, and another
+	// error if that cannot be known.
 	Borrow(ctx context.Context, instance, program string, turn, total int64, parts []string) (Loan, error)
 	// Repay tells instance what was spent of loans. A failure has no
 	// consequence but that they count as spent.
--- a/account/place.go
+++ b/account/place.go
@@ -22,21 +22,21 @@
 type places []Place
 
 // note remembers a place.
-func (p *places) note(place Place) {
+func (places *places) note(place Place) {
 	if place.Part == "" {
 		return
 	}
-	*p = slices.DeleteFunc(*p, func(old Place) bool { return old.Part == place.Part })
-	*p = append(*p, place)
-	if len(*p) > maxPlaces {
-		*p = slices.Delete(*p, 0, 1)
+	*places = slices.DeleteFunc(*places, func(old Place) bool { return old.Part == place.Part })
+	*places = append(*places, place)
+	if len(*places) > maxPlaces {
+		*places = slices.Delete(*places, 0, 1)
 	}
 }
 
 // of returns the places of the named parts.
-func (p places) of(parts []string) []Place {
+func (places places) of(parts []string) []Place {
 	var found []Place
-	for _, place := range p {
+	for _, place := range places {
 		if slices.Contains(parts, place.Part) {
 			found = append(found, place)
 		}
--- a/balance/shared.go
+++ b/balance/shared.go
@@ -107,26 +107,26 @@
 }
 
 // rank puts the candidates of each data centre in the part's order.
-func (s *sharedPart) rank(part string, candidates []*membership.Endpoint) {
+func (shared *sharedPart) rank(part string, candidates []*membership.Endpoint) {
 	scores := make([]uint64, len(candidates))
 	order := make([]int, len(candidates))
 	for i, candidate := range candidates {
 		scores[i], order[i] = xxhash.Sum64String(part+"/"+candidate.ID), i
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
-	s.places, s.sizes = make([]rankedPlace, len(candidates)), nil
+	shared.places, shared.sizes = make([]rankedPlace, len(candidates)), nil
 	known := map[string]int{}
 	for _, i := range order {
 		dataCentre, ok := known[candidates[i].DataCentre]
 		if !ok {
-			dataCentre = len(s.sizes)
+			dataCentre = len(shared.sizes)
 			known[candidates[i].DataCentre] = dataCentre
-			s.sizes = append(s.sizes, 0)
+			shared.sizes = append(shared.sizes, 0)
 		}
-		s.places[i] = rankedPlace{rank: s.sizes[dataCentre], dataCentre: dataCentre}
-		s.sizes[dataCentre]++
+		shared.places[i] = rankedPlace{rank: shared.sizes[dataCentre], dataCentre: dataCentre}
+		shared.sizes[dataCentre]++
 	}
-	s.candidates = candidates
+	shared.candidates = candidates
 }
 
 // keepers are the candidates that keep a shared part.
--- a/balance/standing.go
+++ b/balance/standing.go
@@ -44,46 +44,46 @@
 }
 
 // sent notes a request on its way.
-func (s *standing) sent(now time.Time) {
-	if s.owed == 0 {
-		s.heard = now
+func (standing *standing) sent(now time.Time) {
+	if standing.owed == 0 {
+		standing.heard = now
 	}
-	s.owed++
+	standing.owed++
 }
 
 // settled notes that a request is owed no more; answered tells that the
 // endpoint answered it.
-func (s *standing) settled(now time.Time, answered bool) {
-	s.owed--
+func (standing *standing) settled(now time.Time, answered bool) {
+	standing.owed--
 	if answered {
-		s.heard = now
+		standing.heard = now
 	}
 }
 
 // took takes in the time to the head of an answer. What was known before
 // has faded by now: an endpoint that was not used for newsLifetime is known
 // by this answer alone.
-func (s *standing) took(head time.Duration, now time.Time) {
-	weight := max(newsWeight, 1-s.trust(now))
-	s.head += time.Duration(weight * float64(head-s.head))
-	s.news = now
+func (standing *standing) took(head time.Duration, now time.Time) {
+	weight := max(newsWeight, 1-standing.trust(now))
+	standing.head += time.Duration(weight * float64(head-standing.head))
+	standing.news = now
 }
 
 // ended takes in whether a request failed. What was known before has faded
 // by now.
-func (s *standing) ended(failed bool, now time.Time) {
-	share := s.failing * s.trust(now)
+func (standing *standing) ended(failed bool, now time.Time) {
+	share := standing.failing * standing.trust(now)
 	if failed {
 		share += newsWeight * (1 - share)
 	} else {
 		share -= newsWeight * share
 	}
-	s.failing, s.news = share, now
+	standing.failing, standing.news = share, now
 }
 
 // trust is how much of what is known counts at now.
-func (s *standing) trust(now time.Time) float64 {
-	return max(1-float64(now.Sub(s.news))/float64(newsLifetime), 0)
+func (standing *standing) trust(now time.Time) float64 {
+	return max(1-float64(now.Sub(standing.news))/float64(newsLifetime), 0)
 }
 
 // allowance is how long an answer may take before the endpoint counts as
@@ -94,14 +94,14 @@
 
 // cost is what the endpoint's faults are expected to cost a request, given
 // the usual time to the head of an answer of its service; 0 if unknown.
-func (s *standing) cost(usual time.Duration, now time.Time) time.Duration {
-	trust := s.trust(now)
-	cost := time.Duration(s.failing * trust * float64(failureCost))
-	if slow := s.head - slowFactor*usual; slow > 0 && usual > 0 {
+func (standing *standing) cost(usual time.Duration, now time.Time) time.Duration {
+	trust := standing.trust(now)
+	cost := time.Duration(standing.failing * trust * float64(failureCost))
+	if slow := standing.head - slowFactor*usual; slow > 0 && usual > 0 {
 		cost += time.Duration(trust * float64(slow))
 	}
-	if s.owed > 0 {
-		cost += max(now.Sub(s.heard)-allowance(usual), 0)
+	if standing.owed > 0 {
+		cost += max(now.Sub(standing.heard)-allowance(usual), 0)
 	}
 	return cost
 }
