Endpoints that start again under their ID; entries of other writers

One that crashes and starts again under its ID kept the load, the faults and the cached prompts of its earlier start; an entry that another writer left could name an empty address, or leave the good one before it in force.

Beliefs (load, standing, cached parts, places told by a program's home) are of one start. Unused connections to an endpoint that started again are dropped.

Ruled out: closing connections in use, since requests sent after the new start, before its entry is seen, are its own.

--- a/account/place.go
+++ b/account/place.go
@@ -8,7 +8,8 @@
 // instances: one that does not know where the conversation is has it read
 // anew, 5,000 tokens and more.
 type Place struct {
-	Part     string
+	Part string
+	// Endpoint names one start of it: the next one has an empty memory.
 	Endpoint string
 	// Tokens are those of the part when it was left there.
 	Tokens int64
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -130,7 +130,7 @@
 		if skip(candidate.ID) {
 			continue
 		}
-		state := picker.state(candidate.ID)
+		state := picker.state(candidate.Incarnation())
 		avoided := now.Before(state.avoid)
 		cost, missing := picker.cost(candidate, state, request, keepers.has(i), now)
 		better := best.state == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost
@@ -155,11 +155,12 @@
 	return &best
 }
 
-func (picker *Picker) state(id string) *endpoint {
-	state, ok := picker.endpoints[id]
+// state returns what is known of one start of an endpoint.
+func (picker *Picker) state(incarnation string) *endpoint {
+	state, ok := picker.endpoints[incarnation]
 	if !ok {
 		state = &endpoint{parts: newPartCache()}
-		picker.endpoints[id] = state
+		picker.endpoints[incarnation] = state
 	}
 	return state
 }
@@ -235,12 +236,12 @@
 	usual.head += time.Duration(serviceWeight * float64(head-usual.head))
 }
 
-// Learn takes in that an endpoint keeps a part of prompts, as another
-// instance left it there.
-func (picker *Picker) Learn(endpoint string, part Part) {
+// Learn takes in that one start of an endpoint keeps a part of prompts, as
+// another instance left it there.
+func (picker *Picker) Learn(incarnation string, part Part) {
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
-	picker.state(endpoint).parts.learn(part, picker.clock.Now())
+	picker.state(incarnation).parts.learn(part, picker.clock.Now())
 }
 
 // Told takes in what the endpoint said of its load while it has the
@@ -307,14 +308,14 @@
 	}
 }
 
-// Forget drops the endpoints that keep does not name and that have nothing
-// in flight.
-func (picker *Picker) Forget(keep func(id string) bool) {
+// Forget drops the starts of endpoints that keep does not name and that have
+// nothing in flight.
+func (picker *Picker) Forget(keep func(incarnation string) bool) {
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
-	for id, state := range picker.endpoints {
-		if state.inFlight == 0 && !keep(id) {
-			delete(picker.endpoints, id)
+	for incarnation, state := range picker.endpoints {
+		if state.inFlight == 0 && !keep(incarnation) {
+			delete(picker.endpoints, incarnation)
 		}
 	}
 }
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -169,6 +169,39 @@
 	assert.Equal(t, "a-0", picker.Pick(endpoints, request, all).Endpoint().ID)
 }
 
+// Symptom: an endpoint that started again gets no work, or conversations that
+// it does not hold any more. Events: it is full and fails, crashes with what
+// it had in flight, and starts under the ID that it had; then what was in
+// flight ends. Cause: what was known of the earlier start was believed of the
+// new one.
+func TestEndpointThatStartsAgainIsNew(t *testing.T) {
+	picker := balance.NewPicker(clock.NewFake(start))
+	endpoints := fleet(2, "a")
+	request := &balance.Request{DataCentre: "a", Parts: prompt("s"), Capacity: 413343}
+	notOther := func(id string) bool { return id != "a-0" }
+	var flying []*balance.Choice
+	for range 40 {
+		flying = append(flying, picker.Pick(endpoints, request, notOther))
+	}
+	warm := flying[39].Missing
+	again := *endpoints[0]
+	again.Born = 1764720000000
+	endpoints = []*membership.Endpoint{&again, endpoints[1]}
+	first := picker.Pick(endpoints, request, notOther)
+	assert.Greater(t, first.Missing, warm, "nothing of the conversation is there")
+	assert.Less(t, first.Cost, flying[1].Cost+time.Second)
+	for _, choice := range flying {
+		choice.Done(balance.OutcomeBroken)
+	}
+	first.Answered()
+	first.Done(balance.OutcomeServed)
+	assert.Equal(t, "a-0", picker.Pick(endpoints, request, all).Endpoint().ID, "its earlier start's failures are not its own")
+	picker.Forget(func(incarnation string) bool { return incarnation != "a-0" })
+	for _, view := range picker.Views() {
+		assert.NotEqual(t, "a-0", view.ID)
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	picker := balance.NewPicker(clock.NewFake(start))
 	assert.Nil(t, picker.Pick(nil, &balance.Request{}, all))
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -156,11 +156,14 @@
 		Clock: clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
-	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, p.log), clk, p.log, scope)
+	f.endpoints = discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.restarted, clk, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(guard, directory.Source(p.log), clk, p.log, scope)
 	return f
 }
 
+// restarted drops the connections to an endpoint that started again.
+func (f *front) restarted(endpoint *membership.Endpoint) { f.client.Drop(endpoint.Address) }
+
 // durability is how the store can be reached from here.
 type durability struct {
 	store     *store.Guard
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -168,16 +168,23 @@
 	}}
 }
 
-// Endpoints returns the source of the list of endpoints in a table.
-func Endpoints(table string, decode func(id string, data []byte) (*membership.Endpoint, error), list *membership.List, clk clock.Clock, log *slog.Logger) Source {
+// Endpoints returns the source of the list of endpoints in a table. It calls
+// restarted for each endpoint that started again under its ID.
+func Endpoints(table string, decode func(id string, data []byte) (*membership.Endpoint, error), list *membership.List, restarted func(*membership.Endpoint), clk clock.Clock, log *slog.Logger) Source {
+	// An entry that cannot be used stands for its endpoint all the same: what
+	// it replaced is not in force any more.
 	decoded := func(row store.Row) *membership.Endpoint {
 		endpoint, err := decode(row.Key.Name, row.Value)
 		if err != nil {
-			log.Error("endpoint entry refused", "endpoint", row.Key.Name, "row_version", row.Version, "err", err)
-			return nil
+			log.Error("endpoint entry refused: it takes no work", "endpoint", row.Key.Name, "row_version", row.Version, "err", err)
+			return &membership.Endpoint{ID: row.Key.Name, State: membership.StateInvalid}
 		}
 		return endpoint
 	}
+	again := func(endpoint *membership.Endpoint) {
+		log.Info("endpoint started again", "endpoint", endpoint.ID, "born", endpoint.Born, "address", endpoint.Address)
+		restarted(endpoint)
+	}
 	return Source{
 		Table: table,
 		Wait:  promptWait,
@@ -189,19 +196,20 @@
 				list.Remove(row.Key.Name, clk.Now())
 				return
 			}
-			if endpoint := decoded(row); endpoint != nil {
-				log.Info("endpoint", "endpoint", endpoint.ID, "service", endpoint.Service, "address", endpoint.Address, "state", endpoint.State, "row_version", row.Version)
-				list.Put(endpoint)
+			endpoint := decoded(row)
+			log.Info("endpoint", "endpoint", endpoint.ID, "born", endpoint.Born, "service", endpoint.Service, "address", endpoint.Address, "state", endpoint.State, "row_version", row.Version)
+			if list.Put(endpoint) {
+				again(endpoint)
 			}
 		},
 		Whole: func(rows []store.Row) {
 			all := make([]*membership.Endpoint, 0, len(rows))
 			for _, row := range rows {
-				if endpoint := decoded(row); endpoint != nil {
-					all = append(all, endpoint)
-				}
+				all = append(all, decoded(row))
+			}
+			for _, endpoint := range list.Replace(all, clk.Now()) {
+				again(endpoint)
 			}
-			list.Replace(all, clk.Now())
 			log.Info("endpoints read", "endpoints", len(all))
 		},
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 type instance struct {
 	*gateway.Gateway
 	bed     *bed
+	client  *upstream.Client
 	address string
 	stop    context.CancelFunc
 	done    chan error
@@ -85,8 +86,8 @@
 	clk := clock.Real{}
 	current, list := &route.Current{}, membership.NewList()
 	guard := store.NewGuard(b.memory, func(string, bool, error) {})
-	i := &instance{bed: b, done: make(chan error, 4)}
-	i.Gateway = gateway.New(gateway.Parts{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: upstream.NewClient(),
+	i := &instance{bed: b, client: upstream.NewClient(), done: make(chan error, 4)}
+	i.Gateway = gateway.New(gateway.Parts{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
 		Accounts: account.NewKeeper(guard, fmt.Sprintf("i%d", b.ids.Add(1)), alone{}, alone{}, clk, log, tally.NoopScope), Archive: archive.New(guard, 64<<10, 1<<20, tally.NoopScope), Durability: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
@@ -95,7 +96,7 @@
 	require.NoError(b.t, err)
 	i.address = listener.Addr().String()
 	go discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, log), clk, log, tally.NoopScope).Run(ctx, i.done)
-	go discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, clk, log), clk, log, tally.NoopScope).Run(ctx, i.done)
+	go discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, func(endpoint *membership.Endpoint) { i.client.Drop(endpoint.Address) }, clk, log), clk, log, tally.NoopScope).Run(ctx, i.done)
 	go gateway.NewServer(i.Gateway, log).Serve(ctx, listener, 5*time.Second, i.done)
 	b.t.Cleanup(cancel)
 	require.Eventually(b.t, i.Ready, 2*time.Second, 5*time.Millisecond)
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -46,7 +46,7 @@
 		if choice == nil {
 			break
 		}
-		e.tried = append(e.tried, choice.Endpoint().ID)
+		e.tried, e.asked = append(e.tried, choice.Endpoint().ID), choice.Endpoint().Incarnation()
 		outcome, err := e.ask(ctx, choice)
 		choice.Done(outcome)
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,6 +90,8 @@
 	// those that may have run it.
 	tried []string
 	runs  int
+	// asked is the start of the endpoint that was asked last.
+	asked string
 	// What the caller was given: the head of an answer, events, and the ID
 	// of the last one.
 	answered  bool
@@ -350,7 +352,7 @@
 	e.entrances.started(e.call.Program, e.priority)
 	if parts := e.call.Parts; len(parts) > 1 {
 		last := parts[len(parts)-1]
-		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.tried[len(e.tried)-1], Tokens: last.Tokens + e.spent()})
+		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.asked, Tokens: last.Tokens + e.spent()})
 	}
 }
 
--- a/membership/list.go
+++ b/membership/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,12 +23,21 @@
 	// StateMissing endpoints left the list around an outage of its store.
 	// They take work until the grace time ends.
 	StateMissing
+	// StateInvalid endpoints have an entry that names none to use, as another
+	// writer left it. They take no work until a good entry replaces it.
+	StateInvalid
 )
 
+// takesWork reports whether an endpoint in the state may be given work.
+func (state State) takesWork() bool { return state == StateReady || state == StateMissing }
+
 // Endpoint is an instance of a service. It is immutable.
 type Endpoint struct {
-	// ID is new with each start of the endpoint.
-	ID         string
+	// ID is the endpoint's; one that starts again may keep it.
+	ID string
+	// Born is when it started, in its own milliseconds since 1970; 0 if it
+	// does not tell. It tells its starts apart.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -35,6 +45,16 @@
 	State      State
 }
 
+// Incarnation names one start of the endpoint. What is believed of an
+// endpoint is believed of one start: the next one has an empty memory and
+// none of the requests and faults of the one before.
+func (endpoint *Endpoint) Incarnation() string {
+	if endpoint.Born == 0 {
+		return endpoint.ID
+	}
+	return endpoint.ID + "@" + strconv.FormatInt(endpoint.Born, 10)
+}
+
 // Missing endpoints of an outage are back in the list within about two
 // seconds of the store's return, if they live; recoveryGrace is that time.
 const recoveryGrace = 2 * time.Second
@@ -97,13 +117,40 @@
 	}
 }
 
-// Put takes in an endpoint as the list has it.
-func (list *List) Put(endpoint *Endpoint) {
+// Put takes in an endpoint as the list has it. It reports whether the
+// endpoint started again since it was last put. An entry of an earlier start
+// changes nothing: a heartbeat may be written late.
+func (list *List) Put(endpoint *Endpoint) (restarted bool) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	list.endpoints[endpoint.ID] = endpoint
-	delete(list.missing, endpoint.ID)
+	restarted = list.put(endpoint)
 	list.publish()
+	return restarted
+}
+
+func (list *List) put(endpoint *Endpoint) (restarted bool) {
+	known, ok := list.endpoints[endpoint.ID]
+	delete(list.missing, endpoint.ID)
+	switch {
+	case !ok:
+	case endpoint.State == StateInvalid, endpoint.Born == 0 && known.Born != 0:
+		// An entry that lacks what the endpoint always tells is another
+		// writer's, too. Which start was the last one stays known.
+		invalid := *known
+		invalid.State = StateInvalid
+		endpoint = &invalid
+	case endpoint.Born < known.Born && known.State == StateMissing:
+		// The entry is back, though an old one: the endpoint did not lapse.
+		back := *known
+		back.State = StateReady
+		endpoint = &back
+	case endpoint.Born < known.Born:
+		return false
+	default:
+		restarted = endpoint.Born > known.Born && known.Address != ""
+	}
+	list.endpoints[endpoint.ID] = endpoint
+	return restarted
 }
 
 // Remove takes in that an endpoint left the list. Around an outage of the
@@ -121,7 +168,7 @@
 	if !ok {
 		return
 	}
-	if endpoint.State == StateDraining || !list.away && now.Sub(list.returned) >= recoveryGrace {
+	if !endpoint.State.takesWork() || !list.away && now.Sub(list.returned) >= recoveryGrace {
 		delete(list.endpoints, id)
 		delete(list.missing, id)
 		return
@@ -135,15 +182,17 @@
 	list.missing[id] = now
 }
 
-// Replace takes in the whole list, read at now.
-func (list *List) Replace(all []*Endpoint, now time.Time) {
+// Replace takes in the whole list, read at now, and returns the endpoints
+// that started again since they were last put.
+func (list *List) Replace(all []*Endpoint, now time.Time) (restarted []*Endpoint) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	present := make(map[string]bool, len(all))
 	for _, endpoint := range all {
 		present[endpoint.ID] = true
-		list.endpoints[endpoint.ID] = endpoint
-		delete(list.missing, endpoint.ID)
+		if list.put(endpoint) {
+			restarted = append(restarted, endpoint)
+		}
 	}
 	for id := range list.endpoints {
 		if !present[id] {
@@ -152,6 +201,7 @@
 	}
 	list.publish()
 	list.known.Store(true)
+	return restarted
 }
 
 // Expire drops the endpoints still missing recoveryGrace after the store's
@@ -176,7 +226,7 @@
 func (list *List) publish() {
 	services := map[string][]*Endpoint{}
 	for _, endpoint := range list.endpoints {
-		if endpoint.State != StateDraining {
+		if endpoint.State.takesWork() {
 			services[endpoint.Service] = append(services[endpoint.Service], endpoint)
 		}
 	}
@@ -186,10 +236,12 @@
 	list.services.Store(&services)
 }
 
-// Knows reports whether the list holds the endpoint, leaving or not.
-func (list *List) Knows(id string) bool {
+// Knows reports whether the list holds the start of an endpoint that
+// incarnation names, leaving or not.
+func (list *List) Knows(incarnation string) bool {
+	id, _, _ := strings.Cut(incarnation, "@")
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	_, ok := list.endpoints[id]
-	return ok
+	endpoint, ok := list.endpoints[id]
+	return ok && endpoint.Incarnation() == incarnation
 }
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -68,6 +68,52 @@
 	assert.Equal(t, []string{"b"}, ids(list))
 }
 
+func born(id string, at int64) *membership.Endpoint {
+	started := endpoint(id, membership.StateReady)
+	started.Born = at
+	return started
+}
+
+// Symptom: an endpoint that started again is taken for the one before, with
+// its load, its faults and its cached prompts. Events: it crashes and starts
+// under the ID that it had; a heartbeat of its earlier start is written late.
+// Cause: only the ID told endpoints apart.
+func TestEndpointThatStartsAgain(t *testing.T) {
+	list := membership.NewList()
+	assert.False(t, list.Put(born("a", 100)))
+	assert.False(t, list.Put(born("a", 100)), "a heartbeat")
+	assert.True(t, list.Put(born("a", 200)))
+	assert.False(t, list.Put(born("a", 100)), "the late heartbeat")
+	assert.Equal(t, "a@200", list.Service("model")[0].Incarnation())
+	assert.True(t, list.Knows("a@200"))
+	assert.False(t, list.Knows("a@100"))
+	assert.Equal(t, []*membership.Endpoint{born("a", 300)}, list.Replace([]*membership.Endpoint{born("a", 300)}, start))
+}
+
+// Symptom: requests go on to an endpoint whose entry another writer replaced,
+// or a whole service is lost to one bad entry. Events: an entry is overwritten
+// by one that names no endpoint; a good one follows. Cause: the bad entry was
+// passed over, so that the one before stayed in force.
+func TestBadEntryEndsItsEndpointOnly(t *testing.T) {
+	list := membership.NewList()
+	list.Replace([]*membership.Endpoint{born("a", 100), born("b", 100)}, start)
+	list.Put(&membership.Endpoint{ID: "a", State: membership.StateInvalid})
+	assert.Equal(t, []string{"b"}, ids(list))
+	list.Put(born("a", 0))
+	assert.Equal(t, []string{"b"}, ids(list), "it lacks what the endpoint always tells")
+	list.Put(born("a", 50))
+	assert.Equal(t, []string{"b"}, ids(list), "an earlier start's")
+	assert.False(t, list.Put(born("a", 100)), "still the same start")
+	assert.Equal(t, []string{"a", "b"}, ids(list))
+	list.Put(&membership.Endpoint{ID: "c", State: membership.StateInvalid})
+	list.Remove("c", start.Add(time.Minute))
+	assert.False(t, list.Knows("c"))
+	list.StoreLost()
+	list.Put(&membership.Endpoint{ID: "a", State: membership.StateInvalid})
+	list.Remove("a", start.Add(time.Minute))
+	assert.False(t, list.Knows("a@100"), "an outage does not keep it")
+}
+
 // Symptom: an endpoint that left a second after an outage gets work for
 // ever. Events: the store returns, an endpoint's entry goes within the grace
 // time, and it does not come back. Cause: none was looked at after the grace
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -274,6 +274,18 @@
 	client.idle[c.address] = append(client.idle[c.address], c)
 }
 
+// Drop closes the unused connections to an address: whoever answered on them
+// is gone. Behind a cut they are silent and would each cost a request
+// unackedTimeout.
+func (client *Client) Drop(address string) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for _, c := range client.idle[address] {
+		_ = c.Close() // its peer ended
+	}
+	delete(client.idle, address)
+}
+
 // Trim closes the connections that were unused for too long.
 func (client *Client) Trim() {
 	now := time.Now()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -256,3 +256,25 @@
 		t.Fatal("the endpoint was not told")
 	}
 }
+
+// Symptom: requests to an endpoint that started again wait for answers on
+// connections to the start before. Events: it crashes behind a cut, so that
+// nobody is told; it starts again at its address. Cause: the connections that
+// were kept unused were taken for its own.
+func TestDroppedConnectionsAreNotUsedAgain(t *testing.T) {
+	address := serve(t, func(n int, conn net.Conn, reader *bufio.Reader) {
+		id, _, _, err := read(reader)
+		if err != nil {
+			return
+		}
+		answer(conn, id, "", fmt.Sprint(n))
+		_, _, _, _ = read(reader) // silent from now on
+	})
+	client := upstream.NewClient()
+	_, _, err := do(t, client, request(address, "r", "x"))
+	require.NoError(t, err)
+	client.Drop(address)
+	body, _, err := do(t, client, request(address, "r", "x"))
+	require.NoError(t, err)
+	assert.Equal(t, "2", body, "a new connection")
+}
