--- a/account/loan_test.go
+++ b/account/loan_test.go
@@ -263,3 +263,25 @@
 		assert.Positive(t, served.Load())
 	}
 }
+
+// Symptom: a program spends more than its budget after its home restarted.
+// Events: the home lends; it dies, starts again and lends to another program;
+// the repayment of the first loan, small, reaches the new start. Cause: both
+// starts counted their loans from one, so the repayment settled the other
+// program's loan, whose turn still generates.
+func TestLateRepaymentSettlesNothingElse(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	borrowing := account.Borrowing{Turn: budget.Whole(500), Total: 1000}
+	first := newFleet(memory, clock.Real{}, 1).keepers[0]
+	old, err := first.Lend(ctx, "p", borrowing)
+	require.NoError(t, err)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	second := account.NewKeeper(memory, "restarted", &fleet{}, nobody{}, clock.Real{}, log, tally.NoopScope)
+	_, err = second.Lend(ctx, "q", borrowing)
+	require.NoError(t, err)
+	second.Repaid([]account.Repayment{{Loan: old.ID, Spent: 0}})
+	_, err = second.Lend(ctx, "q", account.Borrowing{Turn: budget.Whole(501), Total: 1000})
+	var spent *account.SpentError
+	require.ErrorAs(t, err, &spent)
+}
