balance: how fast engines read is learnt from their answers

Change: for each service a line through the last answers, time to the head against tokens expected to be read, drawn to the first rate while answers are few, bounded, outliers cut.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -33,9 +33,6 @@
 
 // Weights of the expected cost of an endpoint.
 const (
-	// prefillTokensPerMillisecond is how fast an engine reads a prompt; the
-	// slower of the engines in use reads 328, the faster 471.
-	prefillTokensPerMillisecond = 400
 	// yieldFactor: what is read takes the room of as much that has to be
 	// read again. Without it conversations moved between full engines, and
 	// these read 5,100 tokens a turn where 1,500 were new.
@@ -79,6 +76,7 @@
 	// whole is the mean time of a request, head that to the head of its
 	// answer without the reading of the prompt; 0 before the first answer.
 	whole, head time.Duration
+	reading     reading
 }
 
 type endpoint struct {
@@ -105,6 +103,8 @@
 	state    *endpoint
 	began    time.Time
 	answered bool
+	// prompt tells that the request has a prompt to read.
+	prompt bool
 	// Missing is how many tokens of the prompt the endpoint is expected to
 	// read anew.
 	Missing int64
@@ -142,7 +142,7 @@
 			better = rand.IntN(ties) == 0
 		}
 		if better {
-			best = Choice{picker: picker, endpoint: candidate, state: state, began: now, Missing: missing, Cost: cost}
+			best = Choice{picker: picker, endpoint: candidate, state: state, began: now, prompt: len(request.Parts) > 0, Missing: missing, Cost: cost}
 			bestAvoided = avoided
 		}
 	}
@@ -188,7 +188,7 @@
 	missing := state.parts.missing(request.Parts, keeps, now)
 	// While an engine reads a prompt all that it has wait, too, and what it
 	// reads pushes out what others need.
-	cost += prefillTime(missing) * time.Duration(yieldFactor*(1+load))
+	cost += usual.reading.time(missing) * time.Duration(yieldFactor*(1+load))
 	if candidate.DataCentre != request.DataCentre {
 		cost += remoteCost
 	}
@@ -205,11 +205,6 @@
 	return state.inFlight + int(float64(state.others)*left+0.5)
 }
 
-// prefillTime returns how long an engine takes to read tokens of a prompt.
-func prefillTime(tokens int64) time.Duration {
-	return time.Duration(tokens) * time.Millisecond / prefillTokensPerMillisecond
-}
-
 func (picker *Picker) service(name string) *service {
 	usual, ok := picker.services[name]
 	if !ok {
@@ -227,12 +222,16 @@
 	now := picker.clock.Now()
 	choice.answered = true
 	choice.state.standing.settled(now, true)
-	head := max(now.Sub(choice.began)-prefillTime(choice.Missing), 0)
-	choice.state.standing.took(head, now)
 	usual := picker.service(choice.endpoint.Service)
+	took, expected := now.Sub(choice.began), usual.reading.time(choice.Missing)
+	head := max(took-expected, 0)
+	choice.state.standing.took(head, now)
 	if usual.head == 0 {
 		usual.head = head
 	}
+	if choice.prompt {
+		usual.reading.learn(choice.Missing, min(took, outlierFactor*(usual.head+expected)))
+	}
 	usual.head += time.Duration(serviceWeight * float64(head-usual.head))
 }
 
