--- a/budget/opening_test.go
+++ b/budget/opening_test.go
@@ -79,3 +79,21 @@
 	_, err := budget.DecodeOpenings([]byte("x"))
 	assert.Error(t, err)
 }
+
+func FuzzDecodeOpenings(f *testing.F) {
+	openings, _ := (&budget.Openings{}).Open("a-1.1", "a", []string{"a", "b"})
+	data, err := openings.Encode()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		openings, err := budget.DecodeOpenings(data)
+		if err != nil {
+			return
+		}
+		_ = openings.Implied("p", 1000) // must not panic
+		_ = openings.Close("a-1.1")
+		_, err = openings.Encode()
+		require.NoError(t, err)
+	})
+}
