account: the row of a program that loops is read once for turns that come together

Some fifteen turns of the program came at once as its budget came to its end; its home read the row for each in turn; eight instances gave up asking after 400 ms, one granted by a row of its own, and the rest of the turn in flight was gone.

Change: a turn that waited for the row looks whether the budget was found spent meanwhile; with nobody else to ask it is said after one read. TestTurnsOfLoopingProgramReadItsRowOnce fails without it (9 reads).

--- a/account/keeper.go
+++ b/account/keeper.go
@@ -196,6 +196,13 @@
 	}
 }
 
+// heldByOthers reports whether other accounts may have something to give back.
+func (p *program) heldByOthers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.tab.Holders()) > 0
+}
+
 func (p *program) used() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -376,6 +383,9 @@
 	if err != nil || decision == budget.DecisionServe {
 		return promised, err
 	}
+	if decision == budget.DecisionSpent && !p.heldByOthers() {
+		return promised, keeper.refuse(p, decision, turn, total)
+	}
 	keeper.ask(ctx, p)
 	p.goPartly(decision)
 	decision, promised, err = keeper.tryGrant(ctx, p, turn, total)
@@ -393,6 +403,13 @@
 		return 0, turn, err
 	}
 	defer p.unlockRow()
+	if !turn.Rest && keeper.knownSpent(p, turn.Most) {
+		// Found while this turn waited. A program that loops sends many turns
+		// at once: if each read the row, the last would wait longer than
+		// borrowers do, and these would grant by rows of their own what a turn
+		// in flight still needs.
+		return budget.DecisionSpent, turn, nil
+	}
 	fresh := false
 	for range maxConflicts {
 		switch decision, promised, ledger := p.begin(turn, total); decision {
--- a/account/opening_test.go
+++ b/account/opening_test.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -311,6 +313,39 @@
 	assert.EqualValues(t, 567, turn.Promised())
 }
 
+// Symptom: an answer breaks off as a program that loops comes to the end of its
+// budget. Events: it sends many turns at once; its home reads the program's row
+// for each of them, one after the other, 20 ms each; borrowers give up after
+// 400 ms and grant by rows of their own what the turn in flight still needs.
+// Cause: that the budget was found spent helped only turns that came later.
+func TestTurnsOfLoopingProgramReadItsRowOnce(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: memory, clock: clock.Real{}}
+	m := site.start("a")
+	m.open(t)
+	first, err := whole(ctx, m.Keeper, "p", 600, 1000)
+	require.NoError(t, err)
+	defer first.Settle(600)
+	var reads atomic.Int64
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "read" {
+			reads.Add(1)
+		}
+		return storetest.None
+	})
+	var turns sync.WaitGroup
+	for range 30 {
+		turns.Go(func() {
+			_, err := m.Reserve(ctx, "p", 500, 1000)
+			var spent *account.SpentError
+			assert.ErrorAs(t, err, &spent)
+		})
+	}
+	turns.Wait()
+	assert.LessOrEqual(t, reads.Load(), int64(2))
+}
+
 // Symptom: a program is told for 0.4 s that its budget is spent, though it
 // holds the next turn. Events: its home and an instance that cannot reach the
 // home both grant; a turn in flight asks for its rest, which is gone. Cause:
