--- a/budget/opening.go
+++ b/budget/opening.go
@@ -12,7 +12,7 @@
 // must hold what a program needs by rows: one of a single turn, which may
 // generate 63 to 65 % of its budget, is the hardest. Turns spend a third of
 // their most, and begin with a part: 30 % then holds the first turn of 89 to
-// 92 of 100 short programs and 98 long ones, and all turns of 67 and 78 to 89.
+// 92 of 100 short programs and 98 long ones, and all turns of 67 and 78 to 88.
 // 50 % held all turns of 93 and 97, but after a loss of power of all instances
 // one program in five was refused or broken off in the middle of its answer.
 const aheadPercent = 30
