budget: twelve bytes in the row of openings no longer end an instance

Cause: its input claims 3.7 billion elements; the msgpack decoder makes room for as many structs as a list's head tells (its bound is never applied to lists of structs or of lists), 89 GB. Any writer of that row could have ended every instance that starts. Ruled out: load; the input fails alone, each time.

Change: the row is JSON, whose decoder grows with what is there.

Open: bodies of calls between instances, and rows of turns, are decoded by the same library and were not looked at.

--- a/budget/opening.go
+++ b/budget/opening.go
@@ -1,11 +1,11 @@
 package budget
 
 import (
+	"encoding/json"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // aheadPercent of a budget is handed out ahead. If the instance dies, the rest
@@ -25,28 +25,31 @@
 type Opening struct {
 	// Account is the account that the right is about; no other start of any
 	// instance may use it.
-	Account string `msgpack:"a"`
+	Account string `json:"a"`
 	// Instance names the instance; its next start has the same name.
-	Instance string `msgpack:"i"`
+	Instance string `json:"i"`
 	// Set is the index of the instances among which it is a home.
-	Set int `msgpack:"s"`
+	Set int `json:"s"`
 }
 
 // Openings are all that were not closed; no two are of the same program. The
 // zero value has none. A value is never changed.
 type Openings struct {
 	// Sets are sets of instance names, each sorted.
-	Sets [][]string `msgpack:"s"`
-	List []Opening  `msgpack:"l"`
+	Sets [][]string `json:"s"`
+	List []Opening  `json:"l"`
 }
 
-// DecodeOpenings reads openings as Encode wrote them. No bytes are none.
+// DecodeOpenings reads openings as Encode wrote them. No bytes are none. They
+// are JSON: the msgpack decoder makes room for as many elements of a list as
+// its head tells, 89 GB for a row of twelve bytes, which ends every instance
+// that reads it.
 func DecodeOpenings(data []byte) (*Openings, error) {
 	openings := &Openings{}
 	if len(data) == 0 {
 		return openings, nil
 	}
-	if err := msgpack.Unmarshal(data, openings); err != nil {
+	if err := json.Unmarshal(data, openings); err != nil {
 		return nil, eris.Wrap(err, "decode openings")
 	}
 	for _, opening := range openings.List {
@@ -59,7 +62,7 @@
 
 // Encode returns the openings' bytes.
 func (openings *Openings) Encode() ([]byte, error) {
-	data, err := msgpack.Marshal(openings)
+	data, err := json.Marshal(openings)
 	return data, eris.Wrap(err, "encode openings")
 }
 
