account, gateway: logs tell what a turn was promised, and what a stopping home leaves to turns in flight

A request's line gave what a turn spent and the most it may generate, not what it was promised: a stream that began with a part could not be told from one that had all. A home that stops said nothing of the turns that other instances serve on its loans.

Now the request's line has promised=, and a stopping instance writes one line with the turns it lent to and the tokens that these may still ask for.

--- a/account/giveback.go
+++ b/account/giveback.go
@@ -115,6 +115,8 @@
 // left to give back, and may be called again.
 func (keeper *Keeper) Stop(ctx context.Context) error {
 	keeper.loans.stop()
+	turns, rest := keeper.loans.outstanding()
+	keeper.log.Info("giving back budgets", "programs", keeper.Len(), "lent_turns", turns, "rest_tokens", rest)
 	shards := keeper.escrows.stop()
 	if err := keeper.giveBackPrograms(ctx, func(string) bool { return true }); err != nil {
 		return err
--- a/account/loan.go
+++ b/account/loan.go
@@ -228,6 +228,17 @@
 	return ok
 }
 
+// outstanding returns how many turns elsewhere have something lent from here,
+// and how many tokens more they may ask for.
+func (loans *loans) outstanding() (turns int, rest int64) {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	for _, given := range loans.given {
+		rest += given.reservation.turn.Most - given.reservation.turn.Part
+	}
+	return len(loans.given), rest
+}
+
 func (loans *loans) take(id uint64) *Reservation {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -479,7 +479,7 @@
 	if e.spends() {
 		attrs = append(attrs, slog.Int64("budget", e.call.Budget), slog.Int64("most", e.call.MaxTokens), slog.Int64("spent", e.spent()), slog.Duration("first", e.first))
 		if e.reservation != nil {
-			attrs = append(attrs, slog.Uint64("budget_version", e.reservation.Version), slog.String("budget_home", e.reservation.Home()))
+			attrs = append(attrs, slog.Int64("promised", e.reservation.Promised()), slog.Uint64("budget_version", e.reservation.Version), slog.String("budget_home", e.reservation.Home()))
 		}
 	}
 	if e.call != nil && e.call.Previous != "" {
