account: a test of streams that break off as their home is stopped, red

The test has a stream begin with a part while the store is away, stops its home as planned, and has other turns ask for what is left. It fails on this code: a turn is begun on the stream's rest.

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -524,6 +524,42 @@
 	assert.EqualValues(t, 567, turn.Promised())
 }
 
+// Guards against a stream that breaks off since its program's home is stopped
+// and another turn is given the rest of its budget.
+func TestStoppedHomeLeavesStreamsInFlightTheirRest(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: memory, clock: clock.Real{}}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		site.start(name, names...).acquire(t)
+	}
+	a, b, c := site.running("a"), site.running("b"), site.running("c")
+	const most, total = 567, 1500
+	program := homed(0, "a", names...)
+	memory.SetFault(away) // the turn begins with a part
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	require.Less(t, turn.Promised(), int64(most))
+	memory.SetFault(served)
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+
+	second, err := whole(ctx, c.Keeper, program, most, total)
+	require.NoError(t, err)
+	var spent *account.SpentError
+	_, err = whole(ctx, c.Keeper, program, most, total)
+	require.ErrorAs(t, err, &spent, "the budget does not hold a third beside the two in flight")
+
+	require.NoError(t, turn.Extend(ctx))
+	require.EqualValues(t, most, turn.Promised())
+	turn.Settle(most)
+	second.Settle(most)
+	last, err := whole(ctx, c.Keeper, program, total-2*most, total)
+	require.NoError(t, err, "what was given to the stream is not counted twice")
+	last.Settle(total - 2*most)
+}
+
 // Symptom: an answer breaks off as a program that loops comes to the end of its
 // budget. Events: it sends many turns at once; its home reads the program's row
 // for each of them, one after the other, 20 ms each; borrowers give up after
