account, budget: a home that stops leaves streams in flight their rest

Cause: a turn that began with a part has its rest kept by its home, in that the row counts it as used. A home that stopped wrote only what it had promised as used. Other turns of the program were begun on the rest, and the stream broke off with BudgetHeld where its part ended.

Ruled out: connections closed as quiet (the endpoint's end comes first, and the line would say CallerGone); the end of the process (the line is there).

Change: what turns in flight may still ask for stays used in the row of an instance that stops. Whoever grants a turn its rest takes it off there in the same write. Budgets are kept by what is granted, which is as before. Left: if such a turn ends without its rest, at most three fifths of one turn count as spent.

--- a/account/giveback.go
+++ b/account/giveback.go
@@ -46,7 +46,7 @@
 func (keeper *Keeper) giveBack(ctx context.Context, p *program) error {
 	var err error
 	for range maxConflicts {
-		ledger := p.release(keeper.loans.isStopped())
+		ledger := p.release()
 		if ledger == nil {
 			return nil
 		}
@@ -197,7 +197,7 @@
 			continue
 		}
 		defer p.unlockRow()
-		ledger := p.release(keeper.loans.isStopped())
+		ledger := p.release()
 		if ledger == nil {
 			done = append(done, p)
 			continue
--- a/account/program.go
+++ b/account/program.go
@@ -127,12 +127,11 @@
 	p.usage.Written(ledger, version)
 }
 
-// release returns the row that gives back what is not used; last if the
-// instance stops, and hands out nothing more.
-func (p *program) release(last bool) *budget.Ledger {
+// release returns the row that gives back what is not used.
+func (p *program) release() *budget.Ledger {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.usage.Release(last)
+	return p.usage.Release()
 }
 
 // noteSpent notes that the budget does not hold a turn; 0 for the rest of one.
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,22 @@
 	return sum
 }
 
+// moveReserved takes tokens off what other accounts than owner's hold used
+// beyond what they are granted, for turns in flight: owner's holds them now.
+// They would count twice, and a later turn be refused that the budget holds.
+func (ledger *Ledger) moveReserved(owner string, tokens int64) {
+	for _, name := range slices.Sorted(maps.Keys(ledger.Accounts)) {
+		account := ledger.Accounts[name]
+		moved := min(account.Used-account.Granted, tokens)
+		if name == owner || moved <= 0 {
+			continue
+		}
+		account.Used -= moved
+		tokens -= moved
+		ledger.Accounts[name] = account
+	}
+}
+
 // Holders returns the owners of the accounts, other than owner's, that grant
 // anything. What they have used is as of when the row was written: turns
 // that ended since may have left some over.
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -5,7 +5,7 @@
 	// Part is what it may hand out before it asks for more.
 	Part int64
 	// Most is what it may hand out in all; 0 for another part of a turn that
-	// the account began.
+	// the account began, Part for that of a turn that another one began.
 	Most int64
 	// Rest tells another part of a turn that was begun, by whichever account.
 	// That the budget holds the turn was found then, and what it may hand out
@@ -92,7 +92,11 @@
 	if decision != DecisionGrant {
 		return decision, nil
 	}
-	return decision, usage.with(Account{Granted: amount, Used: most})
+	ledger := usage.with(Account{Granted: amount, Used: most})
+	if turn.Rest && turn.Most > 0 {
+		ledger.moveReserved(usage.owner, turn.Most)
+	}
+	return decision, ledger
 }
 
 // Release returns the row that gives back what this instance was granted
@@ -100,13 +104,11 @@
 // usage grants no more than that, whether or not the row is known to be
 // written: a write whose answer was lost may be applied seconds later, and
 // what was handed out against the old grant in between would be spent twice.
-// With last, turns in flight here will ask for nothing more.
-func (usage *Usage) Release(last bool) *Ledger {
+// What turns in flight may still ask for stays used, also if this instance
+// stops: another one grants it to them then.
+func (usage *Usage) Release() *Ledger {
 	account := usage.ledger.Accounts[usage.owner]
 	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.most, Escrowed: account.Escrowed}
-	if last {
-		settled.Used = settled.Granted
-	}
 	if account == settled && !usage.releasing {
 		return nil
 	}
