gateway: a stream waits for the rest of its budget while other turns hold it

What callers saw: a stream ended in the middle of its answer with BudgetHeld, though the turns that held the rest ended within half a second.

Cause: the rest was asked for again while the store was away, not while other turns or instances held it. Callers give a stream up after a pause of two seconds; one that pauses is served late, one that breaks off is lost.

Change: it is asked for every 150 ms for 1.5 s, the patience of a store that is away. The test fails without it (unexpected EOF after 1.1 s).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -339,6 +339,45 @@
 	assert.LessOrEqual(t, tokens, 1701*30/100)
 }
 
+// Guards against a stream that breaks off though a turn that holds the rest of
+// its budget ends while its caller still waits.
+func TestStreamWaitsForBudgetThatOtherTurnsHold(t *testing.T) {
+	b := newBed(t)
+	b.model.Events, b.model.Pause = 21, 60*time.Millisecond // the escrow holds eighteen: 1.1 s
+	i := b.start()
+	ctx := context.Background()
+	require.NoError(t, i.accounts.AcquireOnce(ctx, alone{}, false))
+	other := account.NewKeeper(b.memory, "other", alone{}, alone{}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	b.memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	held := make(chan error, 1)
+	time.AfterFunc(250*time.Millisecond, func() {
+		b.memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+		var turns []*account.Reservation
+		for range 2 {
+			turn, err := other.Reserve(ctx, "p", 567, 1701)
+			if err != nil {
+				held <- err
+				return
+			}
+			turns = append(turns, turn)
+		}
+		time.Sleep(1400 * time.Millisecond)
+		for _, turn := range turns {
+			turn.Settle(100)
+		}
+		held <- other.GiveBack(ctx, "p")
+	})
+	_, body, err := i.send(ask{path: "/chat/x", id: "t1", body: "x", header: turnOf("p", nil)})
+	require.NoError(t, <-held)
+	require.NoError(t, err)
+	assert.Equal(t, 21, strings.Count(body, "data:"))
+}
+
 // Symptom: a van is sent twice. Events: a service does the work and its
 // answer is lost. Cause: the call was sent again.
 func TestNonIdempotentCallWithLostAnswerRunsOnce(t *testing.T) {
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -28,10 +28,14 @@
 	// wholeBody is how much of a plain answer is read before the caller is
 	// given any of it, so that one that breaks off can be told apart.
 	wholeBody = 1 << 20
-	// extendPatience is how long a stream waits for the rest of its budget
-	// while the store is away: callers give one up after a pause of two
-	// seconds.
+	// extendPatience is how long a stream waits for the rest of its budget,
+	// for a store that is away or for turns that hold it: callers give a
+	// stream up after a pause of two seconds.
 	extendPatience = 1500 * time.Millisecond
+	// heldRetry is the pause between looks for budget that other turns hold:
+	// a few in the half second that a turn takes, since each asks instances
+	// and the store.
+	heldRetry = 150 * time.Millisecond
 	// lastEventHeader names the event after which a stream goes on.
 	lastEventHeader = "Last-Event-Id"
 )
@@ -245,16 +249,30 @@
 	began := e.Clock.Now()
 	for {
 		err := e.reservation.Extend(ctx)
-		if !store.Unserved(err) || e.Clock.Now().Sub(began) >= extendPatience {
+		pause := extendRetry(err)
+		if pause == 0 || e.Clock.Now().Sub(began) >= extendPatience {
 			e.metrics.extend.RecordDuration(e.Clock.Now().Sub(began))
 			return e.notAfforded(err)
 		}
-		if !clock.Sleep(ctx, storeRetry) {
+		if !clock.Sleep(ctx, pause) {
 			return err
 		}
 	}
 }
 
+// extendRetry returns the pause before the rest of a budget is asked for
+// again; 0 if err is none, or asking again is of no use.
+func extendRetry(err error) time.Duration {
+	var held *account.HeldError
+	switch {
+	case store.Unserved(err):
+		return storeRetry
+	case errors.As(err, &held):
+		return heldRetry
+	}
+	return 0
+}
+
 // notAfforded returns why a stream ends before its endpoint ended it; nil if
 // err is. The turn has run.
 func (e *exchange) notAfforded(err error) error {
