budget, account: what a home leaves to streams is told apart, and a rest is granted before it is promised

Whoever took a rest over could take it off the wrong one; an account that held the rest already wrote no row and took nothing off; a stop that was tried again after a lost answer reserved the rest again.

Change: the row of a home that stops tells what it reserves for turns in flight elsewhere in a field of its own, once. An account that grants such a rest takes it off there, by a row also where it holds the rest already. Parts that an account has not counted are counted, at the home and at the borrower; a turn is served if what it needs is granted, whatever its most.

--- a/account/giveback.go
+++ b/account/giveback.go
@@ -46,7 +46,7 @@
 func (keeper *Keeper) giveBack(ctx context.Context, p *program) error {
 	var err error
 	for range maxConflicts {
-		ledger := p.release()
+		ledger := p.release(keeper.loans.isStopped())
 		if ledger == nil {
 			return nil
 		}
@@ -115,8 +115,8 @@
 // left to give back, and may be called again.
 func (keeper *Keeper) Stop(ctx context.Context) error {
 	keeper.loans.stop()
-	turns, rest := keeper.loans.outstanding()
-	keeper.log.Info("giving back budgets", "programs", keeper.Len(), "lent_turns", turns, "rest_tokens", rest)
+	loans, rest := keeper.loans.outstanding()
+	keeper.log.Info("giving back budgets", "programs", keeper.Len(), "loans", loans, "rest_tokens", rest)
 	shards := keeper.escrows.stop()
 	if err := keeper.giveBackPrograms(ctx, func(string) bool { return true }); err != nil {
 		return err
@@ -197,7 +197,7 @@
 			continue
 		}
 		defer p.unlockRow()
-		ledger := p.release()
+		ledger := p.release(keeper.loans.isStopped())
 		if ledger == nil {
 			done = append(done, p)
 			continue
--- a/account/grant.go
+++ b/account/grant.go
@@ -94,6 +94,11 @@
 			err := keeper.write(ctx, p, ledger)
 			if err == nil {
 				keeper.granted.Inc(1)
+				turn.Taken = true
+				continue
+			}
+			if store.Unserved(err) && turn.Rest && !turn.Taken {
+				turn.Taken = true // the account may hold it without a row
 				continue
 			}
 			if !store.Is(err, store.FailureConflict) {
--- a/account/loan.go
+++ b/account/loan.go
@@ -80,6 +80,8 @@
 type givenLoan struct {
 	reservation *Reservation
 	at          time.Time
+	// covered is what else its turn may ask for that the account has counted.
+	covered int64
 }
 
 // loans are the loans given and the repayments due.
@@ -152,16 +154,19 @@
 	}
 	p := keeper.program(id, borrowing.Total)
 	defer keeper.done(p)
-	if borrowing.Loan != 0 && !keeper.loans.stands(borrowing.Loan) {
-		// Its turn is not among those in flight here.
-		borrowing.Turn.Most = borrowing.Turn.Part
+	turn, covered := borrowing.Turn, int64(0)
+	if turn.Rest {
+		// Nothing is if its turn began elsewhere.
+		covered = keeper.loans.covered(borrowing.Loan)
+		turn.Most = max(0, turn.Part-covered)
 	}
-	reservation, err := keeper.reserve(ctx, p, borrowing.Turn, borrowing.Total, borrowing.Parts)
+	reservation, err := keeper.reserve(ctx, p, turn, borrowing.Total, borrowing.Parts)
 	if err != nil {
 		return Loan{}, err
 	}
 	keeper.lent.Inc(1)
-	return Loan{ID: keeper.loans.give(reservation, keeper.clock.Now()), Promised: reservation.turn.Part, Places: reservation.places}, nil
+	covered += reservation.turn.Most - reservation.turn.Part
+	return Loan{ID: keeper.loans.give(reservation, covered, keeper.clock.Now()), Promised: reservation.turn.Part, Places: reservation.places}, nil
 }
 
 // StoppedError is a loan asked of an instance that stops.
@@ -213,28 +218,29 @@
 	}
 }
 
-func (loans *loans) give(reservation *Reservation, now time.Time) uint64 {
+func (loans *loans) give(reservation *Reservation, covered int64, now time.Time) uint64 {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
 	loans.last++
-	loans.given[loans.last] = givenLoan{reservation: reservation, at: now}
+	loans.given[loans.last] = givenLoan{reservation: reservation, at: now, covered: covered}
 	return loans.last
 }
 
-func (loans *loans) stands(id uint64) bool {
+// covered returns what the turn of a loan may ask for beside it that the account
+// has counted; 0 for a loan that is not from here.
+func (loans *loans) covered(id uint64) int64 {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
-	_, ok := loans.given[id]
-	return ok
+	return loans.given[id].covered
 }
 
-// outstanding returns how many turns elsewhere have something lent from here,
-// and how many tokens more they may ask for.
-func (loans *loans) outstanding() (turns int, rest int64) {
+// outstanding returns how many loans are not repaid, and how many tokens more
+// their turns may ask for.
+func (loans *loans) outstanding() (count int, rest int64) {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
 	for _, given := range loans.given {
-		rest += given.reservation.turn.Most - given.reservation.turn.Part
+		rest += given.covered
 	}
 	return len(loans.given), rest
 }
--- a/account/program.go
+++ b/account/program.go
@@ -127,11 +127,12 @@
 	p.usage.Written(ledger, version)
 }
 
-// release returns the row that gives back what is not used.
-func (p *program) release() *budget.Ledger {
+// release returns the row that gives back what is not used; last if the
+// instance stops.
+func (p *program) release(last bool) *budget.Ledger {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.usage.Release()
+	return p.usage.Release(last)
 }
 
 // noteSpent notes that the budget does not hold a turn; 0 for the rest of one.
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -76,18 +76,19 @@
 // extend promises the turn a part more.
 func (reservation *Reservation) extend(ctx context.Context, part int64) error {
 	keeper, p := reservation.keeper, reservation.program
-	more := budget.Turn{Part: part, Rest: true}
 	if reservation.next != nil {
 		return reservation.next.extend(ctx, part)
 	}
 	if reservation.home == "" {
+		more := budget.Turn{Part: part, Most: max(0, reservation.turn.Part+part-reservation.turn.Most), Rest: true}
 		if _, err := keeper.grant(ctx, p, more, reservation.total); err != nil {
 			return err
 		}
-		reservation.turn.Part += part
+		reservation.turn.Part += more.Part
+		reservation.turn.Most += more.Most
 		return nil
 	}
-	next, err := keeper.borrow(ctx, p, Borrowing{Turn: more, Total: reservation.total, Loan: reservation.loan})
+	next, err := keeper.borrow(ctx, p, Borrowing{Turn: budget.Turn{Part: part, Rest: true}, Total: reservation.total, Loan: reservation.loan})
 	if next == nil && err == nil {
 		// The home cannot be asked: an account of this instance's own.
 		next, err = keeper.reserve(ctx, p, budget.Turn{Part: part, Most: part, Rest: true}, reservation.total, nil)
--- /dev/null
+++ b/account/rest_test.go
@@ -0,0 +1,151 @@
+package account_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/budget"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// programRow returns a program's row, and what all its accounts are granted, and
+// use or reserve.
+func programRow(t *testing.T, s store.Store, program string) (*budget.Ledger, budget.Account) {
+	t.Helper()
+	key := store.Key{Table: "budget", Partition: fmt.Sprintf("program-%02d", budget.Shard(program)%48), Name: store.Name(program)}
+	row, err := store.Get(context.Background(), s, key)
+	require.NoError(t, err)
+	ledger, err := budget.DecodeLedger(row.Value)
+	require.NoError(t, err)
+	var sum budget.Account
+	for _, a := range ledger.Accounts {
+		sum.Granted += a.Granted
+		sum.Used += a.Used + a.Reserved
+	}
+	return ledger, sum
+}
+
+func threeInstances(t *testing.T, s store.Store, clk clock.Clock) (a, b, c *machine, program string) {
+	site := &machines{store: s, clock: clk}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		site.start(name, names...).acquire(t)
+	}
+	return site.running("a"), site.running("b"), site.running("c"), homed(0, "a", names...)
+}
+
+// Guards against grants that add up to more than the budget: a stream has its
+// rest in two parts, by an account that did not begin its turn.
+func TestRestInTwoPartsIsGranted(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	const most, total = 567, 1200
+	memory.SetFault(away) // the turn begins with a part
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	memory.SetFault(served)
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	second, err := whole(ctx, c.Keeper, program, most, total)
+	require.NoError(t, err)
+	third, err := whole(ctx, c.Keeper, program, total-2*most, total)
+	require.NoError(t, err)
+	c.up = false // cannot be reached for a moment, and serves on
+	require.NoError(t, turn.Extend(ctx))
+	require.Less(t, turn.Promised(), int64(most), "half of the rest")
+	err = turn.Extend(ctx)
+	ledger, sum := programRow(t, memory, program)
+	t.Log("promised", turn.Promised(), "err", err, ledger.Accounts, "sum", sum)
+	c.up = true
+	// c's turns end; what c is granted is served without a look.
+	second.Settle(0)
+	third.Settle(total - 2*most)
+	var more []*account.Reservation
+	for _, size := range []int64{567, 28, 14, 7} {
+		if r, err := c.Reserve(ctx, program, size, total); err == nil {
+			more = append(more, r)
+		}
+	}
+	promised := turn.Promised() + total - 2*most
+	for _, r := range more {
+		promised += r.Promised()
+	}
+	assert.LessOrEqual(t, promised, int64(total), "spent and promised")
+	turn.Settle(turn.Promised())
+	require.NoError(t, b.Stop(ctx))
+	ledger, sum = programRow(t, memory, program)
+	t.Log(ledger.Accounts, "sum", sum)
+	assert.LessOrEqual(t, sum.Granted, int64(total), "granted in the row")
+}
+
+// Guards against a rest that counts twice for ever: the account that grants it
+// has enough left of a turn that ended, and writes no row.
+func TestRestThatAccountHoldsCountsOnce(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	const most, total = 567, 1701
+	memory.SetFault(away) // the turn begins with a part
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	require.NoError(t, turn.Extend(ctx), "the escrow's second part")
+	begun := turn.Promised()
+	require.Less(t, begun, int64(most))
+	memory.SetFault(served)
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	second, err := whole(ctx, b.Keeper, program, most, total)
+	require.NoError(t, err)
+	second.Settle(200) // what a turn spends in the mean
+	require.NoError(t, turn.Extend(ctx))
+	require.EqualValues(t, most, turn.Promised())
+	turn.Settle(most)
+	require.NoError(t, b.Keeper.GiveBack(ctx, program))
+	ledger, sum := programRow(t, memory, program)
+	t.Log("begun with", begun, ledger.Accounts, sum)
+	assert.EqualValues(t, most+200, sum.Used)
+	const left = total - most - 200
+	last, err := whole(ctx, c.Keeper, program, left, total)
+	require.NoError(t, err, "the budget holds %d more", left)
+	last.Settle(left)
+}
+
+// Guards against a stop that is tried again, as leave does, and reserves once
+// more what was granted elsewhere meanwhile.
+func TestStopTriedAgainReservesOnce(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	_ = c
+	const most, total = 567, 1701
+	memory.SetFault(away)
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	require.Less(t, turn.Promised(), int64(most))
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.LoseAnswer
+		}
+		return storetest.None
+	})
+	require.Error(t, a.Stop(ctx))
+	memory.SetFault(served)
+	require.NoError(t, turn.Extend(ctx))
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	turn.Settle(most)
+	require.NoError(t, b.Stop(ctx))
+	require.NoError(t, c.Stop(ctx))
+	ledger, sum := programRow(t, memory, program)
+	t.Log(ledger.Accounts, sum)
+	assert.EqualValues(t, most, sum.Used)
+}
+
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -80,11 +80,11 @@
 	b.End(budget.Whole(turn), turn)
 	for _, usage := range []*budget.Usage{a, b} {
 		usage.Written(r.read(t), r.version)
-		ledger := usage.Release()
+		ledger := usage.Release(false)
 		require.NotNil(t, ledger)
 		require.True(t, r.write(t, ledger, usage.Version()))
 		usage.Written(ledger, r.version)
-		assert.Nil(t, usage.Release(), "nothing left to give back")
+		assert.Nil(t, usage.Release(false), "nothing left to give back")
 	}
 	c.Written(r.read(t), r.version)
 	grant(t, c, r, turn, total)
@@ -102,7 +102,7 @@
 	a := newUsage(t, "a.1", r)
 	grant(t, a, r, turn, total) // granted 933
 	a.End(budget.Whole(turn), 0)
-	late, condition := a.Release(), a.Version()
+	late, condition := a.Release(false), a.Version()
 	require.NotNil(t, late)
 	a.Written(r.read(t), r.version) // still the old grant
 	assert.Equal(t, budget.DecisionGrant, decide(a, turn, total), "the old grant must not be used")
@@ -213,7 +213,7 @@
 				done.usage.End(budget.Whole(done.most), spent)
 			}
 		case 5:
-			if ledger := usage.Release(); ledger != nil {
+			if ledger := usage.Release(false); ledger != nil {
 				write(usage, ledger)
 			}
 		case 6, 7: // late writes arrive, or the row is read again
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -19,6 +19,10 @@
 	// Escrowed tells an account that an escrow implied: what of it is used is
 	// known only to its owner.
 	Escrowed bool `cbor:"h,omitempty"`
+	// Stopped tells that the owner has stopped and left turns in flight
+	// elsewhere, Reserved what these may still ask other accounts for.
+	Stopped  bool  `cbor:"s,omitempty"`
+	Reserved int64 `cbor:"r,omitempty"`
 }
 
 // Ledger is the durable state of a program's budget: an account for each
@@ -55,23 +59,20 @@
 		if name != owner {
 			sum.Granted += account.Granted
 			sum.Used += account.Used
+			sum.Reserved += account.Reserved
 		}
 	}
 	return sum
 }
 
-// moveReserved takes tokens off what other accounts than owner's hold used
-// beyond what they are granted, for turns in flight: owner's holds them now.
-// They would count twice, and a later turn be refused that the budget holds.
-func (ledger *Ledger) moveReserved(owner string, tokens int64) {
+// takeReserved takes tokens off what stopped accounts reserve: another account
+// grants them now, and they would count twice.
+func (ledger *Ledger) takeReserved(tokens int64) {
 	for _, name := range slices.Sorted(maps.Keys(ledger.Accounts)) {
 		account := ledger.Accounts[name]
-		moved := min(account.Used-account.Granted, tokens)
-		if name == owner || moved <= 0 {
-			continue
-		}
-		account.Used -= moved
-		tokens -= moved
+		taken := min(account.Reserved, tokens)
+		account.Reserved -= taken
+		tokens -= taken
 		ledger.Accounts[name] = account
 	}
 }
@@ -128,21 +129,21 @@
 
 // decide returns the decision on a turn that needs the account of owner to
 // grant need tokens now, and up to most if all its turns in flight hand out
-// what they can, with total the program's budget. For DecisionGrant it also
-// returns the amount to grant. A turn that the budget may not hold to its end
-// is not begun; one that was begun has its rest if that is not granted to
-// others.
+// what they can, with total the program's budget. For DecisionServe and
+// DecisionGrant it also returns the amount that the account grants then. A turn
+// that the budget may not hold to its end is not begun; one that was begun has
+// its rest if that is not granted to others.
 func (ledger *Ledger) decide(owner string, need, most int64, turn Turn, total int64) (Decision, int64) {
 	granted := ledger.Accounts[owner].Granted
-	if most <= granted {
-		return DecisionServe, 0
+	if need <= granted && most <= granted {
+		return DecisionServe, granted
 	}
 	others := ledger.others(owner)
-	if others.Used+most > total && !turn.Rest {
+	if others.Used+others.Reserved+most > total && !turn.Rest {
 		return DecisionSpent, 0
 	}
 	if need <= granted {
-		return DecisionServe, 0
+		return DecisionServe, granted
 	}
 	free := total - others.Granted
 	if need > free {
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -4,13 +4,15 @@
 type Turn struct {
 	// Part is what it may hand out before it asks for more.
 	Part int64
-	// Most is what it may hand out in all; 0 for another part of a turn that
-	// the account began, Part for that of a turn that another one began.
+	// Most is what it may hand out in all, as far as the account has not
+	// counted it: 0 for another part of a turn that the account began.
 	Most int64
 	// Rest tells another part of a turn that was begun, by whichever account.
-	// That the budget holds the turn was found then, and what it may hand out
-	// counts as used there.
+	// That the budget holds the turn was found then.
 	Rest bool
+	// Taken tells a part whose tokens are off what a stopped account
+	// reserves.
+	Taken bool
 }
 
 // Whole returns a turn that asks for all at once.
@@ -89,12 +91,16 @@
 func (usage *Usage) Decide(turn Turn, total int64) (Decision, *Ledger) {
 	most := usage.settled + usage.most + turn.Most
 	decision, amount := usage.ledger.decide(usage.owner, usage.Used()+turn.Part, most, turn, total)
+	takes := turn.Rest && turn.Most > 0 && !turn.Taken && usage.ledger.others(usage.owner).Reserved > 0
+	if decision == DecisionServe && takes {
+		decision = DecisionGrant
+	}
 	if decision != DecisionGrant {
 		return decision, nil
 	}
 	ledger := usage.with(Account{Granted: amount, Used: most})
-	if turn.Rest && turn.Most > 0 {
-		ledger.moveReserved(usage.owner, turn.Most)
+	if takes {
+		ledger.takeReserved(turn.Most)
 	}
 	return decision, ledger
 }
@@ -104,11 +110,19 @@
 // usage grants no more than that, whether or not the row is known to be
 // written: a write whose answer was lost may be applied seconds later, and
 // what was handed out against the old grant in between would be spent twice.
-// What turns in flight may still ask for stays used, also if this instance
-// stops: another one grants it to them then.
-func (usage *Usage) Release() *Ledger {
+// With last the instance stops: what its turns in flight elsewhere may still ask
+// for is reserved, for other accounts to grant.
+func (usage *Usage) Release(last bool) *Ledger {
 	account := usage.ledger.Accounts[usage.owner]
 	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.most, Escrowed: account.Escrowed}
+	if last {
+		settled.Used, settled.Reserved = settled.Granted, usage.most-usage.promised
+		if account.Stopped {
+			// Others may have taken some of it since.
+			settled.Reserved = min(settled.Reserved, account.Reserved)
+		}
+		settled.Stopped = account.Stopped || settled.Reserved > 0
+	}
 	if account == settled && !usage.releasing {
 		return nil
 	}
