account: what only replaced starts hold is spent, also beside live instances

Cause, from the logs: a start that was replaced holds the three tenths of its escrow, and a live instance holds what its turns used. Only if all holders had ended for good was the budget told as spent; here the live one was asked again and again, and had nothing to give back.

Change: what starts that ended for good were granted counts as used when a turn does not fit, as what live ones use does. The rest of a stream is told as spent if all that hold something have ended; a smaller part of it is tried first, and it says nothing of the next turn.

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -243,6 +243,35 @@
 	require.NoError(t, err, "what is left can be had")
 }
 
+// Guards against turns that are told to wait for budget that only a start that
+// was replaced holds, since a live instance holds some that it has used.
+func TestHoldOfReplacedStartIsSpentBesideLiveOnes(t *testing.T) {
+	ctx := context.Background()
+	site := &machines{store: storetest.New(), clock: clock.Real{}, knowsStarts: true}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		site.start(name, names...).acquire(t)
+	}
+	a, b, c := site.running("a"), site.running("b"), site.running("c")
+	program := homed(0, "a", names...)
+	first, err := whole(ctx, a.Keeper, program, 100, 1000)
+	require.NoError(t, err)
+	first.Settle(100)
+	a.up = false
+	site.start("a", names...)
+	b.down = func() bool { return true } // it grants by an account of its own
+	second, err := whole(ctx, b.Keeper, program, 400, 1000)
+	require.NoError(t, err)
+	b.down = never
+	_, err = whole(ctx, c.Keeper, program, 400, 1000)
+	var spent *account.SpentError
+	require.ErrorAs(t, err, &spent, "a's 300 are gone, b uses 400")
+	second.Settle(50)
+	third, err := whole(ctx, c.Keeper, program, 350, 1000)
+	require.NoError(t, err, "b gives back what its turn left over")
+	third.Settle(350)
+}
+
 // Symptom: after a planned restart of all instances programs have half of
 // their budget, and none can begin without a write. Events: instances stop and
 // start in turn. Cause: the escrows of those that stopped stood on, though
--- a/account/grant.go
+++ b/account/grant.go
@@ -48,15 +48,23 @@
 			return turn, err
 		}
 	}
-	if gone && !turn.Rest {
-		// What they held is lost. Told to wait for it, a program that loops
-		// came back some 80 times, with a read or two each, until its time was
-		// over; 38 programs sent 3,100 such turns in 20 s after a loss of power.
+	if gone || !turn.Rest && keeper.isLost(p, turn, total) {
+		// Told to wait for it, a program that loops came back some 80 times,
+		// with a read or two each, until its time was over; 38 programs sent
+		// 3,100 such turns in 20 s after a loss of power.
 		decision = budget.DecisionSpent
 	}
 	return turn, keeper.refuse(p, decision, turn, total)
 }
 
+// isLost reports whether p's budget does not hold the turn since starts that
+// ended for good hold some of it: nobody gives that back.
+func (keeper *Keeper) isLost(p *program, turn budget.Turn, total int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.usage.Fits(turn, total, keeper.holders.Gone)
+}
+
 // holdersGone reports whether all others that hold something of p's budget
 // have ended for good, so that nothing comes back.
 func (keeper *Keeper) holdersGone(p *program) bool {
@@ -108,7 +116,7 @@
 			fresh = true
 		default:
 			if fresh {
-				if decision == budget.DecisionSpent && !p.heldByOthers() {
+				if decision == budget.DecisionSpent && !turn.Rest && !p.heldByOthers() {
 					// Turns that wait for the row are to find it noted.
 					p.noteSpent(keeper.clock.Now(), turn.Most)
 				}
@@ -166,16 +174,18 @@
 
 func (keeper *Keeper) refuse(p *program, decision budget.Decision, turn budget.Turn, total int64) error {
 	if decision == budget.DecisionSpent {
-		keeper.foundSpent(p, turn.Most)
+		keeper.foundSpent(p, turn)
 		return &SpentError{program: p.id, used: p.used(), total: total}
 	}
 	keeper.held.Inc(1)
 	return &HeldError{program: p.id}
 }
 
-// foundSpent notes that the budget does not hold a turn; 0 for the rest of
-// one, which says nothing of the next.
-func (keeper *Keeper) foundSpent(p *program, turn int64) {
+// foundSpent notes that the budget does not hold a turn. The rest of one says
+// nothing of the next.
+func (keeper *Keeper) foundSpent(p *program, turn budget.Turn) {
 	keeper.spent.Inc(1)
-	p.noteSpent(keeper.clock.Now(), turn)
+	if !turn.Rest {
+		p.noteSpent(keeper.clock.Now(), turn.Most)
+	}
 }
--- a/account/keeper.go
+++ b/account/keeper.go
@@ -101,7 +101,7 @@
 	if reservation := keeper.own(p, turn, total, parts); reservation != nil {
 		return reservation, nil
 	}
-	if keeper.knownSpent(p, turn.Most) {
+	if !turn.Rest && keeper.knownSpent(p, turn.Most) {
 		keeper.spent.Inc(1)
 		return nil, &SpentError{program: p.id, used: p.used(), total: total}
 	}
--- a/account/loan.go
+++ b/account/loan.go
@@ -132,7 +132,7 @@
 		turn.Part = loan.Promised
 		return &Reservation{keeper: keeper, program: p, turn: turn, total: borrowing.Total, home: home, loan: loan.ID, places: loan.Places}, nil
 	case errors.As(err, &spent):
-		keeper.foundSpent(p, turn.Most)
+		keeper.foundSpent(p, turn)
 		return nil, err
 	case errors.As(err, &held):
 		keeper.held.Inc(1)
--- a/account/program.go
+++ b/account/program.go
@@ -135,11 +135,8 @@
 	return p.usage.Release(last)
 }
 
-// noteSpent notes that the budget does not hold a turn; 0 for the rest of one.
+// noteSpent notes that the budget does not hold a turn.
 func (p *program) noteSpent(now time.Time, turn int64) {
-	if turn == 0 {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spent, p.spentFor = now, turn
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -70,7 +70,8 @@
 // mayHoldLess reports whether a smaller part may be had where one was not.
 func mayHoldLess(err error) bool {
 	var held *HeldError
-	return errors.As(err, &held) || store.Unserved(err)
+	var spent *SpentError
+	return errors.As(err, &held) || errors.As(err, &spent) || store.Unserved(err)
 }
 
 // extend promises the turn a part more.
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 
@@ -149,3 +150,27 @@
 	assert.EqualValues(t, most, sum.Used)
 }
 
+// Guards against a wait for what never comes: all others that hold something
+// are known to have ended.
+func TestRestThatIsLostIsNotWaitedFor(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	a.site.knowsStarts = true
+	const most, total = 567, 1200
+	memory.SetFault(away)
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	memory.SetFault(served)
+	a.up = false
+	_, err = whole(ctx, c.Keeper, program, most, total)
+	require.NoError(t, err)
+	_, err = whole(ctx, c.Keeper, program, 250, total)
+	require.NoError(t, err)
+	c.up = false
+	a.site.start("a", "b", "c")
+	a.site.start("c", "a", "b")
+	var held *account.HeldError
+	err = turn.Extend(ctx)
+	assert.False(t, errors.As(err, &held), "told to wait: %v", err)
+}
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -105,6 +105,23 @@
 	return decision, ledger
 }
 
+// Fits reports whether the budget total may hold the turn once all others gave
+// back what they do not use, but for the accounts that are gone: what these
+// were granted counts as used.
+func (usage *Usage) Fits(turn Turn, total int64, gone func(account string) bool) bool {
+	used := usage.settled + usage.most + turn.Most
+	for name, account := range usage.ledger.Accounts {
+		switch {
+		case name == usage.owner:
+		case gone(name):
+			used += account.Granted + account.Reserved
+		default:
+			used += account.Used + account.Reserved
+		}
+	}
+	return used <= total
+}
+
 // Release returns the row that gives back what this instance was granted
 // and does not use; nil if there is nothing to give back. From then on the
 // usage grants no more than that, whether or not the row is known to be
