--- a/account/keeper.go
+++ b/account/keeper.go
@@ -153,6 +153,7 @@
 		keeper.programs[id] = p
 	}
 	p.turns++
+	p.touch(keeper.clock.Now())
 	return p
 }
 
--- a/account/program.go
+++ b/account/program.go
@@ -39,6 +39,14 @@
 	return &program{id: id, total: total, row: make(chan struct{}, 1), usage: budget.NewUsage(account, implied, 0), implied: version}
 }
 
+// touch notes a turn: until one that was borrowed ends, nothing else tells that
+// the program is not at rest.
+func (p *program) touch(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = now
+}
+
 // lockRow waits until no other turn reads or writes the program's row.
 func (p *program) lockRow(ctx context.Context) error {
 	select {
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -150,6 +150,30 @@
 	assert.EqualValues(t, most, sum.Used)
 }
 
+// Guards against budget that nobody gives back: the sweep forgets a program at
+// the instance that serves a borrowed turn of it, which then grants the rest.
+func TestSweepKeepsProgramOfBorrowedTurn(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	const most, total = 567, 1701
+	memory.SetFault(away)
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	memory.SetFault(served)
+	b.SweepOnce(ctx)
+	assert.Equal(t, 1, b.Len(), "a turn of it is in flight")
+	require.NoError(t, a.Stop(ctx))
+	a.up, c.up = false, false // b grants the rest itself
+	require.NoError(t, turn.Extend(ctx))
+	turn.Settle(300)
+	c.up = true
+	require.NoError(t, b.Stop(ctx))
+	ledger, sum := programRow(t, memory, program)
+	t.Log(ledger.Accounts, sum)
+	assert.LessOrEqual(t, sum.Granted, int64(300), "b gave back what it does not use")
+}
+
 // Guards against a wait for what never comes: all others that hold something
 // are known to have ended.
 func TestRestThatIsLostIsNotWaitedFor(t *testing.T) {
