account: what a home is granted while it stops is given back at once

A loan that was asked for before the stop, and waited for other instances, was granted by a row after all had been given back: it counted as spent for good.

--- a/account/loan.go
+++ b/account/loan.go
@@ -164,6 +164,14 @@
 	if err != nil {
 		return Loan{}, err
 	}
+	if keeper.loans.isStopped() {
+		// All was given back while it waited: this has to follow.
+		reservation.Settle(0)
+		if err := keeper.GiveBack(ctx, id); err != nil {
+			keeper.log.Warn("budget granted while stopping not given back", "program", id, "err", err)
+		}
+		return Loan{}, &StoppedError{}
+	}
 	keeper.lent.Inc(1)
 	covered += reservation.turn.Most - reservation.turn.Part
 	return Loan{ID: keeper.loans.give(reservation, covered, keeper.clock.Now()), Promised: reservation.turn.Part, Places: reservation.places}, nil
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/budget"
@@ -174,6 +176,50 @@
 	assert.LessOrEqual(t, sum.Granted, int64(300), "b gave back what it does not use")
 }
 
+// stoppingHolders has something happen while others are asked to give back.
+type stoppingHolders struct {
+	*machine
+	meanwhile func()
+}
+
+func (h stoppingHolders) GiveBack(ctx context.Context, program string, accounts []string) {
+	h.meanwhile()
+	h.machine.GiveBack(ctx, program, accounts)
+}
+
+// Guards against budget that a stopped home is granted after it gave back: a
+// loan was asked for before the stop, and others were asked to give back.
+func TestStoppedHomeIsGrantedNothingMore(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	_, b, _, program := threeInstances(t, memory, clock.Real{})
+	const most, total = 567, 5000
+	turn, err := whole(ctx, b.Keeper, program, most, total)
+	require.NoError(t, err)
+	_ = turn
+	var home *account.Keeper
+	home = account.NewKeeper(memory, "h-1", stoppingHolders{b, func() { assert.NoError(t, home.Stop(ctx)) }}, alwaysHome{b}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	// Others hold nearly all, and give it back when asked.
+	_, err = whole(ctx, b.Keeper, program, 4000, total)
+	require.NoError(t, err)
+	loan, err := home.Lend(ctx, program, account.Borrowing{Turn: budget.Whole(400), Total: total})
+	if err == nil {
+		home.Repaid([]account.Repayment{{Loan: loan.ID, Spent: 100}})
+	}
+	ledger, _ := programRow(t, memory, program)
+	t.Log(err, loan.Promised, ledger.Accounts)
+	for name, a := range ledger.Accounts {
+		if name[:2] == "h-" {
+			assert.Zero(t, a.Granted, "%s has stopped, and gives nothing back any more", name)
+		}
+	}
+}
+
+// alwaysHome is the home of all programs.
+type alwaysHome struct{ *machine }
+
+func (alwaysHome) Home(string) string { return "" }
+
 // Guards against a wait for what never comes: all others that hold something
 // are known to have ended.
 func TestRestThatIsLostIsNotWaitedFor(t *testing.T) {
