--- a/account/loan.go
+++ b/account/loan.go
@@ -202,30 +202,37 @@
 }
 
 // Repay tells the homes of programs what was spent of loans, until ctx ends;
-// then it reports on done.
+// then it tells what is due still, and reports on done.
 func (keeper *Keeper) Repay(ctx context.Context, done chan<- error) {
 	for {
 		select {
 		case <-ctx.Done():
-			done <- nil
-			return
 		case <-keeper.loans.wake:
+			clock.Sleep(ctx, repayInterval)
 		}
-		clock.Sleep(ctx, repayInterval)
-		var calls sync.WaitGroup
-		for home, repayments := range keeper.loans.takeDue() {
-			calls.Go(func() {
-				limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), repayTimeout)
-				defer cancel()
-				if err := keeper.lenders.Repay(limited, home, repayments); err != nil {
-					keeper.log.Info("loans not repaid", "home", home, "loans", len(repayments), "err", err)
-				}
-			})
+		keeper.repayDue(context.WithoutCancel(ctx))
+		if ctx.Err() != nil {
+			done <- nil
+			return
 		}
-		calls.Wait()
 	}
 }
 
+// repayDue tells the homes what is due.
+func (keeper *Keeper) repayDue(ctx context.Context) {
+	var calls sync.WaitGroup
+	for home, repayments := range keeper.loans.takeDue() {
+		calls.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, repayTimeout)
+			defer cancel()
+			if err := keeper.lenders.Repay(limited, home, repayments); err != nil {
+				keeper.log.Info("loans not repaid", "home", home, "loans", len(repayments), "err", err)
+			}
+		})
+	}
+	calls.Wait()
+}
+
 func (loans *loans) give(reservation *Reservation, covered int64, now time.Time) uint64 {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -220,6 +220,32 @@
 
 func (alwaysHome) Home(string) string { return "" }
 
+// Guards against repayments that are due as an instance ends: their loans count
+// as spent.
+func TestRepaymentsDueAtTheEndAreTold(t *testing.T) {
+	told := 0
+	const tries = 40
+	for range tries {
+		memory := storetest.New()
+		a, b, _, program := threeInstances(t, memory, clock.Real{})
+		turn, err := b.Reserve(context.Background(), program, 300, 1701)
+		require.NoError(t, err)
+		require.Equal(t, "a", turn.Home())
+		turn.Settle(0)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // while the repayments before were told
+		done := make(chan error, 1)
+		b.Keeper.Repay(ctx, done)
+		require.NoError(t, <-done)
+		require.NoError(t, a.Stop(context.Background()))
+		_, sum := programRow(t, memory, program)
+		if sum.Granted == 0 {
+			told++
+		}
+	}
+	assert.Equal(t, tries, told)
+}
+
 // Guards against a wait for what never comes: all others that hold something
 // are known to have ended.
 func TestRestThatIsLostIsNotWaitedFor(t *testing.T) {
