gateway: the wait for a stream's rest is bounded as a whole

The patience of 1.5 s was looked at between tries only; one look at a holder that cannot be reached took 0.9 s (review), so that a stream could pause for longer than callers wait. Now it bounds the tries, too. Looks for held budget come every 300 ms, since each takes some six reads. A part that holds less than the event is asked for again: some tokens were passed on that were not promised.

--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -33,9 +33,8 @@
 	// stream up after a pause of two seconds.
 	extendPatience = 1500 * time.Millisecond
 	// heldRetry is the pause between looks for budget that other turns hold:
-	// a few in the half second that a turn takes, since each asks instances
-	// and the store.
-	heldRetry = 150 * time.Millisecond
+	// a turn takes half a second, and each look some six reads of the store.
+	heldRetry = 300 * time.Millisecond
 	// lastEventHeader names the event after which a stream goes on.
 	lastEventHeader = "Last-Event-Id"
 )
@@ -243,26 +242,49 @@
 // afford returns once the event's tokens are promised to the turn. A turn
 // begins with a part of what it may generate, and most end within it.
 func (e *exchange) afford(ctx context.Context, event eventstream.Event) error {
-	if e.reservation == nil || !event.HasData || e.spent()+e.eventTokens() <= e.reservation.Promised() {
+	if e.reservation == nil || e.isAfforded(event) {
 		return nil
 	}
 	began := e.Clock.Now()
+	limited, cancel := context.WithTimeout(ctx, extendPatience)
+	defer cancel()
+	err := e.extend(limited, event)
+	e.metrics.extend.RecordDuration(e.Clock.Now().Sub(began))
+	return e.notAfforded(err)
+}
+
+// isAfforded reports whether the event's tokens are promised to the turn.
+func (e *exchange) isAfforded(event eventstream.Event) bool {
+	return !event.HasData || e.spent()+e.eventTokens() <= e.reservation.Promised()
+}
+
+// extend asks for the rest of the turn's budget until the event is afforded,
+// there is no rest, it is known not to be had, or ctx ends.
+func (e *exchange) extend(ctx context.Context, event eventstream.Event) error {
+	var last error
 	for {
+		before := e.reservation.Promised()
 		err := e.reservation.Extend(ctx)
-		pause := extendRetry(err)
-		if pause == 0 || e.Clock.Now().Sub(began) >= extendPatience {
-			e.metrics.extend.RecordDuration(e.Clock.Now().Sub(began))
-			return e.notAfforded(err)
+		if err == nil {
+			if e.isAfforded(event) || e.reservation.Promised() == before {
+				return nil
+			}
+			continue
+		}
+		if ctx.Err() != nil && last != nil {
+			return last // err is the end of ctx
 		}
-		if !clock.Sleep(ctx, pause) {
+		last = err
+		pause := pauseAfter(err)
+		if pause == 0 || !clock.Sleep(ctx, pause) {
 			return err
 		}
 	}
 }
 
-// extendRetry returns the pause before the rest of a budget is asked for
-// again; 0 if err is none, or asking again is of no use.
-func extendRetry(err error) time.Duration {
+// pauseAfter returns the pause before the rest of a budget is asked for again;
+// 0 if asking again is of no use.
+func pauseAfter(err error) time.Duration {
 	var held *account.HeldError
 	switch {
 	case store.Unserved(err):
