--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -89,6 +89,35 @@
 	assert.LessOrEqual(t, sum.Granted, int64(total), "granted in the row")
 }
 
+// Guards against a stream that breaks off since its program's next home, which
+// did not begin its turn, is asked for the rest.
+func TestNextHomeGrantsRestOfStreamInFlight(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a, b, c, program := threeInstances(t, memory, clock.Real{})
+	for at := 1; budget.Home(program, []string{"b", "c"}) != "c"; at++ {
+		program = homed(at, "a", "a", "b", "c")
+	}
+	const most, total = 567, 1500
+	memory.SetFault(away) // the turn begins with a part
+	turn, err := b.Reserve(ctx, program, most, total)
+	require.NoError(t, err)
+	memory.SetFault(served)
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	b.view, c.view = []string{"c"}, []string{"b"}
+	second, err := whole(ctx, c.Keeper, program, most, total)
+	require.NoError(t, err)
+	require.NoError(t, turn.Extend(ctx))
+	require.EqualValues(t, most, turn.Promised())
+	turn.Settle(most)
+	second.Settle(most)
+	ledger, _ := programRow(t, memory, program)
+	for name, account := range ledger.Accounts {
+		assert.Zero(t, account.Reserved, name)
+	}
+}
+
 // Guards against a rest that counts twice for ever: the account that grants it
 // has enough left of a turn that ended, and writes no row.
 func TestRestThatAccountHoldsCountsOnce(t *testing.T) {
