store: a silent partition is found away though its callers leave

Seven instances found six partitions away, after 4 s at the earliest.

Cause: a call that its caller gives up said nothing of the store. A call to a silent partition nearly always ends so: another instance gives up a call made for it after 0.6 s, before the 1 s after which it fails by itself, and through others it takes 2.2 s, when the caller has left.

Such a call counts as unanswered now once it has waited for half a second, which is beyond what a slow store takes. A watch that ends says nothing, as before. Ruled out: that the failures were reset by answers of other partitions; those reset the count of the whole store only.

--- a/store/guard.go
+++ b/store/guard.go
@@ -19,6 +19,11 @@
 	// instance with work hears from the others ten times a second.
 	wholeFailures = 6
 	wholeSilence  = 400 * time.Millisecond
+	// silentCall is how long a call must have waited to count as unanswered
+	// though its caller gave it up. A slow store answers in a quarter of a
+	// second; other instances wait 600 ms for a call made for them, and callers
+	// of streams two seconds.
+	silentCall = 500 * time.Millisecond
 	// probeInterval is how often a store that is away is tried, probeTimeout
 	// how long each try waits.
 	probeInterval = 100 * time.Millisecond
@@ -92,8 +97,9 @@
 	if err := guard.enter("commit", partition); err != nil {
 		return 0, err
 	}
+	began := time.Now()
 	version, err := guard.store.Commit(ctx, tx)
-	guard.leave(ctx, partition, err)
+	guard.leaveCall(ctx, began, partition, err)
 	return version, err
 }
 
@@ -102,8 +108,9 @@
 	if err := guard.enter("read", r.Partition); err != nil {
 		return Page{}, err
 	}
+	began := time.Now()
 	page, err := guard.store.Read(ctx, r)
-	guard.leave(ctx, r.Partition, err)
+	guard.leaveCall(ctx, began, r.Partition, err)
 	return page, err
 }
 
@@ -113,7 +120,10 @@
 	limited, end := guard.watching(ctx)
 	defer end()
 	page, err := guard.store.Watch(limited, table, after, wait)
-	guard.leave(limited, "", err)
+	// However long it waited: a watch waits for news, not for an answer.
+	if !errors.Is(limited.Err(), context.Canceled) || !Unserved(err) {
+		guard.leave("", err)
+	}
 	return page, err
 }
 
@@ -154,8 +164,9 @@
 		tries.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
+			began := time.Now()
 			_, err := guard.store.Read(limited, Range{Table: probedTable, Partition: partition, Limit: 1})
-			guard.leave(limited, partition, err)
+			guard.leaveCall(limited, began, partition, err)
 		})
 	}
 	tries.Wait()
@@ -176,13 +187,18 @@
 	return away
 }
 
-// leave takes in how a call ended. One that its caller gave up says nothing;
-// one that was not answered in its time does.
-func (guard *Guard) leave(ctx context.Context, partition string, err error) {
-	failed := Unserved(err)
-	if failed && errors.Is(ctx.Err(), context.Canceled) {
+// leaveCall takes in how a call that began then ended. One that its caller soon
+// gave up says nothing; one that was not answered in its time does.
+func (guard *Guard) leaveCall(ctx context.Context, began time.Time, partition string, err error) {
+	if Unserved(err) && errors.Is(ctx.Err(), context.Canceled) && time.Since(began) < silentCall {
 		return
 	}
+	guard.leave(partition, err)
+}
+
+// leave takes in what a call to a partition came to.
+func (guard *Guard) leave(partition string, err error) {
+	failed := Unserved(err)
 	guard.mu.Lock()
 	state := guard.health(partition)
 	was, wasWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -79,6 +80,50 @@
 	assert.False(t, fresh.WholeAway(), "a call that its caller gave up says nothing")
 }
 
+// A partition that is silent is never found away, since all who call it leave
+// before their calls end.
+func TestSilentPartitionIsFoundAwayThoughCallersLeave(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave time.Duration
+		away  bool
+	}{
+		{"another instance gives up its relayed call", 600 * time.Millisecond, true},
+		{"caller of a stream leaves", 2 * time.Second, true},
+		{"caller leaves before a slow store answers", 250 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				guard := store.NewGuard(&slowStore{Store: storetest.New(), lose: 1000}, func(string, bool, error) {})
+				for range 4 {
+					ctx, cancel := context.WithCancel(context.Background())
+					time.AfterFunc(test.leave, cancel)
+					_, err := guard.Commit(ctx, in("a"))
+					require.Error(t, err)
+				}
+				assert.Equal(t, test.away, guard.Away("a"))
+				assert.False(t, guard.WholeAway(), "one partition says nothing of the others")
+			})
+		})
+	}
+}
+
+// A feed that is watched for long has the store taken for away when its watcher
+// ends.
+func TestEndedWatchSaysNothingOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := store.NewGuard(storetest.New(), func(string, bool, error) {})
+		for range 10 {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(10*time.Second, cancel)
+			_, err := guard.Watch(ctx, "t", 0, time.Minute)
+			require.Error(t, err)
+		}
+		assert.False(t, guard.Away(""))
+		assert.False(t, guard.WholeAway())
+	})
+}
+
 // Symptom: for half a second after an outage the store is taken for away
 // again and again. Events: all partitions fail; the store returns; the first
 // answer comes from one of them. Cause: the others stayed away until each
