gateway: a turn that waits for one call is refused before its caller leaves

What callers saw: a turn that waited for the store for two seconds, untried, with no answer at all. Callers of streams leave then; the try is over, while one that is told to come back has a second one within its time.

Cause: patience bounded the pauses between calls, not a call.

What runs before an endpoint is asked has a context now that ends 0.3 s before the caller leaves, which follows from the route: after two seconds without an event, or some multiples of its objective and pause. A request that waited long for its turn still has time for one call.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,9 +37,11 @@
 type bed struct {
 	t      *testing.T
 	memory *storetest.Memory
-	model  *platformtest.Endpoint
-	tool   *platformtest.Endpoint
-	ids    atomic.Int64
+	// store is what instances see of memory.
+	store store.Store
+	model *platformtest.Endpoint
+	tool  *platformtest.Endpoint
+	ids   atomic.Int64
 }
 
 // instance is an entry instance of a bed.
@@ -83,6 +85,7 @@
 	t.Cleanup(b.model.Close)
 	t.Cleanup(b.tool.Close)
 	platformtest.Configure(b.memory, platformtest.Configuration(3))
+	b.store = b.memory
 	b.model.Register(b.memory, "a", "ready")
 	b.tool.Register(b.memory, "a", "ready")
 	return b
@@ -93,7 +96,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clk := clock.Real{}
 	current, list := &route.Current{}, membership.NewList()
-	guard := store.NewGuard(b.memory, func(string, bool, error) {})
+	guard := store.NewGuard(b.store, func(string, bool, error) {})
 	i := &instance{bed: b, client: upstream.NewClient(), done: make(chan error, 4)}
 	i.accounts = account.NewKeeper(guard, fmt.Sprintf("i%d", b.ids.Add(1)), alone{}, alone{}, clk, log, tally.NoopScope)
 	i.Gateway = gateway.New(gateway.Parts{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
@@ -528,6 +531,37 @@
 	assert.Equal(t, 200, response.StatusCode)
 }
 
+// silentStore does not answer commits while it is silent.
+type silentStore struct {
+	store.Store
+	silent atomic.Bool
+}
+
+func (s *silentStore) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	if !s.silent.Load() {
+		return s.Store.Commit(ctx, tx)
+	}
+	<-ctx.Done()
+	return 0, store.NewError(store.FailureUnanswered, "commit", ctx.Err().Error())
+}
+
+// A caller leaves after two seconds without an event, not told when to come
+// back, while one call that its turn needs is not answered.
+func TestTurnIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	b := newBed(t)
+	silent := &silentStore{Store: b.memory}
+	b.store = silent
+	i := b.start()
+	silent.silent.Store(true)
+	began := time.Now()
+	response, body := i.must(ask{path: "/chat/x", id: "t1", body: "x", header: turnOf("p", nil)})
+	assert.Less(t, time.Since(began), 1900*time.Millisecond)
+	assert.Equal(t, 503, response.StatusCode)
+	assert.Contains(t, body, "StoreAway")
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Empty(t, b.model.Runs())
+}
+
 // Symptom: requests are cut off when an instance is stopped. Events: it is
 // told to stop while it answers, while callers keep connections, and while
 // new ones come. Cause: connections were closed by their age, not by
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,6 +30,21 @@
 	// patienceShare of its time is the most that a request waits so: what is
 	// left must do for the answer, or for another try.
 	patienceShare = 0.4
+	// leastGap, or callerObjectives times the route's objective or callerPauses
+	// times its longest pause, is how long a caller waits for the next event of
+	// a stream, the first one too, before it leaves.
+	leastGap         = 2 * time.Second
+	callerObjectives = 4
+	callerPauses     = 8
+	// refusalTime before that a request that still waits for the store or for
+	// another instance is refused: a caller that leaves first is not told when
+	// to come back. The way to it takes some ten milliseconds, and longer on a
+	// busy link.
+	refusalTime = 300 * time.Millisecond
+	// leastCall is what a call to the store is given at least, however long the
+	// request has waited for its turn: one that is slow answers in a quarter of
+	// a second.
+	leastCall = 300 * time.Millisecond
 	// storeRetry is the pause between looks at a store that is away.
 	storeRetry = 60 * time.Millisecond
 	// storePause is what callers are told to wait after that; they wait a
@@ -263,7 +278,7 @@
 		return nil
 	}
 	var chain []*history.Turn
-	err := e.patiently(ctx, func() (err error) {
+	err := e.patiently(ctx, func(ctx context.Context) (err error) {
 		chain, err = e.Archive.Chain(ctx, e.call.Previous, e.holder())
 		return err
 	})
@@ -295,12 +310,16 @@
 }
 
 // patiently calls f again while the store does not serve it, for
-// storePatience from the request's arrival. An instance that is cut off does
-// not wait: another one can serve the request.
-func (e *exchange) patiently(ctx context.Context, f func() error) error {
+// storePatience from the request's arrival, and ends a call under way before
+// the caller leaves. An instance that is cut off does not wait: another one can
+// serve the request.
+func (e *exchange) patiently(ctx context.Context, f func(ctx context.Context) error) error {
 	patience := min(storePatience, time.Duration(patienceShare*float64(e.until.Sub(e.arrived))))
+	limit := max(e.arrived.Add(e.callerGap()-refusalTime).Sub(e.Clock.Now()), leastCall)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	for {
-		err := f()
+		err := f(ctx)
 		if !store.Unserved(err) || e.cutOff() || e.Clock.Now().Sub(e.arrived) >= patience {
 			return err
 		}
@@ -310,6 +329,11 @@
 	}
 }
 
+// callerGap returns how long the caller waits for an event of the answer.
+func (e *exchange) callerGap() time.Duration {
+	return max(leastGap, callerObjectives*e.route.Objective, callerPauses*e.route.Pause)
+}
+
 // storeAway returns the refusal of a request that needs the store.
 func (e *exchange) storeAway(err error) *refusal {
 	pause := storePause
@@ -331,7 +355,7 @@
 	}
 	began := e.Clock.Now()
 	var reservation *account.Reservation
-	err := e.patiently(ctx, func() (err error) {
+	err := e.patiently(ctx, func(ctx context.Context) (err error) {
 		reservation, err = e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget, e.ownParts()...)
 		return err
 	})
