entrypeer: one other instance that does not answer isolates none

A caller comes back once only within its time: one program used its three sends in 3.9 s, five of its six tries refused after 0.3 s.

Cause: an instance took itself for cut off when the last call to any other had no answer. One that has ended does not answer, nor one that waits for the store itself, as all do in an outage.

Two different ones that cannot be reached, with no answer from any in between, isolate an instance now, or the only other one. One that was too late does not count: its connection stood. An instance whose links are cut notices when its connections end, after 0.6 s, and new ones fail 0.3 s later.

--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -24,6 +24,10 @@
 	// of one that is gone for good stays.
 	failurePause    = time.Second
 	maxFailurePause = 16 * time.Second
+	// isolatingFailures is how many other instances cannot be reached, with no
+	// answer in between, before this one counts as cut off. One at a time ends
+	// or starts again.
+	isolatingFailures = 2
 	// stopTime is how long an instance that stops is left out: some eight
 	// seconds, after which it has left, or has started again and entered
 	// itself anew.
@@ -62,9 +66,9 @@
 	avoid     map[string]absence
 	// displaced is told when the own row was found to be another's.
 	displaced chan struct{}
-	// answered is when another instance last answered, unanswered when one
-	// last did not.
-	answered, unanswered time.Time
+	// unreached are the instances that could not be reached since any last
+	// answered.
+	unreached map[string]struct{}
 }
 
 // absence is an instance that could not be reached.
@@ -77,7 +81,7 @@
 
 // NewDirectory returns a directory that knows only self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, displaced: make(chan struct{}, 1)}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, unreached: map[string]struct{}{}, displaced: make(chan struct{}, 1)}
 }
 
 func (directory *Directory) key() store.Key {
@@ -237,7 +241,9 @@
 	absent.until = now.Add(min(failurePause<<min(absent.failures, 10), maxFailurePause))
 	absent.failures++
 	directory.avoid[instance.Name] = absent
-	directory.unanswered = now
+	if !late {
+		directory.unreached[instance.Name] = struct{}{}
+	}
 }
 
 // leaving leaves out an instance that said that it stops, for as long as a
@@ -255,12 +261,14 @@
 	if !directory.avoid[instance.Name].stopping || !directory.left(instance.Name, directory.clock.Now()) {
 		delete(directory.avoid, instance.Name)
 	}
-	directory.answered = directory.clock.Now()
+	clear(directory.unreached)
 }
 
-// Isolated reports whether this instance could reach no other one of late.
+// Isolated reports whether this instance could reach no other one of late. One
+// other alone may have ended, and one that was too late may wait for the store.
 func (directory *Directory) Isolated() bool {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	return directory.unanswered.After(directory.answered)
+	unreached := len(directory.unreached)
+	return unreached >= isolatingFailures || unreached > 0 && len(directory.instances) == 1
 }
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -150,6 +150,31 @@
 	assert.True(t, shut.directory.Isolated())
 }
 
+// While the store is away an instance takes itself for cut off, and turns its
+// callers away at once, since one other instance has ended or waits for the
+// store itself.
+func TestOneInstanceThatDoesNotAnswerIsolatesNoOther(t *testing.T) {
+	memory := storetest.New()
+	own, ended, living := start(t, memory, "own"), start(t, memory, "ended"), start(t, memory, "living")
+	require.Eventually(t, func() bool { _, all := own.directory.Members(); return len(all) == 3 }, 2*time.Second, 5*time.Millisecond)
+	borrow := func(name, program string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := own.client.Borrow(ctx, name, program, account.Borrowing{Turn: budget.Whole(1), Total: 10, Parts: []string{"p"}})
+		return err
+	}
+	require.NoError(t, borrow("living", "p"))
+	ended.server.CloseClientConnections()
+	ended.server.Close()
+	require.Error(t, borrow("ended", "p"))
+	assert.False(t, own.directory.Isolated(), "one has ended")
+	require.Error(t, borrow("living", "slow"))
+	assert.False(t, own.directory.Isolated(), "the other was too late")
+	living.server.CloseClientConnections()
+	living.server.Close()
+	require.Eventually(t, func() bool { _ = borrow("living", "p"); return own.directory.Isolated() }, 3*time.Second, 20*time.Millisecond)
+}
+
 // Symptom: turns of a program are refused as held though the holder lives.
 // Events: an instance restarts; a write of its earlier start, whose answer
 // was lost, is applied after it joined again. Cause: the row named an owner
