gateway, logging: tell what a stop closed, what came too late, and panics

Callers saw tries that end with their connection and no answer around planned stops. Nothing in the logs told of them: closing a quiet connection logged nothing, the end of serving logged only requests still in flight, and net/http tells of panics at debug level, which is not written.

Now a stop ends with a line "serving ended" (connections open, closed as quiet, on how many of them bytes came afterwards, what was left), each of the first 20 such connections has a line, and a panic other than http.ErrAbortHandler is an error with its path and stack, for callers, other instances and readiness alike. net/http's own messages, such as a failure to accept, are warnings.

No change of behaviour. Bytes that reach the machine only after the close are still not seen here: the kernel answers them with a reset.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -198,8 +198,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", s.Peer)
 	}
-	p.goroutine(work, serveUntil(ready, f.gateway.ReadyHandler()))
-	p.goroutine(work, serveUntil(peers, f.peers.Handler()))
+	p.goroutine(work, serveUntil(ready, f.gateway.ReadyHandler(), p.log))
+	p.goroutine(work, serveUntil(peers, f.peers.Handler(), p.log))
 	server := gateway.NewServer(f.gateway, p.log)
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		began := make(chan time.Time, 1)
@@ -249,9 +249,9 @@
 
 // serveUntil serves handler on listener until the context ends. Whoever
 // calls then may be cut off.
-func serveUntil(listener net.Listener, handler http.Handler) func(context.Context, chan<- error) {
+func serveUntil(listener net.Listener, handler http.Handler, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+		srv := &http.Server{Handler: logging.Panics(handler, log), ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 		ended := make(chan error, 1)
 		go func() { ended <- srv.Serve(listener) }()
 		<-ctx.Done()
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/logging"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// callers for a request's head and between requests.
 	headTimeout = 20 * time.Second
 	idleTimeout = 60 * time.Second
+	// lateLines bounds the lines of a stop about requests that came too late,
+	// so that those of what it cut stand in the same log.
+	lateLines = 20
 	// maxHead bounds a request's head, in bytes.
 	maxHead = 64 << 10
 )
@@ -40,87 +44,14 @@
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// closed counts the connections that a stop closed as quiet, late those
+	// on which bytes came after that, lateBytes these bytes.
+	closed, late, lateBytes int
 }
 
 // NewServer returns a server of handler.
 func NewServer(handler http.Handler, log *slog.Logger) *Server {
-	return &Server{handler: handler, log: log, conns: map[*callerConn]bool{}}
-}
-
-// callerConn is a caller's connection that knows whether a request may be
-// on its way. The server's own states do not tell: between the first byte
-// of a request and its whole head a connection counts as idle, and closing
-// it then loses a request that was taken.
-type callerConn struct {
-	net.Conn
-	server *Server
-
-	mu sync.Mutex
-	// busy: bytes came since the last answer ended. read: they came after
-	// the last write.
-	busy, read, closed bool
-	// since is when the connection was taken, or its last answer ended.
-	since time.Time
-}
-
-// Read implements net.Conn.
-func (conn *callerConn) Read(p []byte) (int, error) {
-	n, err := conn.Conn.Read(p)
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.closed {
-		return 0, io.EOF
-	}
-	if n > 0 {
-		conn.busy, conn.read = true, true
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (conn *callerConn) Write(p []byte) (int, error) {
-	conn.mu.Lock()
-	conn.read = false
-	conn.mu.Unlock()
-	return conn.Conn.Write(p)
-}
-
-// Close implements net.Conn.
-func (conn *callerConn) Close() error {
-	conn.server.mu.Lock()
-	delete(conn.server.conns, conn)
-	conn.server.mu.Unlock()
-	return conn.Conn.Close()
-}
-
-// CloseWrite ends the connection's own direction, so that an answer that
-// ends a connection arrives whole.
-func (conn *callerConn) CloseWrite() error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return nil
-}
-
-// rest notes that an answer ended.
-func (conn *callerConn) rest() {
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	conn.busy = conn.read
-	conn.since = time.Now()
-}
-
-// closeIfQuiet closes the connection unless a request may be on its way.
-func (conn *callerConn) closeIfQuiet() {
-	conn.mu.Lock()
-	quiet := !conn.busy && time.Since(conn.since) >= quietTime
-	if quiet {
-		conn.closed = true
-	}
-	conn.mu.Unlock()
-	if quiet {
-		_ = conn.Close() // nothing was asked on it
-	}
+	return &Server{handler: logging.Panics(handler, log), log: log, conns: map[*callerConn]bool{}}
 }
 
 // callerListener wraps what it accepts.
@@ -148,7 +79,7 @@
 // It reports its end on done.
 func (server *Server) Serve(ctx context.Context, listener net.Listener, grace time.Duration, done chan<- error) {
 	srv := &http.Server{Handler: server.handler, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
-		ErrorLog: slog.NewLogLogger(server.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(server.log.Handler(), slog.LevelWarn),
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			if own, ok := conn.(*callerConn); ok && state == http.StateIdle {
 				own.rest()
@@ -168,15 +99,43 @@
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
 		server.log.Warn("accepting connections ended", "err", err)
 	}
+	open := server.open()
 	for time.Since(began) < grace-stopMargin && server.closeQuiet() > 0 {
 		time.Sleep(stopPoll)
 	}
-	if left := server.closeQuiet(); left > 0 {
+	left := server.closeQuiet()
+	if left > 0 {
 		server.log.Warn("stopping with requests in flight: the time to stop is over", "connections", left)
 	}
+	server.mu.Lock()
+	closed, late, lateBytes := server.closed, server.late, server.lateBytes
+	server.mu.Unlock()
+	server.log.Info("serving ended", "took", time.Since(began), "connections", open, "closed_quiet", closed, "late", late, "late_bytes", lateBytes, "left", left)
 	done <- nil
 }
 
+// open returns how many connections there are.
+func (server *Server) open() int {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return len(server.conns)
+}
+
+// cameLate notes that bytes of a request came on a connection that a stop
+// had closed. They were not read before: the request did not run.
+func (server *Server) cameLate(conn *callerConn, bytes int, first bool, after time.Duration) {
+	server.mu.Lock()
+	server.lateBytes += bytes
+	if first {
+		server.late++
+	}
+	log := first && server.late <= lateLines
+	server.mu.Unlock()
+	if log {
+		server.log.Warn("request came after its connection was closed", "caller", conn.RemoteAddr(), "bytes", bytes, "after", after)
+	}
+}
+
 // closeQuiet closes the connections without a request and returns how many
 // are left.
 func (server *Server) closeQuiet() int {
@@ -189,7 +148,5 @@
 	for _, conn := range conns {
 		conn.closeIfQuiet()
 	}
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	return len(server.conns)
+	return server.open()
 }
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -106,3 +107,44 @@
 		}
 	}
 }
+
+// lateConn is a connection of a busy machine: what came is read a while later.
+type lateConn struct {
+	net.Conn
+	late time.Duration
+}
+
+func (conn *lateConn) Read(p []byte) (int, error) {
+	n, err := conn.Conn.Read(p)
+	time.Sleep(conn.late)
+	return n, err
+}
+
+// dialLate is dial to a machine that is so busy.
+func (listener *pipeListener) dialLate(late time.Duration) net.Conn {
+	near, far := net.Pipe()
+	listener.conns <- &lateConn{Conn: far, late: late}
+	return near
+}
+
+// Guards against a request that a stopping instance closes its connection on, and no line that says so.
+func TestRequestLostToCloseGoesUnlogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+		listener, done := newPipeListener(), make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, 8*time.Second, done)
+		idle, busy := listener.dial(), listener.dialLate(100*time.Millisecond)
+		cancel()
+		time.Sleep(3*time.Second - 50*time.Millisecond)
+		go func() { _, _ = askOn(busy) }() // crosses the close
+		require.NoError(t, <-done)
+		_, err := idle.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Regexp(t, `msg="request came after its connection was closed" caller=pipe bytes=[1-9]`, out.String())
+		assert.Regexp(t, `msg="serving ended" took=3\S+ connections=2 closed_quiet=2`, out.String())
+	})
+}
