cmd/wagtaildrum: signals do not end a process that stops; tests around a stop

What was not looked at in the listener and the process, each with a test.

Failed first, mended here: a signal to stop that came while an instance stopped of itself, after one of its goroutines had failed, ended the process at once, with what was in flight: the end of the context also gave the signals back to the runtime.

Calls of other instances in flight at the very end are cut: the server for them is closed hard. Tried and withdrawn: to answer them for 200 ms more, and for 50 ms more with their contexts ended. And what is granted to another instance after this one has given up what it holds is held by nobody who could give it back.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -248,7 +248,9 @@
 }
 
 // serveUntil serves handler on listener until the context ends. Whoever
-// calls then may be cut off.
+// calls then is cut off, and must be: what is granted to another instance
+// after this one has given up what it holds is held by nobody who could give
+// it back.
 func serveUntil(listener net.Listener, handler http.Handler, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
 		srv := &http.Server{Handler: logging.Panics(handler, log), ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -85,9 +85,12 @@
 	return nil
 }
 
-// signalled returns a context that ends on SIGTERM or SIGINT.
+// signalled returns a context that ends on SIGTERM or SIGINT, or when it is
+// cancelled. The signals stay handled until the process has ended: one that
+// comes while it stops would end it at once, with what is in flight.
 func signalled() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	return context.WithCancel(ctx)
 }
 
 // wait waits for every goroutine to report its end, and returns the first
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -54,8 +54,10 @@
 }
 
 // askOn sends a request on conn and returns the status of its answer.
-func askOn(conn net.Conn) (int, error) {
-	r, err := http.NewRequest(http.MethodGet, "http://desk.example/", nil)
+func askOn(conn net.Conn) (int, error) { return askHost(conn, "desk.example") }
+
+func askHost(conn net.Conn, host string) (int, error) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+host+"/", nil)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/gateway/panic_test.go
@@ -0,0 +1,45 @@
+package gateway_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/gateway"
+)
+
+// Guards against a stop that waits for, or cuts, other requests since the handler of one panicked.
+func TestPanicInHandlerHoldsStopUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			if r.Host == "desk.example" {
+				panic("no such part")
+			}
+			w.WriteHeader(http.StatusOK)
+		})
+		listener, done := newPipeListener(), make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+		broken, whole := listener.dial(), listener.dial()
+		cancel()
+		time.Sleep(3*time.Second - 50*time.Millisecond)
+		answered := make(chan int, 1)
+		go func() {
+			status, _ := askHost(whole, "other.example")
+			answered <- status
+		}()
+		_, err := askOn(broken)
+		require.Error(t, err)
+		assert.Equal(t, http.StatusOK, <-answered)
+		began := time.Now()
+		require.NoError(t, <-done)
+		assert.Less(t, time.Since(began), time.Second)
+	})
+}
