--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -53,6 +53,8 @@
 	// body is what was sent, prompt what an endpoint must get.
 	body, prompt string
 	budget       int64
+	// most is what a turn may generate.
+	most int64
 	// status is 0 if no answer came; whole tells that it ended as it should.
 	status int
 	whole  bool
@@ -140,11 +142,7 @@
 // attempt that was answered whole.
 func (caller *caller) turn(ctx context.Context, program string, k kind, budget int64, number int, previous *attempt) *attempt {
 	for range 3 {
-		a := &attempt{program: program, kind: k, budget: budget, body: fmt.Sprintf("input %d of %s. ", number, program)}
-		a.prompt = a.body
-		if k == kindKeep && previous != nil {
-			a.previous, a.prompt = previous.id, previous.history()+a.body
-		}
+		a := newTurn(program, k, budget, number, previous)
 		caller.send(ctx, a)
 		switch {
 		case a.status == http.StatusOK && a.whole:
@@ -158,6 +156,17 @@
 	return nil
 }
 
+// newTurn returns a turn that is not sent yet, after previous if that is not
+// nil.
+func newTurn(program string, k kind, budget int64, number int, previous *attempt) *attempt {
+	a := &attempt{program: program, kind: k, budget: budget, most: mostTokens, body: fmt.Sprintf("input %d of %s. ", number, program)}
+	a.prompt = a.body
+	if k == kindKeep && previous != nil {
+		a.previous, a.prompt = previous.id, previous.history()+a.body
+	}
+	return a
+}
+
 // history is what a turn that continues a has before its own input.
 func (a *attempt) history() string {
 	var text strings.Builder
@@ -221,7 +230,7 @@
 	r.Header.Set("X-Finish-Ms", "2500")
 	if a.kind.isTurn() {
 		r.Header.Set("X-Token-Budget", strconv.FormatInt(a.budget, 10))
-		r.Header.Set("X-Token-Count", "100,"+strconv.Itoa(mostTokens))
+		r.Header.Set("X-Token-Count", "100,"+strconv.FormatInt(a.most, 10))
 		r.Header.Set("X-Prompt-Prefix", "5ea:12600,"+a.program+":1000")
 	}
 	if a.previous != "" {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -46,7 +46,7 @@
 		}
 		a.checkRuns(of, tell)
 	}
-	handed, budgets := map[string]int64{}, map[string]int64{}
+	handed, bounds := map[string]int64{}, map[string]int64{}
 	for id, a := range book.attempts {
 		a.checkAnswer(runs[id], tell)
 		if a.previous != "" && a.status == http.StatusNotFound && book.attempts[a.previous].whole {
@@ -54,7 +54,7 @@
 		}
 		if a.kind.isTurn() {
 			handed[a.program] += int64(len(a.events)) * eventTokens
-			budgets[a.program] = a.budget
+			bounds[a.program] = a.budget + a.most
 		}
 		if planned && a.err != nil && len(runs[id]) > 0 {
 			tell("cut: %s at %s was cut off by planned work: %v", id, a.front, a.err)
@@ -64,8 +64,8 @@
 		}
 	}
 	for program, tokens := range handed {
-		if tokens > budgets[program]+mostTokens {
-			tell("budget: program %s was handed %d tokens of %d", program, tokens, budgets[program])
+		if tokens > bounds[program] {
+			tell("budget: program %s was handed %d tokens, where its budget and a turn's most are %d", program, tokens, bounds[program])
 		}
 	}
 	return broken
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,7 +82,7 @@
 	}
 	t.Log(b.summary())
 	if t.Failed() && *logs != "" {
-		s.keepLogs(seed)
+		s.keepLogs(fmt.Sprint(seed))
 	}
 }
 
@@ -116,19 +116,27 @@
 			break
 		}
 	}
+	s.checkServes(c, "last")
+	for _, f := range s.fronts {
+		assert.Contains(s.t, f.state(), fmt.Sprintf(`"configuration": %d`, version), f.Name)
+	}
+	assert.Len(s.t, leaving.Runs(), before, "a leaving endpoint got work")
+}
+
+// checkServes checks that every front serves each kind of request of programs
+// that begin now.
+func (s *site) checkServes(c *caller, programs string) {
 	for _, f := range s.fronts {
 		c.front = f
 		for _, k := range []kind{kindKeep, kindChat, kindLook, kindPost} {
-			a := &attempt{program: "last-" + f.Name + string(k), kind: k, budget: usualBudget, body: "x", prompt: "x"}
+			a := &attempt{program: programs + "-" + f.Name + string(k), kind: k, budget: usualBudget, most: mostTokens, body: "x", prompt: "x"}
 			if k == kindLook {
 				a.body, a.prompt = "", ""
 			}
-			c.send(ctx, a)
+			c.send(context.Background(), a)
 			assert.Equal(s.t, http.StatusOK, a.status, "%s at %s: %s %v", k, f.Name, a.answer, a.err)
 		}
-		assert.Contains(s.t, f.state(), fmt.Sprintf(`"configuration": %d`, version), f.Name)
 	}
-	assert.Len(s.t, leaving.Runs(), before, "a leaving endpoint got work")
 }
 
 // state returns the state dump of an instance.
@@ -136,8 +144,9 @@
 	return platformtest.Get("http://" + front.Debug + "/debug/state")
 }
 
-func (s *site) keepLogs(seed uint64) {
+// keepLogs writes the instances' logs into the folder for them.
+func (s *site) keepLogs(run string) {
 	for _, f := range s.fronts {
-		s.check(os.WriteFile(filepath.Join(*logs, fmt.Sprintf("%d-%s.log", seed, f.Name)), []byte(f.Logged()), 0o600))
+		s.check(os.WriteFile(filepath.Join(*logs, fmt.Sprintf("%s-%s.log", run, f.Name)), []byte(f.Logged()), 0o600))
 	}
 }
