--- a/account/grant.go
+++ b/account/grant.go
@@ -49,9 +49,9 @@
 		}
 	}
 	if gone || !turn.Rest && keeper.isLost(p, turn, total) {
-		// Told to wait for it, a program that loops came back some 80 times,
-		// with a read or two each, until its time was over; 38 programs sent
-		// 3,100 such turns in 20 s after a loss of power.
+		// Told to wait for what is lost, a program that loops came back some 80
+		// times, with a read or two each, until its time was over; 38 programs
+		// sent 3,100 such turns in 20 s after a loss of power.
 		decision = budget.DecisionSpent
 	}
 	return turn, keeper.refuse(p, decision, turn, total)
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -87,7 +87,9 @@
 // another part, under the budget total. For DecisionGrant it also returns the
 // row that grants the part: that has to be made durable, then Written called,
 // and the turn decided again. The two come from one look at the usage, since a
-// turn that ends in between changes what is needed.
+// turn that ends in between changes what is needed. What a stopped account
+// reserves for a turn is taken off there as another account grants it, by a row
+// also where that account holds it already.
 func (usage *Usage) Decide(turn Turn, total int64) (Decision, *Ledger) {
 	most := usage.settled + usage.most + turn.Most
 	decision, amount := usage.ledger.decide(usage.owner, usage.Used()+turn.Part, most, turn, total)
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -39,9 +39,9 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// beginning returns handler with the beginning of each request noted at its
+// notingBegin returns handler with the beginning of each request noted at its
 // connection.
-func beginning(handler http.Handler) http.Handler {
+func notingBegin(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			conn.begin()
@@ -138,17 +138,17 @@
 	}
 	conn.closed, conn.since = true, time.Now()
 	conn.server.closedQuiet()
-	conn.farewell()
+	conn.answerNotRun()
 }
 
-// farewell closes the own direction with an answer that promises that
+// answerNotRun closes the own direction with an answer that promises that
 // whatever the caller has sent, or sends before it learns of the close, does
 // not run. Without it the caller of a request that crosses the close cannot
-// know that and must not send it again, if that could do harm. Reading ends,
+// know that, and must not send one again that is not idempotent. Reading ends,
 // and the connection with it, when the caller closes it, or after
 // lingerTime: closed earlier, the connection would be reset by a request that
 // comes late, and the answer could be lost with it.
-func (conn *callerConn) farewell() {
+func (conn *callerConn) answerNotRun() {
 	_ = conn.Conn.SetReadDeadline(conn.since.Add(lingerTime))
 	_ = conn.SetWriteDeadline(conn.since.Add(stopPoll))
 	_, err := io.WriteString(conn.Conn, notRun)
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -83,7 +83,7 @@
 // closes those without a request, and ends when the last answer has ended.
 // It reports its end on done.
 func (server *Server) Serve(ctx context.Context, listener net.Listener, grace time.Duration, done chan<- error) {
-	srv := &http.Server{Handler: beginning(server.handler), ConnContext: withConn, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
+	srv := &http.Server{Handler: notingBegin(server.handler), ConnContext: withConn, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
 		ErrorLog: slog.NewLogLogger(server.log.Handler(), slog.LevelWarn),
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			if own, ok := conn.(*callerConn); ok && state == http.StateIdle {
