--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -566,11 +566,7 @@
 	a, b, c := site.running("a"), site.running("b"), site.running("c")
 	const most, total = 567, 1500
 	program := homed(0, "a", names...)
-	memory.SetFault(away) // the turn begins with a part
-	turn, err := b.Reserve(ctx, program, most, total)
-	require.NoError(t, err)
-	require.Less(t, turn.Promised(), int64(most))
-	memory.SetFault(served)
+	turn := beginPart(t, memory, b, program, most, total)
 	require.NoError(t, a.Stop(ctx))
 	a.up = false
 
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -44,6 +44,18 @@
 	return site.running("a"), site.running("b"), site.running("c"), homed(0, "a", names...)
 }
 
+// beginPart returns a turn that begins with a part, since the store is away for
+// a moment.
+func beginPart(t *testing.T, memory *storetest.Memory, at *machine, program string, most, total int64) *account.Reservation {
+	t.Helper()
+	memory.SetFault(away)
+	defer memory.SetFault(served)
+	turn, err := at.Reserve(context.Background(), program, most, total)
+	require.NoError(t, err)
+	require.Less(t, turn.Promised(), most)
+	return turn
+}
+
 // Guards against grants that add up to more than the budget: a stream has its
 // rest in two parts, by an account that did not begin its turn.
 func TestRestInTwoPartsIsGranted(t *testing.T) {
@@ -51,10 +63,7 @@
 	memory := storetest.New()
 	a, b, c, program := threeInstances(t, memory, clock.Real{})
 	const most, total = 567, 1200
-	memory.SetFault(away) // the turn begins with a part
-	turn, err := b.Reserve(ctx, program, most, total)
-	require.NoError(t, err)
-	memory.SetFault(served)
+	turn := beginPart(t, memory, b, program, most, total)
 	require.NoError(t, a.Stop(ctx))
 	a.up = false
 	second, err := whole(ctx, c.Keeper, program, most, total)
@@ -99,10 +108,7 @@
 		program = homed(at, "a", "a", "b", "c")
 	}
 	const most, total = 567, 1500
-	memory.SetFault(away) // the turn begins with a part
-	turn, err := b.Reserve(ctx, program, most, total)
-	require.NoError(t, err)
-	memory.SetFault(served)
+	turn := beginPart(t, memory, b, program, most, total)
 	require.NoError(t, a.Stop(ctx))
 	a.up = false
 	b.view, c.view = []string{"c"}, []string{"b"}
