account, budget: a refusal with BudgetHeld tells who is taken to hold the rest

The line said "held by other instances" and not by which, nor how much, nor what the refusing instance or the program's home knew of the row. Three hypotheses could not be told apart: a grant whose answer nobody waited for, a reserved rest whose turn ended, a home that waits for a write.

The line tells now the accounts of the row with what each was granted and has used, the row's version and what the own turns hold (six accounts at most); a home's refusal brings its own view to the borrower. A row that was sent and not answered is logged with its accounts, since it may be applied.

--- a/account/errors.go
+++ b/account/errors.go
@@ -22,16 +22,21 @@
 }
 
 // NewHeldError returns the error of a turn that has to wait, as another
-// instance found.
-func NewHeldError(program string) *HeldError { return &HeldError{program: program} }
+// instance found, with the holders that it told.
+func NewHeldError(program, holders string) *HeldError {
+	return &HeldError{program: program, holders: holders}
+}
 
 // HeldError is a turn that has to wait, since other instances hold what is
 // left of the budget.
 type HeldError struct {
-	program string
+	program, holders string
 }
 
-// Error names the program.
+// Holders tells which accounts were taken to hold it, and what of it.
+func (e *HeldError) Holders() string { return e.holders }
+
+// Error names the program and the holders.
 func (e *HeldError) Error() string {
-	return "program " + e.program + ": what is left of the budget is held by other instances"
+	return "program " + e.program + ": what is left of the budget is held by other instances: " + e.holders
 }
--- a/account/grant.go
+++ b/account/grant.go
@@ -178,7 +178,7 @@
 		return &SpentError{program: p.id, used: p.used(), total: total}
 	}
 	keeper.held.Inc(1)
-	return &HeldError{program: p.id}
+	return &HeldError{program: p.id, holders: p.holders()}
 }
 
 // foundSpent notes that the budget does not hold a turn. The rest of one says
--- a/account/keeper_test.go
+++ b/account/keeper_test.go
@@ -70,7 +70,7 @@
 	}
 	if reservation.Promised() < turn {
 		reservation.Settle(0)
-		return nil, account.NewHeldError(program)
+		return nil, account.NewHeldError(program, "")
 	}
 	return reservation, nil
 }
--- a/account/program.go
+++ b/account/program.go
@@ -123,6 +123,13 @@
 	return len(p.usage.Holders()) > 0
 }
 
+// holders describes what all accounts hold, for logs.
+func (p *program) holders() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.String()
+}
+
 func (p *program) used() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/account/row.go
+++ b/account/row.go
@@ -61,6 +61,9 @@
 		p.written(ledger, version)
 		return nil
 	}
+	if store.Is(err, store.FailureUnanswered) {
+		keeper.log.Info("budget row may be written", "program", p.id, "version", row.Version, "row", ledger.String(), "err", err)
+	}
 	if se, ok := err.(*store.Error); ok && se.Failure() == store.FailureConflict {
 		if cerr := keeper.conflicted(ctx, p, se.Rows()); cerr != nil {
 			return cerr
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -1,14 +1,20 @@
 package budget
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtaildrum/wagtaildrum/codec"
 )
 
+// maxDescribed bounds the accounts in a description, and so the length of a
+// log line: most programs have one to three.
+const maxDescribed = 6
+
 // Account is one instance's part of a program's budget, in tokens.
 type Account struct {
 	// Granted may be handed out by the instance without asking again.
@@ -52,6 +58,17 @@
 	return data, eris.Wrap(err, "encode budget ledger")
 }
 
+// String describes the accounts for logs, by name, maxDescribed at most.
+func (ledger *Ledger) String() string {
+	names := slices.Sorted(maps.Keys(ledger.Accounts))
+	described := make([]string, 0, maxDescribed)
+	for _, name := range names[:min(len(names), maxDescribed)] {
+		account := ledger.Accounts[name]
+		described = append(described, fmt.Sprintf("%s(granted=%d used=%d reserved=%d)", name, account.Granted, account.Used, account.Reserved))
+	}
+	return fmt.Sprintf("accounts=%d %s", len(names), strings.Join(described, " "))
+}
+
 // others returns what all accounts but the one of owner hold together.
 func (ledger *Ledger) others(owner string) Account {
 	var sum Account
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -1,5 +1,7 @@
 package budget
 
+import "fmt"
+
 // Turn is what a turn asks of a budget.
 type Turn struct {
 	// Part is what it may hand out before it asks for more.
@@ -62,6 +64,11 @@
 // Holders returns the other accounts that may have something to give back.
 func (usage *Usage) Holders() []string { return usage.ledger.Holders(usage.owner) }
 
+// String describes the usage for logs: what its own turns hold, and the row.
+func (usage *Usage) String() string {
+	return fmt.Sprintf("own settled=%d promised=%d most=%d, row version=%d %s", usage.settled, usage.promised, usage.most, usage.version, usage.ledger)
+}
+
 // Idle reports whether no turn is in flight here.
 func (usage *Usage) Idle() bool { return usage.promised == 0 }
 
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -51,7 +51,7 @@
 func (i *instance) Lend(_ context.Context, program string, borrowing account.Borrowing) (account.Loan, error) {
 	switch {
 	case program == "held":
-		return account.Loan{}, account.NewHeldError(program)
+		return account.Loan{}, account.NewHeldError(program, "")
 	case program == "stopped":
 		return account.Loan{}, &account.StoppedError{}
 	case program == "slow":
--- a/entrypeer/lending.go
+++ b/entrypeer/lending.go
@@ -88,7 +88,7 @@
 	case verdictSpent:
 		return account.Loan{}, account.NewSpentError(program, borrowing.Total)
 	case verdictHeld:
-		return account.Loan{}, account.NewHeldError(program)
+		return account.Loan{}, account.NewHeldError(program, answer.Detail)
 	case verdictStopped:
 		// Each borrower would grant by an account of its own until the home
 		// has left: they agree on another one instead.
@@ -130,7 +130,7 @@
 	case errors.As(err, &spent):
 		answer.Verdict = verdictSpent
 	case errors.As(err, &held):
-		answer.Verdict = verdictHeld
+		answer.Verdict, answer.Detail = verdictHeld, held.Holders()
 	case err != nil:
 		answer.Verdict, answer.Detail = verdictUnknown, err.Error()
 	case r.Context().Err() != nil:
