account, budget: a grant whose answer was lost is given back

What callers saw: a program's turn is refused with BudgetHeld at every instance until it fails, though nothing or little of its budget was handed out.

Cause: an instance wrote a row that grants it something, and no answer came (a slow store, or whoever asked had left). The row stood; the instance did not know of it, so that asked to give back, and as it stopped, it took its account for settled and wrote nothing. What such an account held was held by nobody who could give it back.

A usage remembers that a row was sent without an answer at a version. Release then has a row to write though the ledger tells nothing to give back: written, it takes the one without an answer back or makes it void; a conflict shows it. An account of nothing leaves the row.

TestGrantWithoutAnswerIsGivenBack failed before ("held by other instances", with the answer lost, when asked); it covers calls that are lost and applied late, and stops.

--- a/account/program.go
+++ b/account/program.go
@@ -142,6 +142,13 @@
 	p.usage.Written(ledger, version)
 }
 
+// unanswered notes that a row was sent and not answered.
+func (p *program) unanswered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usage.Unanswered()
+}
+
 // release returns the row that gives back what is not used; last if the
 // instance stops.
 func (p *program) release(last bool) *budget.Ledger {
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -305,3 +305,31 @@
 	err = turn.Extend(ctx)
 	assert.False(t, errors.As(err, &held), "told to wait: %v", err)
 }
+
+// Guards against budget that nobody gives back: an instance's grant stands in
+// the store, and the answer to its write was lost.
+func TestGrantWithoutAnswerIsGivenBack(t *testing.T) {
+	for _, lost := range []storetest.Fault{storetest.LoseAnswer, storetest.LoseCall} {
+		for _, stops := range []bool{false, true} {
+			ctx := context.Background()
+			memory := storetest.New()
+			f := newFleet(memory, clock.Real{}, 2)
+			memory.SetFault(func(string, string) storetest.Fault { return lost })
+			_, err := f.keepers[0].Reserve(ctx, "p", 567, 1134)
+			require.True(t, store.Is(err, store.FailureUnanswered), "%v", err)
+			memory.SetFault(served)
+			if stops {
+				require.NoError(t, f.keepers[0].Stop(ctx))
+				memory.ApplyLate()
+				f.deaf.Store(true)
+			}
+			turn, err := f.keepers[1].Reserve(ctx, "p", 567, 1134)
+			require.NoError(t, err, "answer lost %v, stops %v", lost, stops)
+			turn.Settle(567)
+			memory.ApplyLate()
+			turn, err = f.keepers[1].Reserve(ctx, "p", 567, 1134)
+			require.NoError(t, err, "answer lost %v, stops %v", lost, stops)
+			turn.Settle(567)
+		}
+	}
+}
--- a/account/row.go
+++ b/account/row.go
@@ -62,6 +62,7 @@
 		return nil
 	}
 	if store.Is(err, store.FailureUnanswered) {
+		p.unanswered()
 		keeper.log.Info("budget row may be written", "program", p.id, "version", row.Version, "row", ledger.String(), "err", err)
 	}
 	if se, ok := err.(*store.Error); ok && se.Failure() == store.FailureConflict {
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -44,6 +44,11 @@
 	releasing  bool
 	releasedAt uint64
 	released   int64
+	// A row that was sent and not answered may be applied at any time while
+	// the row is at version unansweredAt: until it is known to have moved on,
+	// more may be granted than the ledger tells.
+	unanswered   bool
+	unansweredAt uint64
 }
 
 // NewUsage returns the usage of the account owner, which must never have been
@@ -137,7 +142,9 @@
 // written: a write whose answer was lost may be applied seconds later, and
 // what was handed out against the old grant in between would be spent twice.
 // With last the instance stops: what its turns in flight elsewhere may still ask
-// for is reserved, for other accounts to grant.
+// for is reserved, for other accounts to grant. After Unanswered there is a row to
+// write though the ledger tells nothing to give back: once it is written, the one
+// without an answer is known, or void.
 func (usage *Usage) Release(last bool) *Ledger {
 	account := usage.ledger.Accounts[usage.owner]
 	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.most, Escrowed: account.Escrowed}
@@ -149,7 +156,7 @@
 		}
 		settled.Stopped = account.Stopped || settled.Reserved > 0
 	}
-	if account == settled && !usage.releasing {
+	if account == settled && !usage.releasing && !usage.unanswered {
 		return nil
 	}
 	ledger := usage.with(settled)
@@ -165,12 +172,25 @@
 		next.Accounts[name] = other
 	}
 	account.Escrowed = usage.ledger.Accounts[usage.owner].Escrowed
-	next.Accounts[usage.owner] = account
+	if account == (Account{}) {
+		delete(next.Accounts, usage.owner)
+	} else {
+		next.Accounts[usage.owner] = account
+	}
 	return next
 }
 
+// Unanswered takes in that a row that Decide or Release returned was sent, and
+// no answer came.
+func (usage *Usage) Unanswered() {
+	usage.unanswered, usage.unansweredAt = true, usage.version
+}
+
 // Written takes in that the row stands as ledger at version.
 func (usage *Usage) Written(ledger *Ledger, version uint64) {
+	if version != usage.unansweredAt {
+		usage.unanswered = false
+	}
 	if usage.releasing && version == usage.releasedAt {
 		account := ledger.Accounts[usage.owner]
 		account.Granted = min(account.Granted, usage.released)
