entrypeer: a relayed write without an answer is not taken for refused

What callers saw: a program's turns refused with BudgetHeld until it fails, while an instance that lives holds the rest and does not know of it.

Such a call counts as unanswered now, unless no connection to the other instance was made.

TestRelayedWriteWithoutAnswerIsNoRefusal failed before: "Refused: status 503".

--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -133,9 +133,14 @@
 // isLate reports whether a call ended with its time, on a connection that was
 // made.
 func isLate(err error) bool {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if isDial(err) {
 		return false
 	}
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
+
+// isDial reports whether a call was not sent, since no connection was made.
+func isDial(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -175,6 +175,21 @@
 	require.Eventually(t, func() bool { _ = borrow("living", "p"); return own.directory.Isolated() }, 3*time.Second, 20*time.Millisecond)
 }
 
+// Guards against budget that nobody gives back: a row that was written through
+// another instance, and whose answer was lost, was taken for refused.
+func TestRelayedWriteWithoutAnswerIsNoRefusal(t *testing.T) {
+	memory := storetest.New()
+	shut, mute := start(t, memory, "shut"), start(t, memory, "mute")
+	time.Sleep(50 * time.Millisecond) // they find each other
+	shut.door.Set(platformtest.Busy)
+	mute.door.Set(platformtest.Mute)
+	err := shut.put(t)
+	assert.True(t, store.Is(err, store.FailureUnanswered), "%v", err)
+	row, rowErr := store.Get(context.Background(), memory, key)
+	require.NoError(t, rowErr)
+	assert.Equal(t, shut.owner, string(row.Value), "it is applied")
+}
+
 // Symptom: turns of a program are refused as held though the holder lives.
 // Events: an instance restarts; a write of its earlier start, whose answer
 // was lost, is applied after it joined again. Cause: the row named an owner
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -62,7 +62,8 @@
 }
 
 // through makes a call through other instances. If none serves it, the
-// failure of the own way stands.
+// failure of the own way stands, unless one of them may have done what was asked:
+// then the call counts as unanswered.
 func (relay *Relay) through(ctx context.Context, message *storeMessage, timeout time.Duration, own error) (storeAnswer, error) {
 	for _, instance := range relay.client.directory.some(relayTries) {
 		if ctx.Err() != nil {
@@ -73,6 +74,9 @@
 			return answer, nil
 		}
 		if err != nil {
+			if !isDial(err) {
+				own = store.NewError(store.FailureUnanswered, "relayed", err.Error())
+			}
 			continue
 		}
 		if answer.Failure == store.FailureConflict {
@@ -82,6 +86,9 @@
 		if !store.Unserved(failure) {
 			return answer, failure
 		}
+		if answer.Failure == store.FailureUnanswered {
+			own = failure
+		}
 	}
 	return storeAnswer{}, own
 }
