account, budget: an escrow that handed out nothing of a program holds nothing of it

What callers saw: a program whose last turn nobody may begin: its tries are refused with BudgetHeld by many instances for seconds, or it is told that its budget is spent, though what was handed out leaves room for a turn.

Cause: a program's first row counts 30 % of the budget for the escrow of its shard, if one stands. Nobody gave that back if the escrow's instance had never served the program by it: - its start had acquired the escrow, but not read yet which programs have rows (the store away for it meanwhile): its programs got another account beside the escrow's, and waited for themselves; - the program had begun at an instance that could not ask the home: asked to give back, the home did nothing "for a program unknown here"; - the instance stopped as planned: it released the escrow, and rows that others had made still counted it. Its next start being known, it counted as spent.

Ruled out: reserved rests (0 in all), turns in flight (the row tells used=0).

An escrow's instance writes what it handed out before it forgets a program or releases the escrow. So an account that an escrow implied and whose row tells used=0 may go: by its own start, if it does not know the program by that account (from then on it has another one here), and by any instance once the shard's row shows that the escrow was released. It leaves by a write on the condition of the row's version. A refusal reads the shard's row at most once a second for a program.

Tests, all but the third failed before: TestEscrowNotUsedYetHoldsNothing and TestEscrowOfProgramNotKnownIsGivenBack ("held by other instances", a-1.1 granted=340 used=0), TestEscrowOfForgottenProgramIsNotGivenBack, TestReleasedEscrowHoldsNothing ("spent").

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -863,3 +863,95 @@
 		}
 	}
 }
+
+// Guards against programs that are refused for what their own home holds: its
+// escrow stands in the store, but could not be used when they began.
+func TestEscrowNotUsedYetHoldsNothing(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: memory, clock: clock.Real{}}
+	a := site.start("a")
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "read" {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	require.Error(t, a.AcquireOnce(ctx, a, false), "which programs have rows is not known")
+	memory.SetFault(served)
+	for turn := range 2 {
+		reservation, err := whole(ctx, a.Keeper, "p", 567, 1134)
+		require.NoError(t, err, "turn %d", turn)
+		reservation.Settle(567)
+	}
+	ledger, sum := programRow(t, memory, "p")
+	assert.Len(t, ledger.Accounts, 1)
+	assert.LessOrEqual(t, sum.Granted, int64(1134))
+}
+
+// Guards against programs that are refused for what the escrow of an instance
+// holds that never saw them: they began elsewhere, and it was asked.
+func TestEscrowOfProgramNotKnownIsGivenBack(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: memory, clock: clock.Real{}}
+	a, b := site.start("a"), site.start("b") // each its own home
+	a.acquire(t)
+	for turn := range 2 {
+		reservation, err := whole(ctx, b.Keeper, "p", 567, 1134)
+		require.NoError(t, err, "turn %d", turn)
+		reservation.Settle(567)
+	}
+	var spent *account.SpentError
+	_, err := a.Reserve(ctx, "p", 100, 1134)
+	require.ErrorAs(t, err, &spent, "it was given back")
+	_, err = whole(ctx, a.Keeper, "p", 1, 1134)
+	require.ErrorAs(t, err, &spent)
+}
+
+// Guards against a count that is lost: what the escrow handed out of a program
+// that its home forgot is not given back when another instance asks.
+func TestEscrowOfForgottenProgramIsNotGivenBack(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	site := &machines{store: memory, clock: clk}
+	a, b := site.start("a"), site.start("b")
+	a.acquire(t)
+	reservation, err := whole(ctx, a.Keeper, "p", 300, 1000)
+	require.NoError(t, err)
+	reservation.Settle(300)
+	clk.Advance(3 * time.Minute)
+	a.SweepOnce(ctx)
+	require.Zero(t, a.Len())
+	_, err = whole(ctx, b.Keeper, "p", 701, 1000)
+	require.Error(t, err)
+	_, err = whole(ctx, b.Keeper, "p", 700, 1000)
+	require.NoError(t, err)
+}
+
+// Guards against budget that is lost in a planned stop: programs that began
+// elsewhere were told to count the escrow of an instance that released it.
+func TestReleasedEscrowHoldsNothing(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: memory, clock: clock.Real{}, knowsStarts: true}
+	a, b := site.start("a"), site.start("b")
+	a.acquire(t)
+	first, err := whole(ctx, b.Keeper, "p", 567, 1134)
+	require.NoError(t, err)
+	first.Settle(567)
+	used, err := whole(ctx, a.Keeper, "used", 300, 1000)
+	require.NoError(t, err)
+	used.Settle(300)
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	site.start("a")
+	second, err := whole(ctx, b.Keeper, "p", 567, 1134)
+	require.NoError(t, err)
+	second.Settle(567)
+	_, err = whole(ctx, b.Keeper, "used", 701, 1000)
+	require.Error(t, err, "what was handed out by escrow stays counted")
+	_, err = whole(ctx, b.Keeper, "used", 700, 1000)
+	require.NoError(t, err)
+}
--- a/account/giveback.go
+++ b/account/giveback.go
@@ -26,13 +26,17 @@
 
 // GiveBack gives back what the program was granted here and does not use,
 // as another instance asked for. It returns once that is durable, or ctx
-// ends; nothing is done for a program unknown here.
+// ends. Of a program unknown here this start's escrow may hold something.
 func (keeper *Keeper) GiveBack(ctx context.Context, id string) error {
 	keeper.mu.Lock()
 	p := keeper.programs[id]
+	if p == nil {
+		// From now on the program's account here is not that of the escrow.
+		keeper.escrows.noteRow(id)
+	}
 	keeper.mu.Unlock()
 	if p == nil {
-		return nil
+		return keeper.giveBackEscrow(ctx, id)
 	}
 	if err := p.lockRow(ctx); err != nil {
 		return err
@@ -41,6 +45,34 @@
 	return keeper.giveBack(ctx, p)
 }
 
+// giveBackEscrow takes the account of this start's escrow out of the row of a
+// program that is not known here, if it handed out nothing: other instances count
+// it since they made the row.
+func (keeper *Keeper) giveBackEscrow(ctx context.Context, id string) error {
+	escrow, _ := keeper.escrows.known(budget.Shard(id))
+	if !keeper.isOwn(escrow) {
+		return nil
+	}
+	row, err := store.Get(ctx, keeper.store, key(id))
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	ledger, err := budget.DecodeLedger(row.Value)
+	if err != nil {
+		return store.NewError(store.FailureInvalid, "budget", err.Error())
+	}
+	ledger, unused := ledger.Disown(escrow.Account)
+	if !unused {
+		return nil
+	}
+	value, err := ledger.Encode()
+	if err != nil {
+		return store.NewError(store.FailureInvalid, "budget", err.Error())
+	}
+	_, err = keeper.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: row.Key, Version: row.Version}}, Puts: []store.Put{{Key: row.Key, Value: value}}})
+	return err
+}
+
 // giveBack writes the row that gives back, if there is anything to. The
 // caller holds the row.
 func (keeper *Keeper) giveBack(ctx context.Context, p *program) error {
--- a/account/grant.go
+++ b/account/grant.go
@@ -17,6 +17,10 @@
 	// conflicts in a row, after which a turn is turned away: each means that
 	// another instance served a turn of the program at the same moment.
 	maxConflicts = 8
+	// escrowLook is the least time between two reads of its shard's row for a
+	// program that is refused. An instance that stops takes three seconds and
+	// more, and one that died releases nothing.
+	escrowLook = time.Second
 	// askTimeout bounds asking another instance to give back: a write there
 	// and the way.
 	askTimeout = 300 * time.Millisecond
@@ -34,6 +38,10 @@
 	if decision == budget.DecisionSpent && !p.heldByOthers() {
 		return turn, keeper.refuse(p, decision, turn, total)
 	}
+	disowned, err := keeper.disownReleased(ctx, p)
+	if err != nil {
+		return turn, err
+	}
 	gone := keeper.holdersGone(p)
 	if !gone {
 		keeper.ask(ctx, p)
@@ -42,7 +50,7 @@
 	if partly {
 		turn = budget.FirstPart(turn.Most)
 	}
-	if partly || !gone {
+	if partly || disowned || !gone {
 		decision, err = keeper.tryGrant(ctx, p, turn, total)
 		if err != nil || decision == budget.DecisionServe {
 			return turn, err
@@ -57,6 +65,29 @@
 	return turn, keeper.refuse(p, decision, turn, total)
 }
 
+// disownReleased leaves out accounts that escrows implied which were released
+// since, and reports whether there were any. Their owners wrote what they handed out
+// before, so that one of which the row tells nothing handed out nothing.
+func (keeper *Keeper) disownReleased(ctx context.Context, p *program) (bool, error) {
+	unused, version := p.unusedEscrows(keeper.clock.Now())
+	if len(unused) == 0 {
+		return false, nil
+	}
+	at := budget.Shard(p.id)
+	if err := keeper.readShard(ctx, at); err != nil {
+		return false, err
+	}
+	escrow, _ := keeper.escrows.known(at)
+	disowned := false
+	for _, account := range unused {
+		if account != escrow.Account {
+			p.disown(account, version)
+			disowned = true
+		}
+	}
+	return disowned, nil
+}
+
 // isLost reports whether p's budget does not hold the turn since starts that
 // ended for good hold some of it: nobody gives that back.
 func (keeper *Keeper) isLost(p *program, turn budget.Turn, total int64) bool {
--- a/account/keeper.go
+++ b/account/keeper.go
@@ -141,7 +141,6 @@
 	defer keeper.mu.Unlock()
 	p, ok := keeper.programs[id]
 	if !ok {
-		escrow, version := keeper.escrows.known(budget.Shard(id))
 		account, escrowed := keeper.escrows.account(id)
 		if !escrowed {
 			// An account is used by one usage only: a usage that is made anew does
@@ -149,7 +148,8 @@
 			keeper.accounts++
 			account = fmt.Sprintf("%s.%d", keeper.owner, keeper.accounts)
 		}
-		p = newProgram(id, account, total, escrow.Implied(total), version)
+		implied, version := keeper.implied(id, account, total)
+		p = newProgram(id, account, total, implied, version)
 		keeper.programs[id] = p
 	}
 	p.turns++
--- a/account/program.go
+++ b/account/program.go
@@ -23,7 +23,9 @@
 	// implied is the version of its shard's escrow that the usage was told of,
 	// while the program has no row.
 	implied uint64
-	last    time.Time
+	// escrowRead is when its shard's escrow was last read for the program.
+	escrowRead time.Time
+	last       time.Time
 	// spent is when the budget was last found spent, for a turn of spentFor
 	// tokens.
 	spent    time.Time
@@ -85,17 +87,40 @@
 	return row, escrow
 }
 
-// imply takes in the account that the escrow of its shard implies, if the
-// program has no row.
-func (p *program) imply(escrow budget.Escrow, version uint64) {
+// imply takes in the ledger that the escrow of its shard implies at a version, if
+// the program has no row.
+func (p *program) imply(ledger *budget.Ledger, version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.usage.Version() == 0 {
-		p.usage.Written(escrow.Implied(p.total), 0)
+		p.usage.Written(ledger, 0)
 		p.implied = version
 	}
 }
 
+// unusedEscrows returns the accounts that are disowned once their escrow is found
+// released, and the row's version; none if that was looked for just now.
+func (p *program) unusedEscrows(now time.Time) ([]string, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	version := p.usage.Version()
+	if version == 0 || now.Sub(p.escrowRead) < escrowLook {
+		return nil, version
+	}
+	p.escrowRead = now
+	return p.usage.UnusedEscrows(), version
+}
+
+// disown leaves out the account of an escrow that handed out nothing, if the row
+// is at the version at which that was found.
+func (p *program) disown(name string, version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usage.Version() == version {
+		p.usage.Disown(name)
+	}
+}
+
 // besideEscrow reports whether a program's first turn here waits for what only
 // the instance of an escrow holds, which may be gone for good. It then begins
 // with a part: after a loss of power of all instances, programs of one turn that
--- a/account/row.go
+++ b/account/row.go
@@ -31,7 +31,7 @@
 // the one that the escrow of its shard implies.
 func (keeper *Keeper) adopt(p *program, row store.Row) error {
 	if row.Version == 0 {
-		p.imply(keeper.escrows.known(budget.Shard(p.id)))
+		p.imply(keeper.implied(p.id, p.usage.Owner(), p.total))
 		return nil
 	}
 	ledger, err := budget.DecodeLedger(row.Value)
@@ -39,9 +39,24 @@
 		return store.NewError(store.FailureInvalid, "budget", err.Error())
 	}
 	p.written(ledger, row.Version)
+	if escrow, _ := keeper.escrows.known(budget.Shard(p.id)); keeper.isOwn(escrow) {
+		p.disown(escrow.Account, row.Version)
+	}
 	return nil
 }
 
+// implied returns the ledger of a program that has no row, whose account here is
+// the one given, and the version of its shard's escrow. An escrow of this start
+// grants nothing to other accounts of it: a program that it handed something out
+// of has its account, or a row.
+func (keeper *Keeper) implied(id, account string, total int64) (*budget.Ledger, uint64) {
+	escrow, version := keeper.escrows.known(budget.Shard(id))
+	if keeper.isOwn(escrow) && escrow.Account != account {
+		escrow = budget.Escrow{}
+	}
+	return escrow.Implied(total), version
+}
+
 // write makes ledger the program's row. On a conflict the row that stands
 // is taken in.
 func (keeper *Keeper) write(ctx context.Context, p *program, ledger *budget.Ledger) error {
--- a/account/shards.go
+++ b/account/shards.go
@@ -100,9 +100,10 @@
 func (escrows *escrows) noteRow(id string) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
-	if escrows.rows != nil {
-		escrows.rows[rowHash(id)] = struct{}{}
+	if escrows.rows == nil {
+		escrows.rows = map[uint64]struct{}{}
 	}
+	escrows.rows[rowHash(id)] = struct{}{}
 }
 
 // use hands out in shards whose escrows stand, given the programs that
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -69,6 +69,29 @@
 	return fmt.Sprintf("accounts=%d %s", len(names), strings.Join(described, " "))
 }
 
+// unused reports whether an escrow implied the account, and the row tells of no
+// token that it handed out. Its owner writes what it handed out before it forgets
+// the program or releases the escrow.
+func (account Account) unused() bool {
+	return account.Escrowed && account.Used == 0 && account.Granted > 0
+}
+
+// without returns a copy that lacks the account of a name.
+func (ledger *Ledger) without(name string) *Ledger {
+	accounts := maps.Clone(ledger.Accounts)
+	delete(accounts, name)
+	return &Ledger{Accounts: accounts}
+}
+
+// Disown returns a copy without an account that an escrow implied, and whether
+// there is one that handed out nothing.
+func (ledger *Ledger) Disown(name string) (*Ledger, bool) {
+	if !ledger.Accounts[name].unused() {
+		return ledger, false
+	}
+	return ledger.without(name), true
+}
+
 // others returns what all accounts but the one of owner hold together.
 func (ledger *Ledger) others(owner string) Account {
 	var sum Account
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -44,11 +44,11 @@
 	releasing  bool
 	releasedAt uint64
 	released   int64
-	// A row that was sent and not answered may be applied at any time while
-	// the row is at version unansweredAt: until it is known to have moved on,
-	// more may be granted than the ledger tells.
-	unanswered   bool
-	unansweredAt uint64
+	// While the row is at version uncertainAt it may grant more than the ledger
+	// tells: one that was sent and not answered may be applied, or what an
+	// unused escrow was granted is left out here.
+	uncertain   bool
+	uncertainAt uint64
 }
 
 // NewUsage returns the usage of the account owner, which must never have been
@@ -57,6 +57,9 @@
 	return &Usage{owner: owner, ledger: ledger, version: version}
 }
 
+// Owner returns the name of the own account.
+func (usage *Usage) Owner() string { return usage.owner }
+
 // Version returns the version of the row that the usage builds on.
 func (usage *Usage) Version() uint64 { return usage.version }
 
@@ -142,9 +145,9 @@
 // written: a write whose answer was lost may be applied seconds later, and
 // what was handed out against the old grant in between would be spent twice.
 // With last the instance stops: what its turns in flight elsewhere may still ask
-// for is reserved, for other accounts to grant. After Unanswered there is a row to
-// write though the ledger tells nothing to give back: once it is written, the one
-// without an answer is known, or void.
+// for is reserved, for other accounts to grant. After Unanswered or Disown
+// there is a row to write though the ledger tells nothing to give back: once it is
+// written, one without an answer is known, or void.
 func (usage *Usage) Release(last bool) *Ledger {
 	account := usage.ledger.Accounts[usage.owner]
 	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.most, Escrowed: account.Escrowed}
@@ -156,7 +159,7 @@
 		}
 		settled.Stopped = account.Stopped || settled.Reserved > 0
 	}
-	if account == settled && !usage.releasing && !usage.unanswered {
+	if account == settled && !usage.releasing && !usage.uncertain {
 		return nil
 	}
 	ledger := usage.with(settled)
@@ -167,14 +170,9 @@
 
 // with returns the ledger with the own account set.
 func (usage *Usage) with(account Account) *Ledger {
-	next := &Ledger{Accounts: make(map[string]Account, len(usage.ledger.Accounts)+1)}
-	for name, other := range usage.ledger.Accounts {
-		next.Accounts[name] = other
-	}
+	next := usage.ledger.without(usage.owner)
 	account.Escrowed = usage.ledger.Accounts[usage.owner].Escrowed
-	if account == (Account{}) {
-		delete(next.Accounts, usage.owner)
-	} else {
+	if account != (Account{}) {
 		next.Accounts[usage.owner] = account
 	}
 	return next
@@ -183,13 +181,37 @@
 // Unanswered takes in that a row that Decide or Release returned was sent, and
 // no answer came.
 func (usage *Usage) Unanswered() {
-	usage.unanswered, usage.unansweredAt = true, usage.version
+	usage.uncertain, usage.uncertainAt = true, usage.version
+}
+
+// UnusedEscrows returns the other accounts that an escrow implied and that
+// handed out nothing as far as the row tells.
+func (usage *Usage) UnusedEscrows() []string {
+	var unused []string
+	for name, account := range usage.ledger.Accounts {
+		if name != usage.owner && account.unused() {
+			unused = append(unused, name)
+		}
+	}
+	return unused
+}
+
+// Disown takes an account of UnusedEscrows out of the ledger, and with the next
+// row out of the store. Its escrow must have handed out nothing of the program,
+// and must not any more.
+func (usage *Usage) Disown(name string) {
+	if name == usage.owner {
+		return
+	}
+	if ledger, ok := usage.ledger.Disown(name); ok {
+		usage.ledger, usage.uncertain, usage.uncertainAt = ledger, true, usage.version
+	}
 }
 
 // Written takes in that the row stands as ledger at version.
 func (usage *Usage) Written(ledger *Ledger, version uint64) {
-	if version != usage.unansweredAt {
-		usage.unanswered = false
+	if version != usage.uncertainAt {
+		usage.uncertain = false
 	}
 	if usage.releasing && version == usage.releasedAt {
 		account := ledger.Accounts[usage.owner]
