--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -333,3 +333,35 @@
 		}
 	}
 }
+
+// Guards against streams that break off in planned work while the store answers:
+// their program's home stops, and another turn takes what they may still need.
+func TestStreamsOutliveRollWhileStoreAnswers(t *testing.T) {
+	ctx := context.Background()
+	for _, total := range []int64{600, 900, 1134, 1701} {
+		for _, stop := range []string{"a", "c"} {
+			memory := storetest.New()
+			a, b, c, program := threeInstances(t, memory, clock.Real{})
+			const most = 567
+			stream, err := b.Reserve(ctx, program, most, total)
+			require.NoError(t, err)
+			stops := map[string]*machine{"a": a, "c": c}[stop]
+			var others []*account.Reservation
+			reserve := func(at *machine) {
+				if other, err := at.Reserve(ctx, program, most, total); err == nil {
+					others = append(others, other)
+				}
+			}
+			reserve(c)
+			require.NoError(t, stops.Stop(ctx))
+			stops.up = false
+			for range 3 {
+				reserve(b)
+			}
+			for _, turn := range append(others, stream) {
+				require.NoError(t, turn.Extend(ctx), "budget %d, %s stops", total, stop)
+				assert.Equal(t, int64(most), turn.Promised(), "budget %d, %s stops", total, stop)
+			}
+		}
+	}
+}
