account: what a stop gives back goes by partition where a whole write is not served

What callers saw: after instances were stopped as planned while the store was slow, programs with 30 % of their budget gone ("spent", or held), and a write for each new program of their shards, for as long as the system runs.

Cause: a stopping instance gives back some hundred programs in a few transactions, each over many partitions. A partition of a slow store takes six transactions a second and refuses more with 429; one of them that is full refuses the whole transaction. And one program that is left kept all shards of the instance from being released.

A transaction that is not served is tried again by partition, all at once, for programs and for shards; shards are released but for those with a program that is left. While the store answers a stop takes as many writes as before (TestStopGivesBackInFewWrites).

TestStopGivesBackByPartition and TestStopReleasesShardsThatAreGivenBack failed before ("Throttled"). A first form that tried again while it held the programs' rows hung in TestEscrowStaysUntilAllRowsAreWritten.

--- a/account/escrow.go
+++ b/account/escrow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -191,14 +192,17 @@
 // a write without an answer, is written, too: that write's condition fails
 // then.
 func (keeper *Keeper) releaseShards(ctx context.Context, shards []int) error {
+	var failed error
 	for some := range slices.Chunk(shards, shardsAtOnce) {
-		_, err := keeper.writeShards(ctx, some, budget.Escrow{}, func(stands budget.Escrow) bool { return !stands.Stands() || keeper.isOwn(stands) })
+		released, err := keeper.writeShards(ctx, some, budget.Escrow{}, func(stands budget.Escrow) bool { return !stands.Stands() || keeper.isOwn(stands) })
 		if err != nil {
-			return err
+			failed = err
+		} else {
+			released = some // also those that turned out to be of other starts
 		}
+		keeper.escrows.setTried(released, false)
 	}
-	keeper.escrows.setTried(shards, false)
-	return nil
+	return failed
 }
 
 // isOwn reports whether an escrow is this start's.
@@ -207,7 +211,8 @@
 }
 
 // writeShards makes escrow that of shards, but of those whose escrow may not
-// be replaced, and returns the shards whose escrow is this start's by then.
+// be replaced, and returns the shards that are written, or whose escrow is this
+// start's. With an error these may be some.
 func (keeper *Keeper) writeShards(ctx context.Context, shards []int, escrow budget.Escrow, replaces func(budget.Escrow) bool) ([]int, error) {
 	value, err := escrow.Encode()
 	if err != nil {
@@ -237,13 +242,53 @@
 			}
 			return append(own, written...), nil
 		}
+		if apart := shardsByPartition(written); store.Unserved(err) && len(apart) > 1 {
+			more, err := keeper.writeShardsApart(ctx, apart, escrow, replaces)
+			return append(own, more...), err
+		}
 		if err := keeper.learnShards(err); err != nil {
-			return nil, err
+			return own, err
 		}
 	}
 	return nil, store.NewError(store.FailureConflict, "escrows", "other instances write them all the time")
 }
 
+// writeShardsApart writes shards, those of each partition by themselves: one
+// partition that is away or busy refuses what spans it. It returns what
+// writeShards does, and one of the errors.
+func (keeper *Keeper) writeShardsApart(ctx context.Context, apart [][]int, escrow budget.Escrow, replaces func(budget.Escrow) bool) ([]int, error) {
+	type result struct {
+		written []int
+		err     error
+	}
+	results := make(chan result, len(apart))
+	for _, shards := range apart {
+		go func() {
+			written, err := keeper.writeShards(ctx, shards, escrow, replaces)
+			results <- result{written, err}
+		}()
+	}
+	var all result
+	for range apart {
+		got := <-results
+		all.written = append(all.written, got.written...)
+		if got.err != nil {
+			all.err = got.err
+		}
+	}
+	return all.written, all.err
+}
+
+// shardsByPartition splits shards by the partition of their rows.
+func shardsByPartition(shards []int) [][]int {
+	split := map[string][]int{}
+	for _, at := range shards {
+		partition := shardKeys[at].Partition
+		split[partition] = append(split[partition], at)
+	}
+	return slices.Collect(maps.Values(split))
+}
+
 // learnShards takes in the escrows that stand in the way of a write. It
 // returns err if that is no conflict.
 func (keeper *Keeper) learnShards(err error) error {
@@ -296,16 +341,13 @@
 		return nil
 	}
 	keeper.escrows.suspend(shards)
-	err := keeper.giveBackPrograms(ctx, func(id string) bool {
+	err := keeper.release(ctx, shards, func(id string) bool {
 		_, ok := slices.BinarySearch(shards, budget.Shard(id))
 		return ok
 	})
 	if err != nil {
 		return err
 	}
-	if err := keeper.releaseShards(ctx, shards); err != nil {
-		return err
-	}
 	keeper.log.Info("handed over: programs have another home", "shards", len(shards))
 	return nil
 }
--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -955,3 +955,82 @@
 	_, err = whole(ctx, b.Keeper, "used", 700, 1000)
 	require.NoError(t, err)
 }
+
+// apart refuses transactions over several partitions, as a store does that has
+// more of them waiting in any one than it takes.
+type apart struct{ store.Store }
+
+func (s apart) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	partitions := map[string]bool{}
+	for _, put := range tx.Puts {
+		partitions[put.Key.Partition] = true
+	}
+	if len(partitions) > 1 {
+		return 0, store.NewError(store.FailureThrottled, "commit", "test")
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// Guards against budgets that are lost in a planned stop while the store is slow:
+// one busy partition had it refuse all that the instance gives back.
+func TestStopGivesBackByPartition(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: apart{memory}, clock: clock.Real{}}
+	a := site.start("a")
+	a.acquire(t)
+	for n := range 60 {
+		turn, err := whole(ctx, a.Keeper, fmt.Sprint("p", n), 300, 1000)
+		require.NoError(t, err)
+		turn.Settle(100)
+	}
+	require.NoError(t, a.Stop(ctx))
+	a.up = false
+	b := site.start("b")
+	b.acquire(t)
+	for n := range 60 {
+		_, err := whole(ctx, b.Keeper, fmt.Sprint("p", n), 900, 1000)
+		assert.NoError(t, err, "program %d", n)
+	}
+}
+
+// Guards against shards whose escrow stands for ever: one program could not be
+// given back as their instance stopped.
+func TestStopReleasesShardsThatAreGivenBack(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{store: apart{memory}, clock: clock.Real{}}
+	a := site.start("a")
+	a.acquire(t)
+	stuck := fmt.Sprintf("program-%02d", budget.Shard("p0")%48)
+	for n := range 60 {
+		turn, err := whole(ctx, a.Keeper, fmt.Sprint("p", n), 300, 1000)
+		require.NoError(t, err)
+		turn.Settle(300)
+	}
+	memory.SetFault(func(op, partition string) storetest.Fault {
+		if op == "commit" && partition == stuck {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	var left *account.NotGivenBackError
+	require.ErrorAs(t, a.Stop(ctx), &left)
+	a.up = false
+	memory.SetFault(served)
+	b := site.start("b")
+	b.acquire(t)
+	memory.SetFault(away)
+	begun := 0
+	for n := 100; n < 200; n++ {
+		if _, err := b.Reserve(ctx, fmt.Sprint("p", n), 300, 1000); err == nil {
+			begun++
+		}
+	}
+	assert.GreaterOrEqual(t, begun, 90, "its next home begins programs by escrow")
+	memory.SetFault(served)
+	for n := range 60 {
+		_, err := whole(ctx, b.Keeper, fmt.Sprint("p", n), 701, 1000)
+		assert.Error(t, err, "program %d", n)
+	}
+}
--- a/account/giveback.go
+++ b/account/giveback.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/budget"
@@ -149,16 +150,30 @@
 	keeper.loans.stop()
 	loans, rest := keeper.loans.outstanding()
 	keeper.log.Info("giving back budgets", "programs", keeper.Len(), "loans", loans, "rest_tokens", rest)
-	shards := keeper.escrows.stop()
-	if err := keeper.giveBackPrograms(ctx, func(string) bool { return true }); err != nil {
-		return err
+	return keeper.release(ctx, keeper.escrows.stop(), func(string) bool { return true })
+}
+
+// release gives back what the programs that match were granted here and do not
+// use, and releases shards but for those of programs that are left: their escrow
+// stands until all programs that it was used for have a row. It returns a
+// *NotGivenBackError if some are left, and the store's *store.Error.
+func (keeper *Keeper) release(ctx context.Context, shards []int, match func(id string) bool) error {
+	left := keeper.giveBackPrograms(ctx, match)
+	held := map[int]bool{}
+	for _, p := range left {
+		held[budget.Shard(p.id)] = true
 	}
-	return keeper.releaseShards(ctx, shards)
+	released := slices.DeleteFunc(slices.Clone(shards), func(at int) bool { return held[at] })
+	err := keeper.releaseShards(ctx, released)
+	if len(left) > 0 {
+		return errors.Join(&NotGivenBackError{programs: len(left)}, err)
+	}
+	return err
 }
 
 // giveBackPrograms gives back what the programs that match were granted here
-// and do not use. It returns a *NotGivenBackError if something is left.
-func (keeper *Keeper) giveBackPrograms(ctx context.Context, match func(id string) bool) error {
+// and do not use. It returns those of which something is left.
+func (keeper *Keeper) giveBackPrograms(ctx context.Context, match func(id string) bool) (left []*program) {
 	var programs []*program
 	keeper.mu.Lock()
 	for id, p := range keeper.programs {
@@ -167,16 +182,24 @@
 		}
 	}
 	keeper.mu.Unlock()
-	var writes sync.WaitGroup
-	var given atomic.Int64
-	for _, some := range batches(programs) {
-		writes.Go(func() { given.Add(int64(len(keeper.giveBackAll(ctx, some)))) })
+	given := keeper.giveBackAtOnce(ctx, batches(programs))
+	return slices.DeleteFunc(programs, func(p *program) bool { return given[p] })
+}
+
+// giveBackAtOnce gives back what is granted to batches of programs, all batches at
+// once, and returns the programs that have nothing left to give back.
+func (keeper *Keeper) giveBackAtOnce(ctx context.Context, batches [][]*program) map[*program]bool {
+	results := make(chan []*program, len(batches))
+	for _, some := range batches {
+		go func() { results <- keeper.giveBackAll(ctx, some) }()
 	}
-	writes.Wait()
-	if left := len(programs) - int(given.Load()); left > 0 {
-		return &NotGivenBackError{programs: left}
+	given := map[*program]bool{}
+	for range batches {
+		for _, p := range <-results {
+			given[p] = true
+		}
 	}
-	return nil
+	return given
 }
 
 // batches splits programs into as many as are given back in one transaction.
@@ -194,6 +217,16 @@
 	return split
 }
 
+// byPartition splits programs by the partition of their rows.
+func byPartition(programs []*program) [][]*program {
+	split := map[string][]*program{}
+	for _, p := range programs {
+		partition := key(p.id).Partition
+		split[partition] = append(split[partition], p)
+	}
+	return slices.Collect(maps.Values(split))
+}
+
 // entries returns how many entries of a transaction give back what the program
 // was granted: its row, the row's condition and, if there is none yet, that of
 // its shard's escrow.
@@ -216,12 +249,23 @@
 }
 
 // giveBackAll gives back what is granted to programs, in one transaction if
-// none of their rows was written by others meanwhile, else one by one. It
-// returns the programs that have nothing left to give back.
+// none of their rows was written by others meanwhile, else one by one. If the store
+// does not serve that, it is tried by partition: one that is away or busy refuses
+// what spans it. It returns the programs that have nothing left to give back.
 func (keeper *Keeper) giveBackAll(ctx context.Context, programs []*program) []*program {
+	done, unserved := keeper.giveBackTogether(ctx, programs)
+	if apart := byPartition(unserved); len(apart) > 1 {
+		return slices.AppendSeq(done, maps.Keys(keeper.giveBackAtOnce(ctx, apart)))
+	}
+	return done
+}
+
+// giveBackTogether gives back what is granted to programs. It returns those that
+// have nothing left to give back, and those of a transaction that was not served.
+func (keeper *Keeper) giveBackTogether(ctx context.Context, programs []*program) (done, unserved []*program) {
 	var tx store.Transaction
 	var ledgers []*budget.Ledger
-	var granted, done []*program
+	var granted []*program
 	conditioned := map[store.Condition]bool{}
 	for _, p := range programs {
 		if err := p.lockRow(ctx); err != nil {
@@ -250,12 +294,12 @@
 		ledgers, granted = append(ledgers, ledger), append(granted, p)
 	}
 	if len(granted) == 0 {
-		return done
+		return done, nil
 	}
 	version, err := keeper.store.Commit(ctx, tx)
 	if store.Unserved(err) {
 		keeper.log.Info("budgets not given back yet", "programs", len(granted), "err", err)
-		return done
+		return done, granted
 	}
 	for i, p := range granted {
 		if err == nil {
@@ -267,5 +311,5 @@
 		}
 		done = append(done, p)
 	}
-	return done
+	return done, nil
 }
