account: the row of a turn that begins with a part is still written

What callers saw: while the store is slow (not away) streams begin with two fifths of what they may generate and break off there: "StoreAway", "gave up waiting for another turn's write".

Cause: the home waits 150 ms for the row that grants the turn whole, then gives the write up and has it begin with a part. In a slow store the write is only waiting in its partition, and is applied; the home does not know that. When the stream asks for its rest the home writes the same row again, behind the first, to learn by a conflict that it stands; a borrower gives that up after 400 ms, and writes a row of its own, and so on.

The write goes on in the background, one a program, and its outcome is taken in. The stream's rest waits for it at most, and is mostly there already.

TestRestIsGrantedByTheRowUnderWay failed before (two writes, rest not granted within 450 ms of a store that takes 500).

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -672,6 +672,59 @@
 	assert.Less(t, time.Since(began), 300*time.Millisecond, "borrowers wait 400 ms")
 }
 
+// slow is a store whose writes take delay, whether or not who asked waits.
+type slow struct {
+	store.Store
+	delay  time.Duration
+	writes *atomic.Int64
+}
+
+func (s slow) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	s.writes.Add(1)
+	type answer struct {
+		version uint64
+		err     error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		time.Sleep(s.delay)
+		version, err := s.Store.Commit(context.WithoutCancel(ctx), tx)
+		answered <- answer{version, err}
+	}()
+	select {
+	case got := <-answered:
+		return got.version, got.err
+	case <-ctx.Done():
+		return 0, store.NewError(store.FailureUnanswered, "commit", "test")
+	}
+}
+
+// Guards against streams that break off while the store is slow: the row that
+// grants the rest was written, but no longer waited for, and written anew as the
+// stream asked for it.
+func TestRestIsGrantedByTheRowUnderWay(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	site := &machines{clock: clock.Real{}}
+	current := &switchable{Store: memory}
+	site.store = current
+	m := site.start("a")
+	m.acquire(t)
+	writes := &atomic.Int64{}
+	current.Store = slow{Store: memory, delay: 500 * time.Millisecond, writes: writes}
+	turn, err := m.Reserve(ctx, "p", 567, 960)
+	require.NoError(t, err)
+	require.Less(t, turn.Promised(), int64(567))
+	limited, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
+	defer cancel()
+	require.NoError(t, turn.Extend(limited))
+	assert.Equal(t, int64(567), turn.Promised())
+	assert.EqualValues(t, 1, writes.Load())
+	turn.Settle(567)
+	_, sum := programRow(t, memory, "p")
+	assert.LessOrEqual(t, sum.Granted, int64(960))
+}
+
 // switchable is a store that a test replaces.
 type switchable struct{ store.Store }
 
--- a/account/grant.go
+++ b/account/grant.go
@@ -21,6 +21,9 @@
 	// program that is refused. An instance that stops takes three seconds and
 	// more, and one that died releases nothing.
 	escrowLook = time.Second
+	// prepareTimeout bounds writing a row that a turn no longer waits for. A
+	// partition that is busy answers within a second and a quarter, or refuses.
+	prepareTimeout = 1500 * time.Millisecond
 	// askTimeout bounds asking another instance to give back: a write there
 	// and the way.
 	askTimeout = 300 * time.Millisecond
@@ -88,6 +91,40 @@
 	return disowned, nil
 }
 
+// prepare has the row written that grants a turn, if the account does not yet, and
+// waits for that for rowTimeout. A write under way goes on after that: by the time
+// that a turn which began with a part needs its rest, the row mostly grants it. It
+// returns the store's *store.Error.
+func (keeper *Keeper) prepare(ctx context.Context, p *program, turn budget.Turn, total int64) error {
+	limited, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	if err := p.lockRow(limited); err != nil {
+		return err
+	}
+	decision, ledger := p.decide(turn, total)
+	if decision != budget.DecisionGrant {
+		p.unlockRow()
+		return nil
+	}
+	written := make(chan error, 1)
+	go func() {
+		defer p.unlockRow()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), prepareTimeout)
+		defer cancel()
+		err := keeper.write(ctx, p, ledger)
+		if err == nil {
+			keeper.granted.Inc(1)
+		}
+		written <- err
+	}()
+	select {
+	case err := <-written:
+		return err
+	case <-limited.Done():
+		return store.NewError(store.FailureUnanswered, "budget", "the row is still being written")
+	}
+}
+
 // isLost reports whether p's budget does not hold the turn since starts that
 // ended for good hold some of it: nobody gives that back.
 func (keeper *Keeper) isLost(p *program, turn budget.Turn, total int64) bool {
--- a/account/keeper.go
+++ b/account/keeper.go
@@ -121,15 +121,12 @@
 // ask this one may grant by a row, and the rest may then be gone in the middle
 // of a stream.
 func (keeper *Keeper) reserveEscrowed(ctx context.Context, p *program, turn budget.Turn, total int64, parts []string) (*Reservation, error) {
-	limited, cancel := context.WithTimeout(ctx, rowTimeout)
-	defer cancel()
-	promised, err := keeper.grant(limited, p, turn, total)
-	if store.Unserved(err) {
+	if err := keeper.prepare(ctx, p, turn, total); store.Unserved(err) {
 		if reservation := keeper.own(p, budget.FirstPart(turn.Most), total, parts); reservation != nil {
 			return reservation, nil
 		}
-		promised, err = keeper.grant(ctx, p, turn, total)
 	}
+	promised, err := keeper.grant(ctx, p, turn, total)
 	if err != nil {
 		return nil, err
 	}
--- a/account/program.go
+++ b/account/program.go
@@ -73,6 +73,14 @@
 	return decision, ledger
 }
 
+// decide returns what may happen to a turn, and for DecisionGrant the row that
+// would grant it.
+func (p *program) decide(turn budget.Turn, total int64) (budget.Decision, *budget.Ledger) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.Decide(turn, total)
+}
+
 // conditions returns those under which the program's row may be written: it
 // is the one known here, and if there is none, escrow is not nil: the account
 // that it begins with is the one that its shard's escrow implies.
