entrypeer: a call that waits in a busy partition is not made again through others

What callers saw: while the store is slow, turns that are refused (StoreAway), streams broken off, and whole answers that are not kept.

Cause: a partition applies its transactions one after another, six a second while the store is slow by a factor of 50, and refuses once a second of them waits. A call that was not answered in time, or refused for that, was made again through two other instances: each copy takes its place in the same partition, and with it what others wait for.

A call goes through other instances only if the own way answered nothing since it began: an instance that the store turns away has no answers at all (TestStoreIsReachedThroughAnotherInstance, unchanged).

TestBusyPartitionIsNotAskedThroughOthers failed before (the call was made by the other instance).

--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -374,3 +374,27 @@
 	}
 	assert.True(t, homes["b"])
 }
+
+// Guards against a busy partition that is made busier: a call that waits in it is
+// made again through two other instances, though the own way is answered.
+func TestBusyPartitionIsNotAskedThroughOthers(t *testing.T) {
+	memory := storetest.New()
+	own, other := start(t, memory, "own"), start(t, memory, "other")
+	time.Sleep(50 * time.Millisecond) // they find each other
+	own.door.SetPartly(platformtest.Silent, func(partition string) bool { return partition == "busy" })
+	ctx, cancel := context.WithCancel(context.Background())
+	answered := make(chan error, 1)
+	go func() {
+		defer func() { answered <- nil }()
+		for ctx.Err() == nil {
+			_, _ = own.relay.Read(ctx, store.Range{Table: "t", Partition: "p"}) // ends with ctx
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	calls := other.door.Calls()
+	_, err := own.relay.Commit(context.Background(), store.Transaction{Puts: []store.Put{{Key: store.Key{Table: "t", Partition: "busy", Name: "a"}, Value: []byte("v")}}})
+	cancel()
+	require.NoError(t, <-answered)
+	assert.True(t, store.Is(err, store.FailureUnanswered), "%v", err)
+	assert.LessOrEqual(t, other.door.Calls()-calls, int64(1), "but for its own watch")
+}
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -30,8 +30,9 @@
 
 // Commit implements store.Store.
 func (relay *Relay) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	began := time.Now()
 	version, err := relay.direct.Commit(ctx, tx)
-	if !store.Unserved(err) {
+	if !store.Unserved(err) || relay.direct.AnsweredSince(began) {
 		return version, err
 	}
 	answer, err := relay.through(ctx, &storeMessage{Commit: &tx}, relayTimeout, err)
@@ -40,8 +41,9 @@
 
 // Read implements store.Store.
 func (relay *Relay) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	began := time.Now()
 	page, err := relay.direct.Read(ctx, r)
-	if !store.Unserved(err) {
+	if !store.Unserved(err) || relay.direct.AnsweredSince(began) {
 		return page, err
 	}
 	answer, err := relay.through(ctx, &storeMessage{Read: &r}, relayTimeout, err)
--- a/store/guard.go
+++ b/store/guard.go
@@ -80,6 +80,13 @@
 	return guard.whole.failures >= wholeFailures
 }
 
+// AnsweredSince reports whether the store answered any call that ended after t.
+func (guard *Guard) AnsweredSince(t time.Time) bool {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	return guard.answered.After(t)
+}
+
 // health returns the state of a partition. The caller holds mu. Partitions
 // are few: the product's own tables have a fixed number each.
 func (guard *Guard) health(partition string) *health {
