store, platform: a store that is seen to be slow is waited for until it answers

What callers saw: whole answers that break off at their end (NotKept) while the store is slow but answers.

Cause: a call was given up after a second. A partition that is slow has up to a second of transactions waiting and takes a quarter of one for the call itself; the write that was given up is applied all the same, and its copy in the turn's other partition takes that one's time.

TestBusyPartitionIsWaitedFor failed before ("context deadline exceeded").

--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -277,6 +277,21 @@
 	}
 }
 
+// Guards against writes that are given up while they wait in a busy partition, and
+// are then made twice: a slow store answers in a second and a quarter.
+func TestBusyPartitionIsWaitedFor(t *testing.T) {
+	slow := &slowStore{Store: storetest.New(), answer: 950 * time.Millisecond}
+	persistent := store.NewPersistent(slow, clock.Real{})
+	for range 6 {
+		_, _ = persistent.Commit(context.Background(), in("a")) // the first is given up
+	}
+	slow.mu.Lock()
+	slow.answer = 1300 * time.Millisecond
+	slow.mu.Unlock()
+	_, err := persistent.Commit(context.Background(), in("a"))
+	require.NoError(t, err)
+}
+
 // Symptom: turns through a machine that the store ignores take seconds.
 // Cause: each call waited for a long time-out. It may cost 0.6 s, then 1 s
 // until it is known.
--- a/store/persistent.go
+++ b/store/persistent.go
@@ -14,10 +14,16 @@
 	// and in some 20 when many write at once.
 	leastPatience = 60 * time.Millisecond
 	// leastLimit and mostLimit bound a call with all its repeats. A store
-	// that is slow answers in a quarter of a second, at times in most of
-	// one.
+	// that is slow answers in a quarter of a second, and in a second and a
+	// quarter if the transactions before it in its partition take one. A write
+	// that is given up before is applied all the same, and another in its
+	// place has the partition do it twice.
 	leastLimit = 600 * time.Millisecond
-	mostLimit  = time.Second
+	mostLimit  = 1500 * time.Millisecond
+	// silentUsual bounds what a call without an answer says of the usual time:
+	// a store that is silent is waited for a second a call, one that is seen to
+	// be slow for as long as it takes.
+	silentUsual = 250 * time.Millisecond
 	// patienceFactor times the usual time of an answer is waited for; each
 	// repeat waits twice as long as the one before.
 	patienceFactor = 4
@@ -133,5 +139,5 @@
 func (persistent *Persistent) unanswered(limit time.Duration) {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
-	persistent.usual = max(persistent.usual, limit/2)
+	persistent.usual = max(persistent.usual, min(limit/2, silentUsual))
 }
