account: only programs of own shards are remembered when asked to give back

An instance that is asked to give back a program that it does not know has nothing to remember unless the escrow of the program's shard is its own: the set of programs with a row grew with each such call. No caller saw it; found on reading the change that began it.

--- a/account/giveback.go
+++ b/account/giveback.go
@@ -29,15 +29,9 @@
 // as another instance asked for. It returns once that is durable, or ctx
 // ends. Of a program unknown here this start's escrow may hold something.
 func (keeper *Keeper) GiveBack(ctx context.Context, id string) error {
-	keeper.mu.Lock()
-	p := keeper.programs[id]
-	if p == nil {
-		// From now on the program's account here is not that of the escrow.
-		keeper.escrows.noteRow(id)
-	}
-	keeper.mu.Unlock()
+	p, escrow := keeper.holder(id)
 	if p == nil {
-		return keeper.giveBackEscrow(ctx, id)
+		return keeper.giveBackEscrow(ctx, id, escrow)
 	}
 	if err := p.lockRow(ctx); err != nil {
 		return err
@@ -46,11 +40,26 @@
 	return keeper.giveBack(ctx, p)
 }
 
-// giveBackEscrow takes the account of this start's escrow out of the row of a
-// program that is not known here, if it handed out nothing: other instances count
-// it since they made the row.
-func (keeper *Keeper) giveBackEscrow(ctx context.Context, id string) error {
+// holder returns the program of an ID, or if it is not known here the escrow of
+// its shard. If that is this start's, the program's account here is another one from
+// now on.
+func (keeper *Keeper) holder(id string) (*program, budget.Escrow) {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	if p := keeper.programs[id]; p != nil {
+		return p, budget.Escrow{}
+	}
 	escrow, _ := keeper.escrows.known(budget.Shard(id))
+	if keeper.isOwn(escrow) {
+		keeper.escrows.noteRow(id)
+	}
+	return nil, escrow
+}
+
+// giveBackEscrow takes the account of an escrow, if that is this start's, out of the
+// row of a program that is not known here, unless it handed out something: other
+// instances count it since they made the row.
+func (keeper *Keeper) giveBackEscrow(ctx context.Context, id string, escrow budget.Escrow) error {
 	if !keeper.isOwn(escrow) {
 		return nil
 	}
