--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -17,7 +17,8 @@
 // Relay is a store that is reached through other instances while this one's
 // own way to it fails. A call that had no answer here is made again there:
 // its conditions see to it that it is not done twice, as for any call that
-// is repeated.
+// is repeated. While the own way answers other calls it is no use: the call
+// waits in a partition that is busy, and a second one would wait behind it.
 type Relay struct {
 	direct *store.Guard
 	client *Client
