--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -660,11 +660,7 @@
 func TestTurnBeginsWithPartWhileStoreIsSilent(t *testing.T) {
 	ctx := context.Background()
 	memory := storetest.New()
-	site := &machines{clock: clock.Real{}}
-	current := &switchable{Store: memory}
-	site.store = current
-	m := site.start("a")
-	m.acquire(t)
+	m, current := startBehind(t, memory)
 	current.Store = silent{Store: memory}
 	began := time.Now()
 	turn, err := m.Reserve(ctx, "p", 567, 960)
@@ -706,11 +702,7 @@
 func TestRestIsGrantedByTheRowUnderWay(t *testing.T) {
 	ctx := context.Background()
 	memory := storetest.New()
-	site := &machines{clock: clock.Real{}}
-	current := &switchable{Store: memory}
-	site.store = current
-	m := site.start("a")
-	m.acquire(t)
+	m, current := startBehind(t, memory)
 	writes := &atomic.Int64{}
 	current.Store = slow{Store: memory, delay: 500 * time.Millisecond, writes: writes}
 	turn, err := m.Reserve(ctx, "p", 567, 960)
@@ -729,6 +721,15 @@
 // switchable is a store that a test replaces.
 type switchable struct{ store.Store }
 
+// startBehind returns an instance that has its escrow, and the store that it uses.
+func startBehind(t *testing.T, s store.Store) (*machine, *switchable) {
+	t.Helper()
+	current := &switchable{Store: s}
+	m := (&machines{store: current, clock: clock.Real{}}).start("a")
+	m.acquire(t)
+	return m, current
+}
+
 // Symptom: a program is told for 0.4 s that its budget is spent, though it
 // holds the next turn. Events: its home and an instance that cannot reach the
 // home both grant; a turn in flight asks for its rest, which is gone. Cause:
