--- a/account/grant.go
+++ b/account/grant.go
@@ -106,7 +106,7 @@
 		p.unlockRow()
 		return nil
 	}
-	written := make(chan error, 1)
+	written := make(chan error, 1) // not read if the turn begins before the write ends
 	go func() {
 		defer p.unlockRow()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), prepareTimeout)
