route, platform, gateway: organisations, their keys and their turns

Cause: the configuration's organisations were not read.

A configuration's organisations are checked and looked up by the digest of a key: the key itself is held nowhere, no error or line can tell it, and finding one takes the same time however much of it is right. A request without a known key gets 401, on open connections as well, since the table in force is looked up for each request; a stream under way ends as it began. An instance that is cut off answers 503: it may have missed the key. With no configuration yet it is 503 as before. Public routes need no key. The key and the caller's own organisation header are never passed on.

A turn names its organisation; for any other it does not exist. Accounts, places and what is remembered of programs go by the organisation and the program's name, so that nobody spends another's budget by guessing it. Rows of earlier versions are read as turns of no organisation.

Ruled out: turns fetched between instances by ID alone. They carry the organisation, which is checked by who serves the caller.

--- a/archive/archive.go
+++ b/archive/archive.go
@@ -68,16 +68,20 @@
 		fetched: scope.Counter("turns_fetched"), missed: scope.Counter("turn_fetches_missed")}
 }
 
-// Chain returns the turn of an ID and its ancestors, oldest first. It asks
-// holder, an instance that may have them in memory, before it reads the store;
-// "" if none is known. It returns an *UnknownTurnError if the store holds no
-// such turn, else the store's *store.Error.
-func (archive *Archive) Chain(ctx context.Context, id, holder string) ([]*history.Turn, error) {
+// Chain returns the turn of an ID and its ancestors, oldest first, if they are
+// the organisation's; "" for none. It asks holder, an instance that may have
+// them in memory, before it reads the store; "" if none is known. It returns an
+// *UnknownTurnError if the store holds no such turn of the organisation, else
+// the store's *store.Error.
+func (archive *Archive) Chain(ctx context.Context, organisation, id, holder string) ([]*history.Turn, error) {
 	archive.fetch(ctx, id, holder)
 	last, err := archive.turn(ctx, id)
 	if err != nil {
 		return nil, err
 	}
+	if last.Organisation != organisation {
+		return nil, &UnknownTurnError{id: id}
+	}
 	chain := make([]*history.Turn, len(last.Ancestors)+1)
 	chain[len(last.Ancestors)] = last
 	if err := archive.ancestors(ctx, last.Ancestors, chain); err != nil {
--- a/archive/archive_test.go
+++ b/archive/archive_test.go
@@ -38,6 +38,34 @@
 	return ids
 }
 
+// Guards against one organisation's conversation being continued, or told
+// apart from one that does not exist, by another that guesses its turn's ID.
+func TestTurnOfAnotherOrganisationIsUnknown(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	a := open(memory)
+	for _, owner := range []string{"", "x", "y"} {
+		kept := turn("of-" + owner)
+		kept.Organisation = owner
+		require.NoError(t, a.Keep(ctx, kept))
+	}
+	for _, reader := range []*archive.Archive{a, open(memory)} {
+		for _, owner := range []string{"", "x", "y"} {
+			for _, asker := range []string{"", "x", "y", "z"} {
+				chain, err := reader.Chain(ctx, asker, "of-"+owner, "")
+				if asker == owner {
+					require.NoError(t, err)
+					assert.Equal(t, []string{"of-" + owner}, ids(chain))
+					continue
+				}
+				var unknown *archive.UnknownTurnError
+				require.ErrorAs(t, err, &unknown)
+				assert.Equal(t, "no turn of-"+owner, err.Error())
+			}
+		}
+	}
+}
+
 func TestChainIsReadByAnotherInstance(t *testing.T) {
 	ctx := context.Background()
 	memory := storetest.New()
@@ -45,11 +73,11 @@
 	require.NoError(t, a.Keep(ctx, turn("t1")))
 	require.NoError(t, a.Keep(ctx, turn("t2", "t1")))
 	require.NoError(t, a.Keep(ctx, turn("t3", "t1", "t2")))
-	chain, err := open(memory).Chain(ctx, "t3", "")
+	chain, err := open(memory).Chain(ctx, "", "t3", "")
 	require.NoError(t, err)
 	assert.Equal(t, []string{"t1", "t2", "t3"}, ids(chain))
 	assert.Equal(t, "input of t1event of t1\ninput of t2event of t2\ninput of t3event of t3\nx", string(history.Prompt(chain, []byte("x"))))
-	_, err = open(memory).Chain(ctx, "t4", "")
+	_, err = open(memory).Chain(ctx, "", "t4", "")
 	var unknown *archive.UnknownTurnError
 	assert.ErrorAs(t, err, &unknown)
 }
@@ -74,7 +102,7 @@
 	})
 	for _, id := range []string{"t1", "never"} {
 		home = ""
-		_, err := open(memory).Chain(ctx, id, "")
+		_, err := open(memory).Chain(ctx, "", id, "")
 		assert.True(t, store.Unserved(err), "%s: %v", id, err)
 	}
 }
@@ -100,7 +128,7 @@
 		require.NoError(t, open(memory).Keep(bounded, turn(id)))
 		cancel()
 		memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
-		chain, err := open(memory).Chain(ctx, id, "")
+		chain, err := open(memory).Chain(ctx, "", id, "")
 		require.NoError(t, err)
 		assert.Equal(t, []string{id}, ids(chain))
 	}
@@ -116,7 +144,7 @@
 	other.Input = []byte("another")
 	var taken *archive.TakenError
 	require.ErrorAs(t, a.Keep(ctx, other), &taken)
-	chain, err := open(memory).Chain(ctx, "t1", "")
+	chain, err := open(memory).Chain(ctx, "", "t1", "")
 	require.NoError(t, err)
 	assert.Equal(t, "input of t1", string(chain[0].Input))
 }
@@ -131,7 +159,7 @@
 		long.Input[i] = byte(rng.Uint32())
 	}
 	require.NoError(t, open(memory).Keep(ctx, long))
-	chain, err := open(memory).Chain(ctx, "a/b!c d", "")
+	chain, err := open(memory).Chain(ctx, "", "a/b!c d", "")
 	require.NoError(t, err)
 	assert.Equal(t, long.Input, chain[0].Input)
 }
@@ -193,7 +221,7 @@
 					if in.keep {
 						out.found = open(memory).Keep(ctx, turn(in.id)) == nil
 					} else {
-						_, err := open(memory).Chain(ctx, in.id, "")
+						_, err := open(memory).Chain(ctx, "", in.id, "")
 						_, unknown := err.(*archive.UnknownTurnError)
 						out = keepOutput{found: err == nil, unknown: unknown}
 					}
--- a/archive/peer_test.go
+++ b/archive/peer_test.go
@@ -57,7 +57,7 @@
 		next := turn(fmt.Sprintf("t%02d", n))
 		if n > 0 {
 			var err error
-			chain, err = at.Chain(ctx, fmt.Sprintf("t%02d", n-1), before)
+			chain, err = at.Chain(ctx, "", fmt.Sprintf("t%02d", n-1), before)
 			require.NoError(t, err)
 			next.Ancestors = chain[len(chain)-1].Chain()
 		}
@@ -101,11 +101,11 @@
 		"gone": fleet{}, "forgot": fleet{"x": empty}, "garbled": garbled{}, "part": part{}, "silent": silent{},
 	} {
 		began := time.Now()
-		chain, err := openIn(memory, peers).Chain(context.Background(), "t03", "x")
+		chain, err := openIn(memory, peers).Chain(context.Background(), "", "t03", "x")
 		require.NoError(t, err, name)
 		assert.Equal(t, []string{"t00", "t01", "t02", "t03"}, ids(chain), name)
 		assert.Less(t, time.Since(began), time.Second, name)
-		_, err = openIn(memory, peers).Chain(context.Background(), "never", "x")
+		_, err = openIn(memory, peers).Chain(context.Background(), "", "never", "x")
 		var unknown *archive.UnknownTurnError
 		assert.ErrorAs(t, err, &unknown, name)
 	}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -14,6 +14,7 @@
 	"github.com/wagtaildrum/wagtaildrum/admission"
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/route"
 )
 
 const (
@@ -152,7 +153,7 @@
 	e.entrance = e.entrances.of(e.service)
 	now := e.Clock.Now()
 	patience := e.entrance.patience(e.until.Sub(now))
-	of := e.entrances.program(e.call.Program, e.route.Priority, e.spends())
+	of := e.entrances.program(e.program, route.Rank(e.organisation, e.route), e.spends())
 	e.priority = of.priority
 	ticket := admission.Ticket{Urgency: -of.priority, New: !of.started, Arrived: now, Deadline: now.Add(delaySlack * patience)}
 	if e.call.Finish > 0 {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -26,6 +26,10 @@
 	ReasonTooLarge
 	// ReasonNoRoute: no route leads anywhere for its host and path.
 	ReasonNoRoute
+	// ReasonUnknownKey: no organisation holds the key that it shows.
+	ReasonUnknownKey
+	// ReasonQuota: its organisation has no request left for now.
+	ReasonQuota
 	// ReasonNoConfiguration: none was read yet.
 	ReasonNoConfiguration
 	// ReasonNoEndpoint: no endpoint of the service may take work.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/route"
 )
 
 // Call is what a caller says of a request beside its path and body.
 type Call struct {
 	// ID names this attempt of the request.
 	ID string
+	// Key is the organisation's that the caller showed; zero if none.
+	Key route.Key
 	// Deadline is how long the caller waits; 0 if it does not say.
 	Deadline time.Duration
 	// Program is the program that the request belongs to, Session its line
@@ -51,6 +54,8 @@
 type Send struct {
 	// Endpoint is the ID that the endpoint must have to run the request.
 	Endpoint string
+	// Organisation is the name of the caller's; empty if it showed no key.
+	Organisation string
 	// Deadline is what is left for the endpoint.
 	Deadline time.Duration
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,7 +41,9 @@
 	store store.Store
 	model *platformtest.Endpoint
 	tool  *platformtest.Endpoint
-	ids   atomic.Int64
+	// logs takes what instances log.
+	logs io.Writer
+	ids  atomic.Int64
 }
 
 // instance is an entry instance of a bed.
@@ -81,7 +83,7 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{t: t, memory: storetest.New(), model: platformtest.NewEndpoint("i-model", "model", true), tool: platformtest.NewEndpoint("i-tool", "tool", false)}
+	b := &bed{t: t, logs: io.Discard, memory: storetest.New(), model: platformtest.NewEndpoint("i-model", "model", true), tool: platformtest.NewEndpoint("i-tool", "tool", false)}
 	t.Cleanup(b.model.Close)
 	t.Cleanup(b.tool.Close)
 	platformtest.Configure(b.memory, platformtest.Configuration(3))
@@ -93,7 +95,7 @@
 
 func (b *bed) start() *instance {
 	b.t.Helper()
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	log := slog.New(slog.NewTextHandler(b.logs, nil))
 	clk := clock.Real{}
 	current, list := &route.Current{}, membership.NewList()
 	guard := store.NewGuard(b.store, func(string, bool, error) {})
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -145,7 +145,7 @@
 	if e.lastEvent != "" {
 		header.Set(lastEventHeader, e.lastEvent)
 	}
-	e.Dialect.Prepare(header, Send{Endpoint: choice.Endpoint().ID, Deadline: e.until.Sub(e.Clock.Now())})
+	e.Dialect.Prepare(header, Send{Endpoint: choice.Endpoint().ID, Organisation: e.organisationName(), Deadline: e.until.Sub(e.Clock.Now())})
 	return &upstream.Request{
 		Address: choice.Endpoint().Address, Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: header,
 		Body: e.prompt, HasBody: e.r.ContentLength != 0, IDHeader: e.Dialect.IDHeader(),
--- a/gateway/reason_string.go
+++ b/gateway/reason_string.go
@@ -12,23 +12,25 @@
 	_ = x[ReasonBadRequest-1]
 	_ = x[ReasonTooLarge-2]
 	_ = x[ReasonNoRoute-3]
-	_ = x[ReasonNoConfiguration-4]
-	_ = x[ReasonNoEndpoint-5]
-	_ = x[ReasonEndpointsFull-6]
-	_ = x[ReasonSpent-7]
-	_ = x[ReasonBudgetHeld-8]
-	_ = x[ReasonUnknownTurn-9]
-	_ = x[ReasonStoreAway-10]
-	_ = x[ReasonEndpointFailed-11]
-	_ = x[ReasonTimeout-12]
-	_ = x[ReasonCallerGone-13]
-	_ = x[ReasonNotKept-14]
-	_ = x[ReasonNoMemory-15]
+	_ = x[ReasonUnknownKey-4]
+	_ = x[ReasonQuota-5]
+	_ = x[ReasonNoConfiguration-6]
+	_ = x[ReasonNoEndpoint-7]
+	_ = x[ReasonEndpointsFull-8]
+	_ = x[ReasonSpent-9]
+	_ = x[ReasonBudgetHeld-10]
+	_ = x[ReasonUnknownTurn-11]
+	_ = x[ReasonStoreAway-12]
+	_ = x[ReasonEndpointFailed-13]
+	_ = x[ReasonTimeout-14]
+	_ = x[ReasonCallerGone-15]
+	_ = x[ReasonNotKept-16]
+	_ = x[ReasonNoMemory-17]
 }
 
-const _Reason_name = "NoneBadRequestTooLargeNoRouteNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
+const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
 
-var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 44, 54, 67, 72, 82, 93, 102, 116, 123, 133, 140, 148}
+var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 59, 69, 82, 87, 97, 108, 117, 131, 138, 148, 155, 163}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -82,14 +83,18 @@
 	w http.ResponseWriter
 	r *http.Request
 
-	call    *Call
-	table   *route.Table
-	route   *route.Route
-	service string
-	arrived time.Time
-	until   time.Time
-	body    []byte
-	prompt  []byte
+	call  *Call
+	table *route.Table
+	route *route.Route
+	// organisation is the caller's, nil for one without a key. program names
+	// the program among those of all organisations.
+	organisation *route.Organisation
+	program      string
+	service      string
+	arrived      time.Time
+	until        time.Time
+	body         []byte
+	prompt       []byte
 
 	// held is the memory counted for the request's body and prompt.
 	held        int64
@@ -154,7 +159,7 @@
 // run has the request run once it is its turn. Only then is the store asked
 // for what it needs: one that is turned away costs no call.
 func (e *exchange) run(ctx context.Context) error {
-	if e.spends() && e.Accounts.KnownSpent(e.call.Program, e.call.MaxTokens, e.call.Budget) {
+	if e.spends() && e.Accounts.KnownSpent(e.program, e.call.MaxTokens, e.call.Budget) {
 		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
 	}
 	release, err := e.admit(ctx)
@@ -195,6 +200,9 @@
 	if e.route == nil {
 		return refuse(ReasonNoRoute, http.StatusNotFound, 0, nil)
 	}
+	if err := e.identify(); err != nil {
+		return err
+	}
 	e.service = e.route.Pick()
 	wait := e.route.Timeout
 	if call.Deadline > 0 {
@@ -207,6 +215,41 @@
 	return e.readBody()
 }
 
+// identify finds the organisation of the caller by its key. A caller that
+// another instance may know is sent there: this one, cut off, may have missed
+// a key.
+func (e *exchange) identify() error {
+	e.program = e.call.Program
+	e.organisation = e.table.Organisation(e.call.Key)
+	switch {
+	case e.organisation != nil:
+		e.program = scoped(e.organisation.Name, e.call.Program)
+	case e.table.NeedsKey(e.route) && e.cutOff():
+		return refuse(ReasonUnknownKey, http.StatusServiceUnavailable, elsewherePause, nil)
+	case e.table.NeedsKey(e.route):
+		return refuse(ReasonUnknownKey, http.StatusUnauthorized, 0, nil)
+	}
+	return nil
+}
+
+// scoped returns the name of an organisation's program among those of all:
+// callers choose the names of programs, and must not reach another
+// organisation's budget by its name.
+func scoped(organisation, program string) string {
+	if program == "" {
+		return ""
+	}
+	return url.PathEscape(organisation) + "/" + program
+}
+
+// organisationName returns "" for a caller without a key.
+func (e *exchange) organisationName() string {
+	if e.organisation == nil {
+		return ""
+	}
+	return e.organisation.Name
+}
+
 // path returns the path as the caller sent it.
 func (e *exchange) path() string {
 	path, _, _ := strings.Cut(e.r.RequestURI, "?")
@@ -284,7 +327,7 @@
 	}
 	var chain []*history.Turn
 	err := e.patiently(ctx, func(ctx context.Context) (err error) {
-		chain, err = e.Archive.Chain(ctx, e.call.Previous, e.holder())
+		chain, err = e.Archive.Chain(ctx, e.organisationName(), e.call.Previous, e.holder())
 		return err
 	})
 	var unknown *archive.UnknownTurnError
@@ -361,7 +404,7 @@
 	began := e.Clock.Now()
 	var reservation *account.Reservation
 	err := e.patiently(ctx, func(ctx context.Context) (err error) {
-		reservation, err = e.Accounts.Reserve(ctx, e.call.Program, e.call.MaxTokens, e.call.Budget, e.ownParts()...)
+		reservation, err = e.Accounts.Reserve(ctx, e.program, e.call.MaxTokens, e.call.Budget, e.ownParts()...)
 		return err
 	})
 	e.metrics.reserve.RecordDuration(e.Clock.Now().Sub(began))
@@ -396,7 +439,7 @@
 
 // noteServed notes that an endpoint served the turn, and keeps its prompt.
 func (e *exchange) noteServed() {
-	e.entrances.started(e.call.Program, e.priority)
+	e.entrances.started(e.program, e.priority)
 	if parts := e.call.Parts; len(parts) > 1 {
 		last := parts[len(parts)-1]
 		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.asked, Tokens: last.Tokens + e.spent(), Instance: e.Instance})
@@ -419,7 +462,7 @@
 	if !e.route.KeepsHistory || e.status != http.StatusOK || e.route.Kind != route.KindStream {
 		return nil
 	}
-	turn := &history.Turn{ID: e.call.ID, Input: e.body, Events: e.events}
+	turn := &history.Turn{ID: e.call.ID, Organisation: e.organisationName(), Input: e.body, Events: e.events}
 	if len(e.chain) > 0 {
 		turn.Ancestors = e.chain[len(e.chain)-1].Chain()
 	}
@@ -496,6 +539,9 @@
 	if e.call != nil {
 		attrs = append(attrs, slog.String("request", e.call.ID), slog.String("program", e.call.Program))
 	}
+	if e.organisation != nil {
+		attrs = append(attrs, slog.String("organisation", e.organisation.Name))
+	}
 	if e.route != nil {
 		attrs = append(attrs, slog.String("route", e.route.Name), slog.Uint64("configuration", e.table.Version()), slog.Time("until", e.until))
 	}
--- a/history/turn.go
+++ b/history/turn.go
@@ -16,6 +16,8 @@
 type Turn struct {
 	// ID is the request that made the turn.
 	ID string
+	// Organisation is the one whose caller made the turn; empty for none.
+	Organisation string
 	// Ancestors are the turns before it, oldest first.
 	Ancestors []string
 	// Input is what the request carried, Events the data of each event of
@@ -26,7 +28,7 @@
 
 // Size returns about how much memory the turn holds, in bytes.
 func (turn *Turn) Size() int {
-	size := len(turn.Input) + len(turn.ID)
+	size := len(turn.Input) + len(turn.ID) + len(turn.Organisation)
 	for _, event := range turn.Events {
 		size += len(event)
 	}
@@ -65,9 +67,10 @@
 
 // record is the encoded form of a Turn; its ID is the row's name.
 type record struct {
-	Ancestors []string `cbor:"a"`
-	Input     []byte   `cbor:"i"`
-	Events    [][]byte `cbor:"e"`
+	Organisation string   `cbor:"o,omitempty"`
+	Ancestors    []string `cbor:"a"`
+	Input        []byte   `cbor:"i"`
+	Events       [][]byte `cbor:"e"`
 }
 
 // partHeader is the start of each row of a turn, in bytes: the row's number
@@ -102,7 +105,7 @@
 	if len(turn.Events) > codec.MaxElements {
 		return nil, &TooLargeError{id: turn.ID, size: len(turn.Events), what: "events"}
 	}
-	plain, err := codec.Marshal(&record{Ancestors: turn.Ancestors, Input: turn.Input, Events: turn.Events})
+	plain, err := codec.Marshal(&record{Organisation: turn.Organisation, Ancestors: turn.Ancestors, Input: turn.Input, Events: turn.Events})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode turn")
 	}
@@ -158,7 +161,7 @@
 	if err := codec.Unmarshal(plain, &rec); err != nil {
 		return nil, eris.Wrapf(err, "turn %s", id)
 	}
-	return &Turn{ID: id, Ancestors: rec.Ancestors, Input: rec.Input, Events: rec.Events}, nil
+	return &Turn{ID: id, Organisation: rec.Organisation, Ancestors: rec.Ancestors, Input: rec.Input, Events: rec.Events}, nil
 }
 
 // deflaters are writers to use again: a new one takes more memory than most
--- a/history/turn_test.go
+++ b/history/turn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -159,3 +160,19 @@
 	}
 	readers.Wait()
 }
+
+// Guards against conversations that are lost to a new version of the program:
+// a row written before turns named their organisation.
+func TestRowOfEarlierVersionIsRead(t *testing.T) {
+	row, err := hex.DecodeString("0000001900e6ffa3616181616161694568656c6c6f616582436f6e654374776f010000ffff")
+	require.NoError(t, err)
+	turn, err := history.Decode("b", [][]byte{row})
+	require.NoError(t, err)
+	assert.Equal(t, &history.Turn{ID: "b", Ancestors: []string{"a"}, Input: []byte("hello"), Events: [][]byte{[]byte("one"), []byte("two")}}, turn)
+	turn.Organisation = "x"
+	rows, err := turn.Encode(1000)
+	require.NoError(t, err)
+	again, err := history.Decode("b", rows)
+	require.NoError(t, err)
+	assert.Equal(t, "x", again.Organisation)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -53,6 +53,8 @@
 	// Resumable streams may go on at another endpoint after the last event
 	// received.
 	Resumable bool
+	// Public routes are open to callers without an organisation's key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run again after it may have run.
--- a/route/table.go
+++ b/route/table.go
@@ -23,13 +23,23 @@
 	version  uint64
 	hosts    map[string][]*Route
 	services map[string]*Service
-	limits   Limits
+	// organisations is nil if callers need no key.
+	organisations organisations
+	limits        Limits
 }
 
-// NewTable returns the table of a configuration. It returns an
-// *InvalidError if a route cannot be served.
-func NewTable(version uint64, routes []*Route, services []*Service, limits Limits) (*Table, error) {
+// NewTable returns the table of a configuration. It returns an *InvalidError
+// if a route cannot be served, and an *InvalidOrganisationError for an
+// organisation that cannot be told apart. Without organisations, callers need
+// no key.
+func NewTable(version uint64, routes []*Route, services []*Service, organisations []*Organisation, limits Limits) (*Table, error) {
 	table := &Table{version: version, hosts: map[string][]*Route{}, services: map[string]*Service{}, limits: limits}
+	if len(organisations) > 0 {
+		var err error
+		if table.organisations, err = newOrganisations(organisations); err != nil {
+			return nil, err
+		}
+	}
 	for _, service := range services {
 		table.services[service.Name] = service
 	}
@@ -64,6 +74,12 @@
 // Limits returns what callers may send.
 func (table *Table) Limits() Limits { return table.limits }
 
+// NeedsKey reports whether a request on route must show an organisation's key.
+func (table *Table) NeedsKey(route *Route) bool { return table.organisations != nil && !route.Public }
+
+// Organisation returns the organisation that holds a key, nil if none does.
+func (table *Table) Organisation(key Key) *Organisation { return table.organisations[key] }
+
 // Routes returns how many routes there are.
 func (table *Table) Routes() int {
 	n := 0
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -12,7 +12,7 @@
 
 func table(t *testing.T, version uint64, routes ...*route.Route) *route.Table {
 	t.Helper()
-	table, err := route.NewTable(version, routes, nil, route.Limits{})
+	table, err := route.NewTable(version, routes, nil, nil, route.Limits{})
 	require.NoError(t, err)
 	return table
 }
@@ -62,7 +62,7 @@
 		"no slash":   to("a.example", "/x", "s"),
 		"no service": {Name: "r", Host: "a.example", Prefix: "/x/"},
 	} {
-		_, err := route.NewTable(1, []*route.Route{bad}, nil, route.Limits{})
+		_, err := route.NewTable(1, []*route.Route{bad}, nil, nil, route.Limits{})
 		var invalid *route.InvalidError
 		assert.ErrorAs(t, err, &invalid, name)
 	}
@@ -82,7 +82,7 @@
 func ExampleTable_Match() {
 	table, err := route.NewTable(1, []*route.Route{
 		{Name: "chat", Host: "desk.example", Prefix: "/chat/", Targets: []route.Target{{Service: "model", Weight: 1}}},
-	}, nil, route.Limits{})
+	}, nil, nil, route.Limits{})
 	if err != nil {
 		panic(err)
 	}
