quota: each organisation's quota in a bucket at one home, for all instances

Nothing counted requests by organisation.

A token bucket for each organisation lies at one instance, found by rendezvous hashing; the others ask it for each request, and are given some ahead while the bucket is more than half full. All credit, in the bucket and given out, is bounded by the depth and comes at the rate: no window can see more than rate x window + depth, whatever is forgotten, if what is forgotten counts as empty. The depth is the burst and half of what operators tolerate above the quota; the other half is for the time in which two instances take themselves for the home. No call of the store is made.

Who is refused: a program that begins goes after those that have begun, for which half of the depth is kept while they ask for more than comes. A request of one that has begun waits up to 250 ms for credit that is certain to come; others are refused at once with 429 and when there is credit, each caller later than the one before. A request that no endpoint ran gives its credit back.

An instance that no other one reaches answers 503: what is left is not known there. One that was away for half a second gives up what it holds and asks again. A planned stop hands the buckets to the next homes.

The log is not kept: with its home's memory lost, it must refuse all for a window.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -24,6 +24,7 @@
 	"github.com/wagtaildrum/wagtaildrum/logging"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
@@ -99,6 +100,8 @@
 	p.goroutine(work, f.store.Run)
 	p.goroutine(work, f.accounts.Sweep)
 	p.goroutine(work, f.accounts.Repay)
+	p.goroutine(work, f.quotas.Run)
+	p.goroutine(work, f.quotas.Watch)
 	p.goroutine(ctx, f.accounts.Acquire(f.directory))
 	p.goroutine(ctx, f.directory.Join(f.store, p.log))
 	p.goroutine(work, f.upkeep)
@@ -121,6 +124,7 @@
 	picker   *balance.Picker
 	client   *upstream.Client
 	accounts *account.Keeper
+	quotas   *quota.Limiter
 	// own is this instance's way to the store, store all its ways.
 	own, store    *store.Guard
 	directory     *entrypeer.Directory
@@ -152,12 +156,14 @@
 	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, own: own, store: guard}
 	f.accounts = account.NewKeeper(guard, owner, peers, peers, clk, p.log, scope)
 	turns := archive.New(guard, peers, s.RowBytes, int(cacheShare*float64(s.Memory)), p.log, scope)
-	f.peers = &entrypeer.Server{Store: own, Lender: f.accounts, Turns: turns, Log: p.log}
+	f.quotas = quota.NewLimiter(peers, s.Tolerance, clk, p.log, scope)
+	f.peers = &entrypeer.Server{Store: own, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Directory: directory, Log: p.log}
 	self, _ := directory.Members()
 	f.gateway = gateway.New(gateway.Parts{
 		Instance: self, DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:   f.accounts,
 		Archive:    turns,
+		Quotas:     f.quotas,
 		Durability: durability{store: guard, directory: directory}, BodyBytes: int64(bodyShare * float64(s.Memory)),
 		Clock: clk, Log: p.log, Metrics: scope,
 	})
@@ -230,6 +236,7 @@
 func (f *front) leave(until time.Time) {
 	giving, cancelGiving := context.WithDeadline(context.Background(), until)
 	defer cancelGiving()
+	f.quotas.Stop(giving)
 	for {
 		err := f.accounts.Stop(giving)
 		if err == nil {
--- /dev/null
+++ b/entrypeer/credit_test.go
@@ -0,0 +1,134 @@
+package entrypeer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/entrypeer"
+	"github.com/wagtaildrum/wagtaildrum/quota"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// All instances name the same home for an organisation; credit is asked for
+// there from any of them, and the quota is one for all.
+func TestQuotaIsOneForAllInstances(t *testing.T) {
+	memory := storetest.New()
+	fleet := []*instance{start(t, memory, "a"), start(t, memory, "b"), start(t, memory, "c")}
+	require.Eventually(t, func() bool {
+		for _, i := range fleet {
+			if len(i.client.Homes("x", true)) != len(fleet) {
+				return false
+			}
+		}
+		return true
+	}, time.Second, 5*time.Millisecond)
+	homes := map[string]bool{}
+	for n := range 50 {
+		organisation := fmt.Sprint("x", n)
+		want := fleet[0].client.Homes(organisation, false)
+		homes[want[0]] = true
+		for _, i := range fleet {
+			assert.Equal(t, want, i.client.Homes(organisation, true))
+		}
+	}
+	assert.Len(t, homes, len(fleet), "organisations have homes everywhere")
+	time.Sleep(1100 * time.Millisecond) // the bucket fills
+	granted := 0
+	limit := quota.Limit{Rate: 20, Burst: 20, Version: 1}
+	for n := range 120 {
+		wait, err := fleet[n%3].quotas.Take(context.Background(), "x", limit, quota.Request{})
+		var exhausted *quota.ExhaustedError
+		switch {
+		case err == nil && wait == 0:
+			granted++
+		default:
+			require.ErrorAs(t, err, &exhausted)
+			assert.Positive(t, exhausted.RetryAfter())
+		}
+	}
+	assert.GreaterOrEqual(t, granted, 20)
+	assert.LessOrEqual(t, granted, 45, "the burst and half of what is tolerated, and what came meanwhile")
+}
+
+// Guards against a quota that is given out twice while the news of an instance
+// spreads: one that joined takes the bucket over, and who gave it up passes
+// questions on to it.
+func TestInstanceThatJoinsTakesItsBucketOver(t *testing.T) {
+	memory := storetest.New()
+	a, b := start(t, memory, "a"), start(t, memory, "b")
+	require.Eventually(t, func() bool { return len(a.client.Homes("x", true)) == 2 && len(b.client.Homes("x", true)) == 2 }, time.Second, 5*time.Millisecond)
+	first, second := a, b
+	if a.client.Homes("x", true)[0] == "b" {
+		first, second = b, a
+	}
+	limit := quota.Limit{Rate: 1, Burst: 100, Version: 1}
+	second.quotas.Transfer(quota.Transfer{From: "before", Balances: map[string]quota.Balance{"x": {Limit: limit, Level: 5}}})
+	granted := 0
+	for range 20 {
+		if _, err := first.quotas.Take(context.Background(), "x", limit, quota.Request{}); err == nil {
+			granted++
+		}
+		if _, err := second.quotas.Take(context.Background(), "x", limit, quota.Request{}); err == nil {
+			granted++
+		}
+	}
+	assert.GreaterOrEqual(t, granted, 4)
+	assert.LessOrEqual(t, granted, 6)
+}
+
+// Guards against a call of an instance whose entry is not read yet, which would
+// be taken for nobody's, and against an earlier start that replaces a later one.
+func TestInstanceIsMetWhenItCalls(t *testing.T) {
+	memory := storetest.New()
+	a := start(t, memory, "a")
+	start(t, memory, "b")
+	require.Eventually(t, func() bool { return len(a.client.Homes("x", true)) == 2 }, time.Second, 5*time.Millisecond, "the list is read")
+	now := time.Now()
+	call := func(address string, began time.Time) {
+		directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "new", Owner: entrypeer.NewOwner("new", began), Address: address, DataCentre: "a"}, clock.Real{})
+		client := entrypeer.NewClient(directory)
+		instance := entrypeer.Instance{Name: "a", Owner: entrypeer.NewOwner("a", now), Address: a.server.Listener.Addr().String()}
+		directory.Meet(instance)
+		_, err := client.HandOver(context.Background(), "a", quota.Transfer{From: "new"})
+		require.NoError(t, err)
+	}
+	call("10.0.0.2:1", now)
+	assert.Contains(t, a.client.Homes("x", true), "new")
+	joined := a.client.Joined("new")
+	call("10.0.0.1:1", now.Add(-time.Second))
+	assert.Equal(t, joined, a.client.Joined("new"), "the earlier start is not taken in")
+}
+
+// noPeers are an instance's view of a fleet of its own.
+type noPeers struct{ *entrypeer.Client }
+
+// FuzzCreditMessage has whatever comes as a question answered or refused.
+func FuzzCreditMessage(f *testing.F) {
+	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "a", Owner: "a-1"}, clock.Real{})
+	client := entrypeer.NewClient(directory)
+	limiter := quota.NewLimiter(noPeers{client}, quota.Tolerance{}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	server := &entrypeer.Server{Quotas: limiter, Log: slog.New(slog.DiscardHandler)}
+	handler := server.Handler()
+	for _, value := range []any{[]any{"x", 20.0, 20.0, 1, "b", 7, true, 1000, 0, 3, 0, 0}, []any{"x", -1.0, 1e308, 1, "b", 7, true, -5, -9, 1 << 40, -1, 9}} {
+		data, err := codec.Marshal(value)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/entry/credit", bytes.NewReader(data)))
+		assert.Contains(t, []int{http.StatusOK, http.StatusBadRequest, http.StatusMisdirectedRequest}, recorder.Code)
+	})
+}
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -69,6 +69,10 @@
 	// unreached are the instances that could not be reached since any last
 	// answered.
 	unreached map[string]struct{}
+	// changed is when an instance last joined, left or started again.
+	changed time.Time
+	// joined is when each instance was first known in its present start.
+	joined map[string]time.Time
 }
 
 // absence is an instance that could not be reached.
@@ -81,7 +85,7 @@
 
 // NewDirectory returns a directory that knows only self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, unreached: map[string]struct{}{}, displaced: make(chan struct{}, 1)}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, unreached: map[string]struct{}{}, displaced: make(chan struct{}, 1), changed: clk.Now(), joined: map[string]time.Time{}}
 }
 
 func (directory *Directory) key() store.Key {
@@ -152,6 +156,8 @@
 	defer directory.mu.Unlock()
 	if row.Removed {
 		delete(directory.instances, row.Key.Name)
+		delete(directory.joined, row.Key.Name)
+		directory.changed = directory.clock.Now()
 		return
 	}
 	var instance Instance
@@ -170,11 +176,31 @@
 	default:
 		if directory.instances[row.Key.Name] != instance {
 			delete(directory.avoid, row.Key.Name) // started anew
+			directory.changed = directory.clock.Now()
+			directory.joined[row.Key.Name] = directory.changed
 		}
 		directory.instances[row.Key.Name] = instance
 	}
 }
 
+// Meet takes in an instance that calls, unless a later start of it is known.
+func (directory *Directory) Meet(instance Instance) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	called, ok := parseOwner(instance.Owner)
+	if !ok || instance.Name == directory.key().Name {
+		return
+	}
+	known, isKnown := directory.instances[instance.Name]
+	if current, ok := parseOwner(known.Owner); isKnown && ok && current.began >= called.began {
+		return
+	}
+	delete(directory.avoid, instance.Name)
+	directory.instances[instance.Name] = instance
+	directory.changed = directory.clock.Now()
+	directory.joined[instance.Name] = directory.changed
+}
+
 // owning returns the instance that owns a budget account, whether or not it
 // answered of late: what it holds cannot be had in another way, and it may only
 // have waited for the store.
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -24,6 +24,7 @@
 	"github.com/wagtaildrum/wagtaildrum/entrypeer"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 )
@@ -39,6 +40,7 @@
 	asked     atomic.Pointer[string]
 	repaid    atomic.Int64
 	settled   atomic.Int64
+	quotas    *quota.Limiter
 }
 
 func (i *instance) GiveBack(_ context.Context, program string) error {
@@ -90,14 +92,19 @@
 	clk := clock.Real{}
 	direct := store.NewGuard(store.NewPersistent(platform.NewStore(i.door.Address()), clk), func(string, bool, error) {})
 	handler := &entrypeer.Server{Store: direct, Log: log, Lender: i, Turns: i}
-	i.server = httptest.NewServer(handler.Handler())
+	i.server = httptest.NewUnstartedServer(nil)
 	t.Cleanup(i.server.Close)
 	i.directory = entrypeer.NewDirectory(entrypeer.Instance{Name: name, Owner: i.owner, Address: i.server.Listener.Addr().String(), DataCentre: "a"}, clk)
 	i.client = entrypeer.NewClient(i.directory)
+	i.quotas = quota.NewLimiter(i.client, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope)
+	handler.Directory, handler.Quotas = i.directory, i.quotas
+	i.server.Config.Handler = handler.Handler()
+	i.server.Start()
 	i.relay = entrypeer.NewRelay(direct, i.client)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	done := make(chan error, 3)
+	done := make(chan error, 4)
+	go i.quotas.Run(ctx, done)
 	go i.directory.Join(direct, log)(ctx, done)
 	go discovery.NewFollower(i.relay, i.directory.Source(log), clk, log, tally.NoopScope).Run(ctx, done)
 	go direct.Run(ctx, done)
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -13,6 +13,8 @@
 	pathBorrow   = "/entry/borrow"
 	pathRepay    = "/entry/repay"
 	pathTurns    = "/entry/turns"
+	pathCredit   = "/entry/credit"
+	pathHandOver = "/entry/hand-over"
 )
 
 // giveBackMessage asks for what is held of a program's budget.
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -23,7 +23,10 @@
 	Store  store.Store
 	Lender Lender
 	Turns  TurnHolder
-	Log    *slog.Logger
+	Quotas CreditHome
+	// Directory learns of instances that call before their entry is read.
+	Directory *Directory
+	Log       *slog.Logger
 }
 
 // Lender keeps accounts of programs, as *account.Keeper does.
@@ -44,6 +47,8 @@
 	mux.HandleFunc("POST "+pathBorrow, server.borrow)
 	mux.HandleFunc("POST "+pathRepay, server.repay)
 	mux.HandleFunc("POST "+pathTurns, server.turns)
+	mux.HandleFunc("POST "+pathCredit, server.credit)
+	mux.HandleFunc("POST "+pathHandOver, server.handOver)
 	return mux
 }
 
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -115,6 +115,14 @@
 	return state
 }
 
+// hasStarted reports whether a turn of the program was served here.
+func (entrances *entrances) hasStarted(program string) bool {
+	entrances.mu.Lock()
+	defer entrances.mu.Unlock()
+	known, _ := entrances.programs.Peek(program)
+	return known.started
+}
+
 // started notes that a turn of the program was served.
 func (entrances *entrances) started(program string, priority int) {
 	entrances.mu.Lock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -30,6 +30,8 @@
 	ReasonUnknownKey
 	// ReasonQuota: its organisation has no request left for now.
 	ReasonQuota
+	// ReasonQuotaUnknown: what its organisation has left cannot be known here.
+	ReasonQuotaUnknown
 	// ReasonNoConfiguration: none was read yet.
 	ReasonNoConfiguration
 	// ReasonNoEndpoint: no endpoint of the service may take work.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
@@ -29,6 +30,8 @@
 	Accounts   *account.Keeper
 	Archive    *archive.Archive
 	Durability Durability
+	// Quotas bounds the requests of organisations.
+	Quotas *quota.Limiter
 	// BodyBytes is the memory for the bodies of all requests under way; 0
 	// is no limit.
 	BodyBytes int64
@@ -58,9 +61,9 @@
 }
 
 type metrics struct {
-	requests, served, failed, sends, resumed          tally.Counter
-	refused                                           [ReasonNoMemory + 1]tally.Counter
-	latency, firstEvent, reserve, extend, keep, queue tally.Histogram
+	requests, served, failed, sends, resumed                 tally.Counter
+	refused                                                  [ReasonNoMemory + 1]tally.Counter
+	latency, firstEvent, reserve, extend, keep, queue, quota tally.Histogram
 }
 
 // New returns a gateway of parts.
@@ -72,7 +75,7 @@
 		requests: scope.Counter("requests"), served: scope.Counter("served"), failed: scope.Counter("failed"),
 		sends: scope.Counter("sends"), resumed: scope.Counter("resumed"),
 		latency: scope.Histogram("request_seconds", buckets), firstEvent: scope.Histogram("first_event_seconds", buckets),
-		reserve: scope.Histogram("budget_seconds", buckets), extend: scope.Histogram("budget_extend_seconds", buckets), keep: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets),
+		reserve: scope.Histogram("budget_seconds", buckets), extend: scope.Histogram("budget_extend_seconds", buckets), keep: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets), quota: scope.Histogram("quota_seconds", buckets),
 	}
 	for reason := range gateway.metrics.refused {
 		gateway.metrics.refused[reason] = scope.Tagged(map[string]string{"reason": Reason(reason).String()}).Counter("refused")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,6 +27,7 @@
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
@@ -79,6 +80,24 @@
 	return account.Loan{}, nil
 }
 
+func (alone) Homes(string, bool) []string { return []string{"i"} }
+
+func (alone) Self() string { return "i" }
+
+func (alone) Isolated() bool { return false }
+
+func (alone) Joined(string) time.Time { return time.Time{} }
+
+func (alone) Settled() time.Duration { return time.Hour }
+
+func (alone) AskCredit(context.Context, string, quota.Question) (quota.Answer, error) {
+	return quota.Answer{}, quota.ErrNotHome
+}
+
+func (alone) HandOver(context.Context, string, quota.Transfer) (quota.Transfer, error) {
+	return quota.Transfer{}, quota.ErrNotHome
+}
+
 func (alone) Repay(context.Context, string, []account.Repayment) error { return nil }
 
 func newBed(t *testing.T) *bed {
@@ -99,13 +118,14 @@
 	clk := clock.Real{}
 	current, list := &route.Current{}, membership.NewList()
 	guard := store.NewGuard(b.store, func(string, bool, error) {})
-	i := &instance{bed: b, client: upstream.NewClient(), done: make(chan error, 4)}
+	i := &instance{bed: b, client: upstream.NewClient(), done: make(chan error, 5)}
 	i.accounts = account.NewKeeper(guard, fmt.Sprintf("i%d", b.ids.Add(1)), alone{}, alone{}, clk, log, tally.NoopScope)
 	i.Gateway = gateway.New(gateway.Parts{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
-		Accounts: i.accounts, Archive: archive.New(guard, alone{}, 64<<10, 1<<20, log, tally.NoopScope), Durability: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
+		Accounts: i.accounts, Quotas: quota.NewLimiter(alone{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, alone{}, 64<<10, 1<<20, log, tally.NoopScope), Durability: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go guard.Run(ctx, i.done)
+	go i.Quotas.Run(ctx, i.done)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
 	i.address = listener.Addr().String()
--- a/gateway/reason_string.go
+++ b/gateway/reason_string.go
@@ -14,23 +14,24 @@
 	_ = x[ReasonNoRoute-3]
 	_ = x[ReasonUnknownKey-4]
 	_ = x[ReasonQuota-5]
-	_ = x[ReasonNoConfiguration-6]
-	_ = x[ReasonNoEndpoint-7]
-	_ = x[ReasonEndpointsFull-8]
-	_ = x[ReasonSpent-9]
-	_ = x[ReasonBudgetHeld-10]
-	_ = x[ReasonUnknownTurn-11]
-	_ = x[ReasonStoreAway-12]
-	_ = x[ReasonEndpointFailed-13]
-	_ = x[ReasonTimeout-14]
-	_ = x[ReasonCallerGone-15]
-	_ = x[ReasonNotKept-16]
-	_ = x[ReasonNoMemory-17]
+	_ = x[ReasonQuotaUnknown-6]
+	_ = x[ReasonNoConfiguration-7]
+	_ = x[ReasonNoEndpoint-8]
+	_ = x[ReasonEndpointsFull-9]
+	_ = x[ReasonSpent-10]
+	_ = x[ReasonBudgetHeld-11]
+	_ = x[ReasonUnknownTurn-12]
+	_ = x[ReasonStoreAway-13]
+	_ = x[ReasonEndpointFailed-14]
+	_ = x[ReasonTimeout-15]
+	_ = x[ReasonCallerGone-16]
+	_ = x[ReasonNotKept-17]
+	_ = x[ReasonNoMemory-18]
 }
 
-const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
+const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaQuotaUnknownNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
 
-var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 59, 69, 82, 87, 97, 108, 117, 131, 138, 148, 155, 163}
+var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 56, 71, 81, 94, 99, 109, 120, 129, 143, 150, 160, 167, 175}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -101,6 +101,8 @@
 	chain       []*history.Turn
 	reservation *account.Reservation
 
+	// credited is set once the request counts into its organisation's quota.
+	credited bool
 	// entrance is the way to the service, queued the wait there.
 	entrance *entrance
 	priority int
@@ -154,6 +156,9 @@
 	if e.reservation != nil {
 		e.reservation.Settle(e.spent())
 	}
+	if e.credited && e.runs == 0 {
+		e.Quotas.Return(e.organisation.Name)
+	}
 }
 
 // run has the request run once it is its turn. Only then is the store asked
@@ -162,6 +167,9 @@
 	if e.spends() && e.Accounts.KnownSpent(e.program, e.call.MaxTokens, e.call.Budget) {
 		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
 	}
+	if err := e.credit(ctx); err != nil {
+		return err
+	}
 	release, err := e.admit(ctx)
 	if err != nil {
 		return err
