quota: an ended process is known by its refused connection, and a stopping one by what it hands over

Who is handed a bucket now knows that the giver stops. - Instances took themselves for cut off when two others did not answer, though their machines had refused the connection at once: that proves the path, and that what lay there is lost. It now counts as contact, and the next home stands in without another one's word. "Cut off" is the limiter's own finding; the directory's is for another purpose and changes with each call.

--- a/entrypeer/credit.go
+++ b/entrypeer/credit.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,7 +97,7 @@
 		return quota.Answer{}, quota.ErrNotHome
 	}
 	if err != nil {
-		return quota.Answer{}, err
+		return quota.Answer{}, ended(err)
 	}
 	return quota.Answer{Granted: answer.Granted, Wait: answer.Wait, Spare: answer.Spare, Level: float64(answer.Level)}, nil
 }
@@ -131,7 +132,15 @@
 	}
 	var given quota.Transfer
 	err := client.exchange(ctx, instance, pathHandOver, &handOverMessage{Name: client.directory.self.Name, Instance: client.directory.self, Transfer: transfer}, &given)
-	return given, err
+	return given, ended(err)
+}
+
+// ended returns quota.ErrNotRunning for a call whose connection was refused.
+func ended(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return quota.ErrNotRunning
+	}
+	return err
 }
 
 func (server *Server) handOver(w http.ResponseWriter, r *http.Request) {
@@ -150,9 +159,6 @@
 // Self implements quota.Peers.
 func (client *Client) Self() string { return client.directory.key().Name }
 
-// Isolated implements quota.Peers.
-func (client *Client) Isolated() bool { return client.directory.Isolated() }
-
 // Joined implements quota.Peers.
 func (client *Client) Joined(name string) time.Time {
 	directory := client.directory
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -57,13 +57,13 @@
 	Homes(organisation string, all bool) []string
 	// Self returns the name of this instance.
 	Self() string
-	// Isolated reports whether no other instance can be reached.
-	Isolated() bool
 	// Joined returns when an instance last joined or started again.
 	Joined(instance string) time.Time
 	// Settled returns for how long no instance has joined or left.
 	Settled() time.Duration
-	// AskCredit asks an instance as the home of the organisation.
+	// AskCredit asks an instance as the home of the organisation. It returns
+	// ErrNotHome as that one's Answer does, and ErrNotRunning if its machine says
+	// that no process of it runs.
 	AskCredit(ctx context.Context, instance string, question Question) (Answer, error)
 	// HandOver asks an instance for the buckets of organisations whose home it
 	// is no more, and gives it others; it returns what it held.
@@ -96,6 +96,9 @@
 // the one that is.
 var ErrNotHome = errors.New("not the home")
 
+// ErrNotRunning is an instance whose process has ended: what it held is lost.
+var ErrNotRunning = errors.New("the instance does not run")
+
 // ExhaustedError is an organisation that has no request left for now.
 type ExhaustedError struct {
 	organisation, home string
@@ -133,6 +136,8 @@
 	tolerance Tolerance
 	clock     clock.Clock
 	log       *slog.Logger
+	// wait is handOverTimeout; tests in simulated time wait longer.
+	wait time.Duration
 
 	ahead, asked, forwarded, exhausted, unsure, opened tally.Counter
 
@@ -178,7 +183,7 @@
 
 // NewLimiter returns a limiter among peers.
 func NewLimiter(peers Peers, tolerance Tolerance, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Limiter {
-	return &Limiter{peers: peers, tolerance: tolerance, clock: clk, log: log,
+	return &Limiter{peers: peers, tolerance: tolerance, clock: clk, log: log, wait: handOverTimeout,
 		ahead: scope.Counter("quota_ahead"), asked: scope.Counter("quota_asked"), forwarded: scope.Counter("quota_forwarded"),
 		exhausted: scope.Counter("quota_exhausted"), unsure: scope.Counter("quota_unsure"), opened: scope.Counter("quota_buckets_opened"),
 		credits: map[string]*Credit{}, buckets: map[string]*homeBucket{}, suspects: map[string]suspect{}, taken: map[string]taker{}, unanswered: map[string]struct{}{}, beaten: clk.Now(), present: clk.Now()}
@@ -349,13 +354,18 @@
 		limiter.met(now)
 		return
 	}
-	limiter.unanswered[home] = struct{}{}
+	hasEnded := errors.Is(err, ErrNotRunning)
+	if hasEnded {
+		limiter.met(now) // its machine is in reach
+	} else {
+		limiter.unanswered[home] = struct{}{}
+	}
 	known := limiter.suspects[home]
 	if now.Before(known.until) {
 		return // another request found out
 	}
 	pause := min(max(2*known.pause, firstSuspicion), mostSuspicion)
-	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed}
+	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed || hasEnded}
 	limiter.log.Info("home of quotas does not answer: the next instance is asked", "home", home, "for", pause, "err", err)
 }
 
@@ -420,8 +430,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			limiter.answered(name, nil)
+		if err == nil || errors.Is(err, ErrNotRunning) {
+			limiter.answered(name, err)
 			continue
 		}
 		limiter.mu.Lock()
@@ -491,7 +501,7 @@
 // isAlone reports whether no other instance can be reached, and gives up the
 // buckets that lie here after an absence.
 func (limiter *Limiter) isAlone() bool {
-	isolated := limiter.peers.Isolated() || limiter.isSilent()
+	isolated := limiter.isSilent()
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	now := limiter.clock.Now()
@@ -630,7 +640,7 @@
 		limiter.answered(from, nil)
 		answered <- &given
 	}()
-	timer := time.NewTimer(handOverTimeout)
+	timer := time.NewTimer(limiter.wait)
 	defer timer.Stop()
 	select {
 	case given := <-answered:
@@ -662,6 +672,10 @@
 	now := limiter.clock.Now()
 	limiter.met(now)
 	delete(limiter.suspects, transfer.From)
+	if len(transfer.Balances) > 0 {
+		// It stops, and its entry stands a little longer.
+		limiter.suspects[transfer.From] = suspect{since: now, until: now.Add(mostSuspicion), pause: firstSuspicion, confirmed: true}
+	}
 	given := Transfer{Balances: map[string]Balance{}, Moved: map[string]string{}}
 	for _, organisation := range transfer.Wanted {
 		if held := limiter.buckets[organisation]; held != nil && held.bucket != nil {
