quota: instances that stop together say so, and hand over to one that stays

Cause: an instance that stops handed its buckets to the next one, which stopped too and dropped them; each then passed questions on to the other. cumi386, for one, had no bucket anywhere from 29.2 to 29.8 s.

An instance that stops now answers so, to questions and to buckets; whoever hears it goes on to the next in the order, and a bucket that was not taken is given to that one. A bucket whose taker did not answer is not given again.

--- a/entrypeer/credit.go
+++ b/entrypeer/credit.go
@@ -21,7 +21,7 @@
 	// Answer answers another instance as the home of an organisation.
 	Answer(ctx context.Context, question quota.Question) (quota.Answer, error)
 	// Transfer moves buckets from and to another home.
-	Transfer(transfer quota.Transfer) quota.Transfer
+	Transfer(transfer quota.Transfer) (quota.Transfer, error)
 }
 
 // creditMessage is a quota.Question. There is one for most requests of callers,
@@ -91,13 +91,8 @@
 	message := creditMessage{Organisation: question.Organisation, Rate: question.Limit.Rate, Burst: question.Limit.Burst, Version: question.Limit.Version,
 		Asker: ask.Asker, Program: ask.Program, New: ask.New, Patience: ask.Patience, Left: ask.Left, Spare: ask.Spare, Returned: ask.Returned, Hops: question.Hops}
 	var answer creditAnswer
-	err := client.exchange(ctx, instance, pathCredit, &message, &answer)
-	var status *StatusError
-	if errors.As(err, &status) && status.status == http.StatusMisdirectedRequest {
-		return quota.Answer{}, quota.ErrNotHome
-	}
-	if err != nil {
-		return quota.Answer{}, ended(err)
+	if err := client.exchange(ctx, instance, pathCredit, &message, &answer); err != nil {
+		return quota.Answer{}, quotaError(err)
 	}
 	return quota.Answer{Granted: answer.Granted, Wait: answer.Wait, Spare: answer.Spare, Level: float64(answer.Level)}, nil
 }
@@ -118,7 +113,7 @@
 		Hops:         message.Hops,
 	})
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+		refuse(w, err)
 		return
 	}
 	server.reply(w, &creditAnswer{Granted: answer.Granted, Wait: answer.Wait, Spare: answer.Spare, Level: float32(answer.Level)})
@@ -132,12 +127,29 @@
 	}
 	var given quota.Transfer
 	err := client.exchange(ctx, instance, pathHandOver, &handOverMessage{Name: client.directory.self.Name, Instance: client.directory.self, Transfer: transfer}, &given)
-	return given, ended(err)
+	return given, quotaError(err)
+}
+
+// refuse answers with the error of a home.
+func refuse(w http.ResponseWriter, err error) {
+	status := http.StatusMisdirectedRequest
+	if errors.Is(err, quota.ErrStopping) {
+		status = http.StatusGone
+	}
+	http.Error(w, err.Error(), status)
 }
 
-// ended returns quota.ErrNotRunning for a call whose connection was refused.
-func ended(err error) error {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+// quotaError returns the error of a home that refuse wrote, and
+// quota.ErrNotRunning for a call whose connection was refused.
+func quotaError(err error) error {
+	var status *StatusError
+	isStatus := errors.As(err, &status)
+	switch {
+	case isStatus && status.status == http.StatusMisdirectedRequest:
+		return quota.ErrNotHome
+	case isStatus && status.status == http.StatusGone:
+		return quota.ErrStopping
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return quota.ErrNotRunning
 	}
 	return err
@@ -152,7 +164,11 @@
 		message.Instance.Name = store.Name(message.Name)
 		server.Directory.Meet(message.Instance)
 	}
-	given := server.Quotas.Transfer(message.Transfer)
+	given, err := server.Quotas.Transfer(message.Transfer)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
 	server.reply(w, &given)
 }
 
--- a/entrypeer/credit_test.go
+++ b/entrypeer/credit_test.go
@@ -74,7 +74,8 @@
 		first, second = b, a
 	}
 	limit := quota.Limit{Rate: 1, Burst: 100, Version: 1}
-	second.quotas.Transfer(quota.Transfer{From: "before", Balances: map[string]quota.Balance{"x": {Limit: limit, Level: 5}}})
+	_, err := second.quotas.Transfer(quota.Transfer{From: "before", Balances: map[string]quota.Balance{"x": {Limit: limit, Level: 5}}})
+	require.NoError(t, err)
 	granted := 0
 	for range 20 {
 		if _, err := first.quotas.Take(context.Background(), "x", limit, quota.Request{}); err == nil {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -57,7 +57,8 @@
 	limiter *quota.Limiter
 	// dead, frozen and cut are states; left is one that stopped as planned and
 	// took its entry away.
-	dead, frozen, cut, left bool
+	// stopping still answers.
+	dead, frozen, cut, stopping, left bool
 	// known is who is in the list as far as this instance knows, news what it
 	// learns when.
 	known   map[string]bool
@@ -97,7 +98,7 @@
 
 // start is a new start of the instance: it reads the list and enters itself.
 func (m *member) start() {
-	m.dead, m.frozen, m.left = false, false, false
+	m.dead, m.frozen, m.stopping, m.left = false, false, false, false
 	m.joined = map[string]time.Time{}
 	m.known, m.news, m.changed = map[string]bool{}, nil, m.fleet.clock.Now()
 	for _, other := range m.fleet.instances {
@@ -208,7 +209,10 @@
 		return quota.Transfer{}, err
 	}
 	other.known[m.name] = true // it tells who it is
-	given := other.limiter.Transfer(transfer)
+	given, err := other.limiter.Transfer(transfer)
+	if err != nil {
+		return quota.Transfer{}, err
+	}
 	if len(transfer.Wanted) > 0 && m.fleet.random.IntN(200) == 0 {
 		return quota.Transfer{}, errUnreached // the answer is lost
 	}
@@ -228,7 +232,7 @@
 
 // request has a caller of an organisation come to an instance.
 func (f *fleet) request(organisation string, m *member) {
-	if m.dead || m.frozen || m.left {
+	if m.dead || m.frozen || m.left || m.stopping {
 		return
 	}
 	m.learn()
@@ -298,13 +302,12 @@
 		f.note("%s is cut off", m.name)
 		m.cut = true
 	case 3, 4:
-		if m.dead || m.frozen || m.left {
+		if m.dead || m.frozen || m.left || m.stopping {
 			return
 		}
 		f.note("%s stops", m.name)
 		m.limiter.Stop(context.Background())
-		m.left = true
-		f.tell(m, false)
+		m.stopping = true
 	default:
 		f.end(m)
 	}
@@ -313,6 +316,10 @@
 // end ends what troubles an instance.
 func (f *fleet) end(m *member) {
 	switch {
+	case m.stopping && !m.left && !m.dead && !m.frozen:
+		f.note("%s leaves", m.name)
+		m.left = true
+		f.tell(m, false)
 	case m.dead || m.left:
 		f.note("%s starts", m.name)
 		m.start()
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -62,11 +62,12 @@
 	// Settled returns for how long no instance has joined or left.
 	Settled() time.Duration
 	// AskCredit asks an instance as the home of the organisation. It returns
-	// ErrNotHome as that one's Answer does, and ErrNotRunning if its machine says
-	// that no process of it runs.
+	// ErrNotHome and ErrStopping as that one's Answer does, and ErrNotRunning if
+	// its machine says that no process of it runs.
 	AskCredit(ctx context.Context, instance string, question Question) (Answer, error)
 	// HandOver asks an instance for the buckets of organisations whose home it
-	// is no more, and gives it others; it returns what it held.
+	// is no more, and gives it others; it returns what it held, and errors as
+	// AskCredit does.
 	HandOver(ctx context.Context, instance string, transfer Transfer) (Transfer, error)
 }
 
@@ -99,6 +100,16 @@
 // ErrNotRunning is an instance whose process has ended: what it held is lost.
 var ErrNotRunning = errors.New("the instance does not run")
 
+// ErrStopping is an instance that has handed its buckets over, or is about to,
+// and ends.
+var ErrStopping = errors.New("the instance stops")
+
+// isOver reports whether an instance said, or its machine, that it is no home any
+// more.
+func isOver(err error) bool {
+	return errors.Is(err, ErrNotRunning) || errors.Is(err, ErrStopping)
+}
+
 // ExhaustedError is an organisation that has no request left for now.
 type ExhaustedError struct {
 	organisation, home string
@@ -354,8 +365,7 @@
 		limiter.met(now)
 		return
 	}
-	hasEnded := errors.Is(err, ErrNotRunning)
-	if hasEnded {
+	if isOver(err) {
 		limiter.met(now) // its machine is in reach
 	} else {
 		limiter.unanswered[home] = struct{}{}
@@ -365,7 +375,7 @@
 		return // another request found out
 	}
 	pause := min(max(2*known.pause, firstSuspicion), mostSuspicion)
-	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed || hasEnded}
+	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed || isOver(err)}
 	limiter.log.Info("home of quotas does not answer: the next instance is asked", "home", home, "for", pause, "err", err)
 }
 
@@ -377,12 +387,16 @@
 
 // Answer answers another instance as the home of the organisation, or passes
 // the question on to the instance that it takes for the home. It returns
-// ErrNotHome if it cannot.
+// ErrNotHome if it cannot, and ErrStopping if this instance stops.
 func (limiter *Limiter) Answer(ctx context.Context, question Question) (Answer, error) {
 	limiter.isAlone() // gives up what is out of date
 	limiter.mu.Lock()
 	limiter.met(limiter.clock.Now())
+	isStopped := limiter.stopped
 	limiter.mu.Unlock()
+	if isStopped {
+		return Answer{}, ErrStopping
+	}
 	self := limiter.peers.Self()
 	for range candidates {
 		home, _, _ := limiter.home(question.Organisation)
@@ -430,7 +444,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil || errors.Is(err, ErrNotRunning) {
+		if err == nil || isOver(err) {
 			limiter.answered(name, err)
 			continue
 		}
@@ -665,8 +679,8 @@
 }
 
 // Transfer gives up the buckets that another home asks for, and takes those
-// that it gives.
-func (limiter *Limiter) Transfer(transfer Transfer) Transfer {
+// that it gives. It returns ErrStopping if this instance can take none.
+func (limiter *Limiter) Transfer(transfer Transfer) (Transfer, error) {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	now := limiter.clock.Now()
@@ -687,8 +701,8 @@
 		}
 		limiter.taken[organisation] = taker{by: transfer.From, at: now}
 	}
-	if limiter.stopped {
-		return given
+	if limiter.stopped && len(transfer.Balances) > 0 {
+		return Transfer{}, ErrStopping
 	}
 	for organisation, balance := range transfer.Balances {
 		held := limiter.buckets[organisation]
@@ -701,7 +715,7 @@
 		}
 		held.bucket.Add(balance, now)
 	}
-	return given
+	return given, nil
 }
 
 // Stop gives the buckets that lie here to the next homes.
@@ -717,6 +731,18 @@
 	}
 	clear(limiter.buckets)
 	limiter.mu.Unlock()
+	for range candidates {
+		balances = limiter.handOver(ctx, balances)
+		if len(balances) == 0 || ctx.Err() != nil {
+			return
+		}
+	}
+	limiter.log.Info("quotas not handed over: the next homes begin with nothing", "organisations", len(balances))
+}
+
+// handOver gives buckets to the next homes, and returns those that were not
+// taken.
+func (limiter *Limiter) handOver(ctx context.Context, balances map[string]Balance) (left map[string]Balance) {
 	transfers := map[string]Transfer{}
 	for organisation, balance := range balances {
 		home, _, _ := limiter.home(organisation)
@@ -731,14 +757,24 @@
 		transfer.Balances[organisation] = balance
 	}
 	var calls sync.WaitGroup
+	var mu sync.Mutex
+	left = map[string]Balance{}
 	for home, transfer := range transfers {
 		calls.Go(func() {
-			if _, err := limiter.peers.HandOver(ctx, home, transfer); err != nil {
-				limiter.log.Info("quotas not handed over: the next home begins with nothing", "home", home, "organisations", len(transfer.Balances), "err", err)
+			limited, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			_, err := limiter.peers.HandOver(limited, home, transfer)
+			limiter.answered(home, err)
+			if !isOver(err) {
+				return // taken, perhaps: it must not be given twice
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			maps.Copy(left, transfer.Balances)
 		})
 	}
 	calls.Wait()
+	return left
 }
 
 // Watch probes the instances in whose place this one stands until ctx ends;
