quota: the limiter in three files: who decides, who has the bucket, who is in reach

Reading order for newcomers: limiter.go, handover.go, reach.go; moved as they were. A bucket's memory of programs is swept with each grant that is due, not only when a new program asks: with none it would have grown for ever (found in reading; no run showed it).

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -213,7 +213,8 @@
 	bucket.refill(now)
 	bucket.put(limit)
 	bucket.settle(ask, now)
-	isNew := ask.New && !bucket.hasBegun(ask.Program, now)
+	_, hasBegun := bucket.programs[ask.Program]
+	isNew := ask.New && !hasBegun
 	if !isNew {
 		bucket.asked += 1 / pressureTime.Seconds()
 	}
@@ -233,9 +234,7 @@
 		return answer
 	}
 	bucket.level--
-	if ask.Program != 0 {
-		bucket.programs[ask.Program] = now
-	}
+	bucket.remember(ask.Program, now)
 	if ask.Left >= 0 {
 		answer.Spare = bucket.spare(ask.Spare)
 	}
@@ -247,14 +246,16 @@
 	return answer
 }
 
-// hasBegun reports whether a request of the program was granted before.
-func (bucket *Bucket) hasBegun(program uint64, now time.Time) bool {
+// remember notes that a request of the program was granted, and forgets those
+// of long ago.
+func (bucket *Bucket) remember(program uint64, now time.Time) {
 	if now.Sub(bucket.swept) > programTime {
 		bucket.swept = now
 		maps.DeleteFunc(bucket.programs, func(_ uint64, last time.Time) bool { return now.Sub(last) > programTime })
 	}
-	_, begun := bucket.programs[program]
-	return begun
+	if program != 0 {
+		bucket.programs[program] = now
+	}
 }
 
 // pressure returns 0 while less is asked for than comes, up to 1 when it is as
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -5,9 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -97,19 +94,6 @@
 // the one that is.
 var ErrNotHome = errors.New("not the home")
 
-// ErrNotRunning is an instance whose process has ended: what it held is lost.
-var ErrNotRunning = errors.New("the instance does not run")
-
-// ErrStopping is an instance that has handed its buckets over, or is about to,
-// and ends.
-var ErrStopping = errors.New("the instance stops")
-
-// isOver reports whether an instance said, or its machine, that it is no home any
-// more.
-func isOver(err error) bool {
-	return errors.Is(err, ErrNotRunning) || errors.Is(err, ErrStopping)
-}
-
 // ExhaustedError is an organisation that has no request left for now.
 type ExhaustedError struct {
 	organisation, home string
@@ -169,29 +153,6 @@
 	isolated        bool
 }
 
-// taker is an instance that took a bucket.
-type taker struct {
-	by string
-	at time.Time
-}
-
-// suspect is an instance that did not answer.
-type suspect struct {
-	since, until time.Time
-	pause        time.Duration
-	// confirmed: another instance does not reach it either.
-	confirmed bool
-}
-
-// homeBucket is a bucket that lies here.
-type homeBucket struct {
-	// opening is held while the home before is asked for what it holds.
-	opening sync.Mutex
-	// bucket is nil until then. The limiter's mu guards it.
-	bucket *Bucket
-	used   time.Time
-}
-
 // NewLimiter returns a limiter among peers.
 func NewLimiter(peers Peers, tolerance Tolerance, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Limiter {
 	return &Limiter{peers: peers, tolerance: tolerance, clock: clk, log: log, wait: handOverTimeout,
@@ -313,22 +274,6 @@
 	return home, "", isStandIn
 }
 
-// confirm notes that another instance does not reach those either that are
-// suspected here and would be the organisation's home.
-func (limiter *Limiter) confirm(organisation string) {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	for _, name := range limiter.peers.Homes(organisation, false) {
-		if name == limiter.peers.Self() {
-			return
-		}
-		if suspect, ok := limiter.suspects[name]; ok {
-			suspect.confirmed = true
-			limiter.suspects[name] = suspect
-		}
-	}
-}
-
 // askAt asks one instance. One that does not answer is suspected for a while.
 func (limiter *Limiter) askAt(ctx context.Context, home string, question Question, timeout time.Duration) (Answer, error) {
 	limited, cancel := context.WithTimeout(ctx, timeout)
@@ -355,36 +300,6 @@
 	delete(limiter.buckets, organisation)
 }
 
-// answered notes whether an instance answered; err is nil if it did.
-func (limiter *Limiter) answered(home string, err error) {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	now := limiter.clock.Now()
-	if err == nil {
-		delete(limiter.suspects, home)
-		limiter.met(now)
-		return
-	}
-	if isOver(err) {
-		limiter.met(now) // its machine is in reach
-	} else {
-		limiter.unanswered[home] = struct{}{}
-	}
-	known := limiter.suspects[home]
-	if now.Before(known.until) {
-		return // another request found out
-	}
-	pause := min(max(2*known.pause, firstSuspicion), mostSuspicion)
-	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed || isOver(err)}
-	limiter.log.Info("home of quotas does not answer: the next instance is asked", "home", home, "for", pause, "err", err)
-}
-
-// met notes contact with another instance. The caller holds mu.
-func (limiter *Limiter) met(now time.Time) {
-	clear(limiter.unanswered)
-	limiter.contact = now
-}
-
 // Answer answers another instance as the home of the organisation, or passes
 // the question on to the instance that it takes for the home. It returns
 // ErrNotHome if it cannot, and ErrStopping if this instance stops.
@@ -420,115 +335,6 @@
 	return Answer{}, ErrNotHome
 }
 
-// Beat is called every beatInterval while the instance runs. After an absence,
-// in which another instance may have taken over, what lies here is out of date.
-func (limiter *Limiter) Beat() {
-	limiter.isAlone()
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	limiter.beaten = limiter.clock.Now()
-}
-
-// Probe calls the instances in whose place this one stands, so that they are
-// the home again soon after they are back; and others if none was in contact of
-// late: a home that is cut off must find out.
-func (limiter *Limiter) Probe(ctx context.Context) {
-	names := limiter.replaced()
-	if limiter.isQuiet() {
-		names = append(names, limiter.others()...)
-	}
-	for _, name := range names {
-		limited, cancel := context.WithTimeout(ctx, handOverTimeout)
-		_, err := limiter.peers.HandOver(limited, name, Transfer{From: limiter.peers.Self()})
-		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil || isOver(err) {
-			limiter.answered(name, err)
-			continue
-		}
-		limiter.mu.Lock()
-		limiter.unanswered[name] = struct{}{}
-		limiter.mu.Unlock()
-	}
-}
-
-// isQuiet reports whether no other instance was in contact of late, while this
-// one gives out quota or does not because of that.
-func (limiter *Limiter) isQuiet() bool {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	now := limiter.clock.Now()
-	if now.Sub(limiter.contact) < probeInterval {
-		return false
-	}
-	for _, held := range limiter.buckets {
-		if now.Sub(held.used) < mostAbsence {
-			return true
-		}
-	}
-	return limiter.isolated
-}
-
-// others returns some other instances, different ones each time.
-func (limiter *Limiter) others() []string {
-	self := limiter.peers.Self()
-	names := limiter.peers.Homes(strconv.FormatInt(limiter.clock.Now().UnixNano(), 36), true)
-	return slices.DeleteFunc(names, func(name string) bool { return name == self })
-}
-
-// replaced returns the suspects that would be home of a bucket that lies here.
-func (limiter *Limiter) replaced() []string {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	if len(limiter.suspects) == 0 {
-		return nil
-	}
-	found := map[string]struct{}{}
-	for organisation := range limiter.buckets {
-		for _, name := range limiter.peers.Homes(organisation, true) {
-			if name == limiter.peers.Self() {
-				break
-			}
-			if _, ok := limiter.suspects[name]; ok {
-				found[name] = struct{}{}
-			}
-		}
-	}
-	return slices.Collect(maps.Keys(found))
-}
-
-// isSilent reports whether instances do not answer, and none was in contact of
-// late.
-func (limiter *Limiter) isSilent() bool {
-	limiter.mu.Lock()
-	unanswered, silence := len(limiter.unanswered), limiter.clock.Now().Sub(limiter.contact)
-	limiter.mu.Unlock()
-	if unanswered == 0 || silence <= isolatingTime {
-		return false
-	}
-	others := len(limiter.others())
-	return others > 0 && unanswered >= min(others, isolatingSilence)
-}
-
-// isAlone reports whether no other instance can be reached, and gives up the
-// buckets that lie here after an absence.
-func (limiter *Limiter) isAlone() bool {
-	isolated := limiter.isSilent()
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	now := limiter.clock.Now()
-	absent := now.Sub(limiter.beaten)
-	if absent > mostAbsence || limiter.isolated && !isolated {
-		limiter.log.Info("back after an absence: quotas are asked for again", "absent", absent, "isolated", limiter.isolated, "organisations", len(limiter.buckets))
-		clear(limiter.buckets)
-		limiter.present, limiter.beaten = now, now
-	}
-	limiter.isolated = isolated
-	return isolated
-}
-
 // take decides by the bucket here.
 func (limiter *Limiter) take(ctx context.Context, question Question) Answer {
 	held := limiter.held(question.Organisation)
@@ -545,244 +351,6 @@
 	return held.bucket.Take(question.Ask, question.Limit, now)
 }
 
-func (limiter *Limiter) held(organisation string) *homeBucket {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	held := limiter.buckets[organisation]
-	if held == nil {
-		held = &homeBucket{}
-		limiter.buckets[organisation] = held
-	}
-	return held
-}
-
-// open makes the bucket with what the home before still held. Without its word
-// it is empty: what that one gave out is not known.
-func (limiter *Limiter) open(ctx context.Context, held *homeBucket, question Question) {
-	held.opening.Lock()
-	defer held.opening.Unlock()
-	limiter.mu.Lock()
-	isOpen := held.bucket != nil
-	limiter.mu.Unlock()
-	if isOpen {
-		return
-	}
-	balance, before := limiter.inherited(ctx, question)
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	now := limiter.clock.Now()
-	if held.bucket == nil { // else a home that stops gave it meanwhile
-		held.bucket = NewBucket(limiter.tolerance, question.Limit, now)
-	}
-	if balance == nil {
-		held.bucket.Doubt(now)
-		balance = &Balance{}
-	}
-	held.bucket.Add(*balance, now)
-	delete(limiter.taken, question.Organisation)
-	limiter.opened.Inc(1)
-	limiter.log.Info("home of a quota", "organisation", question.Organisation, "level", held.bucket.Level(now), "before", before, "rate", question.Limit.Rate, "burst", question.Limit.Burst, "configuration", question.Limit.Version)
-}
-
-// inherited returns what another instance held of an organisation's quota, nil
-// if that is not known, and which instance that was. Any of those that may be
-// the home may have been it: one that stood in for this one, or one in whose
-// place this one stands. One that is alive but late then gives nothing out any
-// more.
-func (limiter *Limiter) inherited(ctx context.Context, question Question) (balance *Balance, before string) {
-	self := limiter.peers.Self()
-	all := limiter.peers.Homes(question.Organisation, true)
-	isUnused := len(all) > 0 && all[0] == self
-	names := slices.DeleteFunc(slices.Clone(all), func(name string) bool { return name == self })
-	if taker := limiter.takenBy(question.Organisation); taker != "" {
-		isUnused = false
-		if !slices.Contains(names, taker) {
-			names = append(names, taker)
-		}
-	}
-	for _, name := range names {
-		found, at, never := limiter.follow(ctx, question.Organisation, name)
-		if found != nil {
-			return found, at
-		}
-		isUnused = isUnused && never
-	}
-	if !isUnused {
-		return nil, ""
-	}
-	// What came since instances last joined or left: nobody has used it.
-	return &Balance{Level: question.Limit.Rate * min(limiter.peers.Settled(), limiter.sincePresent()).Seconds()}, ""
-}
-
-// follow asks an instance for an organisation's bucket, and those that took it
-// from there. It reports which it was had from, or that an instance answered
-// which never had it.
-func (limiter *Limiter) follow(ctx context.Context, organisation, from string) (balance *Balance, at string, isUnused bool) {
-	for range mostMoves {
-		given := limiter.fetch(ctx, from, organisation)
-		if given == nil {
-			return nil, from, false
-		}
-		if balance, ok := given.Balances[organisation]; ok {
-			return &balance, from, false
-		}
-		next := given.Moved[organisation]
-		if next == "" || next == limiter.peers.Self() {
-			return nil, from, next == ""
-		}
-		from = next
-	}
-	return nil, from, false
-}
-
-// mostMoves bounds how often a bucket is looked for where it moved to.
-const mostMoves = 3
-
-// fetch asks an instance for an organisation's bucket, and waits handOverTimeout
-// for it. One that is later must give it up all the same. It returns nil if
-// there was no answer.
-func (limiter *Limiter) fetch(ctx context.Context, from, organisation string) *Transfer {
-	answered := make(chan *Transfer, 1)
-	go func() {
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), giveUpTimeout)
-		defer cancel()
-		given, err := limiter.peers.HandOver(limited, from, Transfer{From: limiter.peers.Self(), Wanted: []string{organisation}})
-		if err != nil {
-			answered <- nil
-			return
-		}
-		limiter.answered(from, nil)
-		answered <- &given
-	}()
-	timer := time.NewTimer(limiter.wait)
-	defer timer.Stop()
-	select {
-	case given := <-answered:
-		return given
-	case <-timer.C:
-		return nil
-	}
-}
-
-// takenBy returns the instance that took the organisation's bucket from here,
-// "" if none did.
-func (limiter *Limiter) takenBy(organisation string) string {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	return limiter.taken[organisation].by
-}
-
-func (limiter *Limiter) sincePresent() time.Duration {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	return limiter.clock.Now().Sub(limiter.present)
-}
-
-// Transfer gives up the buckets that another home asks for, and takes those
-// that it gives. It returns ErrStopping if this instance can take none.
-func (limiter *Limiter) Transfer(transfer Transfer) (Transfer, error) {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	now := limiter.clock.Now()
-	limiter.met(now)
-	delete(limiter.suspects, transfer.From)
-	if len(transfer.Balances) > 0 {
-		// It stops, and its entry stands a little longer.
-		limiter.suspects[transfer.From] = suspect{since: now, until: now.Add(mostSuspicion), pause: firstSuspicion, confirmed: true}
-	}
-	given := Transfer{Balances: map[string]Balance{}, Moved: map[string]string{}}
-	for _, organisation := range transfer.Wanted {
-		if held := limiter.buckets[organisation]; held != nil && held.bucket != nil {
-			given.Balances[organisation] = held.bucket.Balance(now)
-			held.bucket = nil
-			delete(limiter.buckets, organisation)
-		} else if taker, ok := limiter.taken[organisation]; ok {
-			given.Moved[organisation] = taker.by
-		}
-		limiter.taken[organisation] = taker{by: transfer.From, at: now}
-	}
-	if limiter.stopped && len(transfer.Balances) > 0 {
-		return Transfer{}, ErrStopping
-	}
-	for organisation, balance := range transfer.Balances {
-		held := limiter.buckets[organisation]
-		if held == nil {
-			held = &homeBucket{}
-			limiter.buckets[organisation] = held
-		}
-		if held.bucket == nil {
-			held.bucket, held.used = NewBucket(limiter.tolerance, balance.Limit, now), now
-		}
-		held.bucket.Add(balance, now)
-	}
-	return given, nil
-}
-
-// Stop gives the buckets that lie here to the next homes.
-func (limiter *Limiter) Stop(ctx context.Context) {
-	limiter.mu.Lock()
-	limiter.stopped = true
-	now := limiter.clock.Now()
-	balances := map[string]Balance{}
-	for organisation, held := range limiter.buckets {
-		if held.bucket != nil {
-			balances[organisation] = held.bucket.Balance(now)
-		}
-	}
-	clear(limiter.buckets)
-	limiter.mu.Unlock()
-	for range candidates {
-		balances = limiter.handOver(ctx, balances)
-		if len(balances) == 0 || ctx.Err() != nil {
-			return
-		}
-	}
-	limiter.log.Info("quotas not handed over: the next homes begin with nothing", "organisations", len(balances))
-}
-
-// handOver gives buckets to the next homes, and returns those that were not
-// taken.
-func (limiter *Limiter) handOver(ctx context.Context, balances map[string]Balance) (left map[string]Balance) {
-	transfers := map[string]Transfer{}
-	for organisation, balance := range balances {
-		home, _, _ := limiter.home(organisation)
-		if home == "" {
-			continue
-		}
-		transfer, ok := transfers[home]
-		if !ok {
-			transfer = Transfer{From: limiter.peers.Self(), Balances: map[string]Balance{}}
-			transfers[home] = transfer
-		}
-		transfer.Balances[organisation] = balance
-	}
-	var calls sync.WaitGroup
-	var mu sync.Mutex
-	left = map[string]Balance{}
-	for home, transfer := range transfers {
-		calls.Go(func() {
-			limited, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			_, err := limiter.peers.HandOver(limited, home, transfer)
-			limiter.answered(home, err)
-			if !isOver(err) {
-				return // taken, perhaps: it must not be given twice
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			maps.Copy(left, transfer.Balances)
-		})
-	}
-	calls.Wait()
-	return left
-}
-
-// Watch probes the instances in whose place this one stands until ctx ends;
-// then it reports on done.
-func (limiter *Limiter) Watch(ctx context.Context, done chan<- error) {
-	clock.Every(ctx, probeInterval, func(time.Time) { limiter.Probe(ctx) }, done)
-}
-
 // Run keeps the limiter going until ctx ends; then it reports on done.
 func (limiter *Limiter) Run(ctx context.Context, done chan<- error) {
 	forgotten := limiter.clock.Now()
