quota: an instance that stops is not called back by a probe

A stopping instance answered probes, which took it for a home again each tenth of a second, and each question then went to it first; and one that was suspected as silent stayed to be confirmed by a third though its machine had refused the connection.

--- a/quota/handover.go
+++ b/quota/handover.go
@@ -151,12 +151,15 @@
 }
 
 // Transfer gives up the buckets that another home asks for, and takes those
-// that it gives. It returns ErrStopping if this instance can take none.
+// that it gives. It returns ErrStopping once this instance has given up all.
 func (limiter *Limiter) Transfer(transfer Transfer) (Transfer, error) {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	now := limiter.clock.Now()
 	limiter.met(now)
+	if limiter.stopped {
+		return Transfer{}, ErrStopping
+	}
 	delete(limiter.suspects, transfer.From)
 	if len(transfer.Balances) > 0 {
 		// It stops, and its entry stands a little longer.
@@ -173,9 +176,6 @@
 		}
 		limiter.taken[organisation] = taker{by: transfer.From, at: now}
 	}
-	if limiter.stopped && len(transfer.Balances) > 0 {
-		return Transfer{}, ErrStopping
-	}
 	for organisation, balance := range transfer.Balances {
 		held := limiter.buckets[organisation]
 		if held == nil {
--- a/quota/reach.go
+++ b/quota/reach.go
@@ -28,7 +28,7 @@
 type suspect struct {
 	since, until time.Time
 	pause        time.Duration
-	// confirmed: another instance does not reach it either.
+	// confirmed: another instance does not reach it either, or it is over.
 	confirmed bool
 }
 
@@ -64,11 +64,13 @@
 		limiter.unanswered[home] = struct{}{}
 	}
 	known := limiter.suspects[home]
+	known.confirmed = known.confirmed || isOver(err)
 	if now.Before(known.until) {
+		limiter.suspects[home] = known
 		return // another request found out
 	}
 	pause := min(max(2*known.pause, firstSuspicion), mostSuspicion)
-	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed || isOver(err)}
+	limiter.suspects[home] = suspect{since: now, until: now.Add(pause), pause: pause, confirmed: known.confirmed}
 	limiter.log.Info("home of quotas does not answer: the next instance is asked", "home", home, "for", pause, "err", err)
 }
 
