--- a/entrypeer/credit_test.go
+++ b/entrypeer/credit_test.go
@@ -112,14 +112,11 @@
 	assert.Equal(t, joined, a.client.Joined("new"), "the earlier start is not taken in")
 }
 
-// noPeers are an instance's view of a fleet of its own.
-type noPeers struct{ *entrypeer.Client }
-
 // FuzzCreditMessage has whatever comes as a question answered or refused.
 func FuzzCreditMessage(f *testing.F) {
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "a", Owner: "a-1"}, clock.Real{})
 	client := entrypeer.NewClient(directory)
-	limiter := quota.NewLimiter(noPeers{client}, quota.Tolerance{}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	limiter := quota.NewLimiter(client, quota.Tolerance{}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
 	server := &entrypeer.Server{Quotas: limiter, Log: slog.New(slog.DiscardHandler)}
 	handler := server.Handler()
 	for _, value := range []any{[]any{"x", 20.0, 20.0, 1, "b", 7, true, 1000, 0, 3, 0, 0}, []any{"x", -1.0, 1e308, 1, "b", 7, true, -5, -9, 1 << 40, -1, 9}} {
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -23,9 +23,8 @@
 	used   time.Time
 }
 
+// held returns the place of an organisation's bucket here. The caller holds mu.
 func (limiter *Limiter) held(organisation string) *homeBucket {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
 	held := limiter.buckets[organisation]
 	if held == nil {
 		held = &homeBucket{}
@@ -177,11 +176,7 @@
 		limiter.taken[organisation] = taker{by: transfer.From, at: now}
 	}
 	for organisation, balance := range transfer.Balances {
-		held := limiter.buckets[organisation]
-		if held == nil {
-			held = &homeBucket{}
-			limiter.buckets[organisation] = held
-		}
+		held := limiter.held(organisation)
 		if held.bucket == nil {
 			held.bucket, held.used = NewBucket(limiter.tolerance, balance.Limit, now), now
 		}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -337,7 +337,9 @@
 
 // take decides by the bucket here.
 func (limiter *Limiter) take(ctx context.Context, question Question) Answer {
+	limiter.mu.Lock()
 	held := limiter.held(question.Organisation)
+	limiter.mu.Unlock()
 	limiter.open(ctx, held, question)
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
