store: a call is made again only on evidence that its answer is lost

Cause: a call without an answer was made again after 60, 180 and 420 ms, and given up at 600 ms, by the usual time of before. All calls of the first 200 ms of the spell were made two or three times; a turn's write then took a place in its second partition, too. Each copy takes a place in its partition, which serves six a second then, and refuses (429) beyond a second of them: the copies kept the partitions full for seconds.

Ruled out: that the store does not serve so many turns. The same load of the following three seconds is kept.

Change: a copy is made once a call that began later was answered, else after 250 ms; an answer that took longer than usual counts for half at once; a call under way waits longer if answers that came since tell that the store is slow. A silent store is given up as early as before.

Tests, failing before: TestStoreThatTurnsSlowIsNotAskedTwice (162 calls for 120), TestCallUnderWayIsWaitedForAsAnswersTellItIsSlow (given up). TestLostAnswerIsKnownByLaterOnes holds what copies are for, and passed before.

--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -277,6 +277,79 @@
 	}
 }
 
+// Guards against a store that is made busier as it turns slow: each write that is
+// made again takes a place in its partition, which serves six a second then.
+func TestStoreThatTurnsSlowIsNotAskedTwice(t *testing.T) {
+	for _, answer := range []time.Duration{200 * time.Millisecond, 240 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			slow := &slowStore{Store: storetest.New(), answer: 4 * time.Millisecond}
+			persistent := store.NewPersistent(slow, clock.Real{})
+			commit := func() {
+				_, err := persistent.Commit(context.Background(), in("a"))
+				assert.NoError(t, err)
+			}
+			for range 20 {
+				commit()
+			}
+			slow.mu.Lock()
+			slow.answer = answer
+			slow.mu.Unlock()
+			var calls sync.WaitGroup
+			for range 100 {
+				calls.Go(commit)
+				time.Sleep(10 * time.Millisecond)
+			}
+			calls.Wait()
+			assert.Equal(t, 120, slow.count())
+		})
+	}
+}
+
+// Guards against a turn that waits for an answer that is lost while others come:
+// the store is not slow.
+func TestLostAnswerIsKnownByLaterOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowStore{Store: storetest.New(), answer: 4 * time.Millisecond, lose: 1}
+		persistent := store.NewPersistent(slow, clock.Real{})
+		began := time.Now()
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			_, err := persistent.Commit(context.Background(), in("a"))
+			assert.NoError(t, err)
+			assert.Less(t, time.Since(began), 100*time.Millisecond)
+		})
+		for range 5 {
+			time.Sleep(10 * time.Millisecond)
+			_, err := persistent.Commit(context.Background(), in("b"))
+			assert.NoError(t, err)
+		}
+		calls.Wait()
+	})
+}
+
+// Guards against a call that is given up at the limit of a quick store though
+// answers show by then that it is slow.
+func TestCallUnderWayIsWaitedForAsAnswersTellItIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowStore{Store: storetest.New(), answer: 300 * time.Millisecond}
+		persistent := store.NewPersistent(slow, clock.Real{})
+		var calls sync.WaitGroup
+		commit := func(partition string) {
+			_, err := persistent.Commit(context.Background(), in(partition))
+			assert.NoError(t, err)
+		}
+		for range 3 {
+			calls.Go(func() { commit("b") })
+		}
+		time.Sleep(time.Millisecond)
+		slow.mu.Lock()
+		slow.answer = 900 * time.Millisecond
+		slow.mu.Unlock()
+		calls.Go(func() { commit("a") })
+		calls.Wait()
+	})
+}
+
 // Guards against writes that are given up while they wait in a busy partition, and
 // are then made twice: a slow store answers in a second and a quarter.
 func TestBusyPartitionIsWaitedFor(t *testing.T) {
--- a/store/persistent.go
+++ b/store/persistent.go
@@ -20,6 +20,10 @@
 	// place has the partition do it twice.
 	leastLimit = 600 * time.Millisecond
 	mostLimit  = 1500 * time.Millisecond
+	// silentPatience is waited instead of leastPatience while no call that began
+	// later was answered: the store may have turned slow, and each transaction
+	// that comes again takes a place in its partition.
+	silentPatience = 250 * time.Millisecond
 	// silentUsual bounds what a call without an answer says of the usual time:
 	// a store that is silent is waited for a second a call, one that is seen to
 	// be slow for as long as it takes.
@@ -27,8 +31,11 @@
 	// patienceFactor times the usual time of an answer is waited for; each
 	// repeat waits twice as long as the one before.
 	patienceFactor = 4
-	// answerWeight is the weight of a new answer's time in the usual one.
+	// answerWeight is the weight of a new answer's time in the usual one,
+	// lateWeight that of one that took longer: a store that turns slow does so for
+	// all calls at once.
 	answerWeight = 0.1
+	lateWeight   = 0.5
 )
 
 // Persistent makes a call again, beside the first, when its answer does not
@@ -44,6 +51,9 @@
 
 	mu    sync.Mutex
 	usual time.Duration
+	// answered is when the call began that is the last to begin of those that
+	// were answered, heard when the last answer came.
+	answered, heard time.Time
 }
 
 // NewPersistent returns a store that repeats calls to s.
@@ -68,28 +78,28 @@
 type answer[T any] struct {
 	result T
 	err    error
-	took   time.Duration
+	began  time.Time
 }
 
 func persist[T any](ctx context.Context, persistent *Persistent, call func(context.Context) (T, error)) (T, error) {
-	patience, limit := persistent.bounds()
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, mostLimit)
 	defer cancel()
 	answers := make(chan answer[T])
-	tries := 0
+	began, first := persistent.clock.Now(), persistent.limit()
+	tries, tried, factor := 0, began, time.Duration(1)
 	try := func() {
 		tries++
-		began := persistent.clock.Now()
-		go func() {
+		tried = persistent.clock.Now()
+		go func(began time.Time) {
 			result, err := call(ctx)
 			select {
-			case answers <- answer[T]{result: result, err: err, took: persistent.clock.Now().Sub(began)}:
+			case answers <- answer[T]{result: result, err: err, began: began}:
 			case <-ctx.Done():
 			}
-		}()
+		}(tried)
 	}
 	try()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(leastPatience)
 	defer timer.Stop()
 	var zero T
 	var last error
@@ -98,7 +108,7 @@
 		case got := <-answers:
 			tries--
 			if !Unserved(got.err) {
-				persistent.took(got.took)
+				persistent.served(got.began)
 				return got.result, got.err
 			}
 			// A try that was refused does not undo one that has no answer.
@@ -109,35 +119,76 @@
 				return zero, last
 			}
 		case <-timer.C:
-			patience *= 2
-			timer.Reset(patience)
-			try()
+			limit := persistent.limitSince(began, first)
+			left := limit - persistent.clock.Now().Sub(began)
+			if left <= 0 {
+				persistent.unanswered(limit)
+				return zero, NewError(FailureUnanswered, "call", "no answer")
+			}
+			patience := factor * persistent.patience(tried)
+			if persistent.clock.Now().Sub(tried) >= patience {
+				try()
+				patience, factor = 2*patience, 2*factor
+			}
+			timer.Reset(min(left, max(patience-persistent.clock.Now().Sub(tried), leastPatience/4)))
 		case <-ctx.Done():
-			persistent.unanswered(limit)
+			persistent.unanswered(persistent.clock.Now().Sub(began))
 			return zero, NewError(FailureUnanswered, "call", ctx.Err().Error())
 		}
 	}
 }
 
-// bounds returns how long a first try waits alone, and the call in all.
-func (persistent *Persistent) bounds() (patience, limit time.Duration) {
+// patience returns how long a try that began then waits alone, as far as is
+// known by now.
+func (persistent *Persistent) patience(tried time.Time) time.Duration {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
-	usual := patienceFactor * persistent.usual
-	return max(usual, leastPatience), min(max(usual, leastLimit), mostLimit)
+	if persistent.answered.After(tried) {
+		return max(patienceFactor*persistent.usual, leastPatience)
+	}
+	return max(patienceFactor*persistent.usual, silentPatience)
 }
 
-// took notes the time of an answer.
-func (persistent *Persistent) took(d time.Duration) {
+// limit returns how long a call that begins now waits in all.
+func (persistent *Persistent) limit() time.Duration {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
-	persistent.usual += time.Duration(answerWeight * float64(d-persistent.usual))
+	return min(max(patienceFactor*persistent.usual, leastLimit), mostLimit)
+}
+
+// limitSince returns how long a call waits in all that began then, with the
+// limit of first: longer if answers that came since tell that the store is slow.
+func (persistent *Persistent) limitSince(began time.Time, first time.Duration) time.Duration {
+	persistent.mu.Lock()
+	heard := persistent.heard.After(began)
+	persistent.mu.Unlock()
+	if !heard {
+		return first
+	}
+	return max(first, persistent.limit())
+}
+
+// served notes that a call that began then was answered.
+func (persistent *Persistent) served(began time.Time) {
+	now := persistent.clock.Now()
+	took := now.Sub(began)
+	persistent.mu.Lock()
+	defer persistent.mu.Unlock()
+	persistent.heard = now
+	weight := answerWeight
+	if took > persistent.usual {
+		weight = lateWeight
+	}
+	persistent.usual += time.Duration(weight * float64(took-persistent.usual))
+	if began.After(persistent.answered) {
+		persistent.answered = began
+	}
 }
 
-// unanswered notes that no answer came within limit. The store may have
+// unanswered notes that no answer came in the time waited. The store may have
 // turned slow: the next calls wait longer, until answers are quick again.
-func (persistent *Persistent) unanswered(limit time.Duration) {
+func (persistent *Persistent) unanswered(waited time.Duration) {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
-	persistent.usual = max(persistent.usual, min(limit/2, silentUsual))
+	persistent.usual = max(persistent.usual, min(waited/2, silentUsual))
 }
