gateway: events are held back while an answer may not be handed out whole

Cause: a turn that begins with a part (40 % of its most, while its row cannot be written) was passed on event by event; where the part ended the rest was waited for 1.5 s, since callers leave a stream after two seconds and more without an event, though their deadline is 3 or 4 s. What was handed out until then was spent, and of no use.

Ruled out: more escrow for the part (programs of 900 tokens hold 270 of them there, a turn's most is 567); starting no such turn (635 of 735 that began with a part ended whole within it); joining the next try to the run (a try has an ID of its own, and an answer belongs to one).

Change: while the budget is promised in part, or the turn is to be kept and the store is slow, events go to an outbox. The caller is given one each half of the time that it waits for one, so that it stays until its deadline; all of them once the answer is known to be whole and kept, or the rest promised. If nothing was given by the end, the caller gets 502, and nothing is spent. The store counts as slow 100 ms after a call that nobody answers (Guard.Slow); that it is away is found after 0.9 s and more.

Handing out what is not known to be whole is the fault.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -185,6 +185,9 @@
 // Away implements gateway.Durability.
 func (d durability) Away() bool { return d.store.WholeAway() }
 
+// Slow implements gateway.Durability.
+func (d durability) Slow() bool { return d.store.Slow() }
+
 // Isolated implements gateway.Durability.
 func (d durability) Isolated() bool { return d.directory.Isolated() }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,9 @@
 type Durability interface {
 	// Away reports whether the store cannot be reached in any way.
 	Away() bool
+	// Slow reports whether the store serves calls later than usual, or not at
+	// all for the moment.
+	Slow() bool
 	// Isolated reports whether other instances cannot be reached either:
 	// then they may well reach the store.
 	Isolated() bool
--- a/gateway/offer.go
+++ b/gateway/offer.go
@@ -28,10 +28,6 @@
 	// wholeBody is how much of a plain answer is read before the caller is
 	// given any of it, so that one that breaks off can be told apart.
 	wholeBody = 1 << 20
-	// extendPatience is how long a stream waits for the rest of its budget,
-	// for a store that is away or for turns that hold it: callers give a
-	// stream up after a pause of two seconds.
-	extendPatience = 1500 * time.Millisecond
 	// heldRetry is the pause between looks for budget that other turns hold:
 	// a turn takes half a second, and each look some six reads of the store.
 	heldRetry = 300 * time.Millisecond
@@ -64,13 +60,13 @@
 			return nil
 		}
 		e.lastError = err
-		if gone := e.orGone(ctx, nil); gone != nil {
-			return gone
-		}
 		var own *refusal
-		if errors.As(err, &own) {
+		if errors.As(err, &own) && e.r.Context().Err() == nil {
 			return own
 		}
+		if gone := e.orGone(ctx, nil); gone != nil {
+			return gone
+		}
 		if outcome == balance.OutcomeAbandoned {
 			return refuse(ReasonCallerGone, http.StatusBadGateway, 0, err)
 		}
@@ -79,7 +75,7 @@
 		}
 	}
 	switch {
-	case e.runs > 0 || e.answered:
+	case e.runs > 0 || e.opening != nil:
 		return refuse(ReasonEndpointFailed, http.StatusBadGateway, 0, e.lastError)
 	case len(e.tried) == 0:
 		return refuse(ReasonNoEndpoint, http.StatusServiceUnavailable, busyPause, nil)
@@ -112,7 +108,7 @@
 	if !verdict.Stamped {
 		return balance.OutcomeBroken, errUnstamped
 	}
-	if e.answered && response.Status != http.StatusOK {
+	if e.opening != nil && response.Status != http.StatusOK {
 		return balance.OutcomeBroken, errNotResumed
 	}
 	if e.route.Kind == route.KindStream && response.Status == http.StatusOK {
@@ -206,39 +202,58 @@
 	return outcome, nil
 }
 
-// relayStream passes whole events on as they come. An event that an
-// endpoint did not end is never given to the caller, so that another can go
-// on after the one before.
+// relayStream passes whole events on as they come, or holds them back while the
+// answer may not be handed out whole. An event that an endpoint did not end is
+// never given to the caller, so that another can go on after the one before.
 func (e *exchange) relayStream(ctx context.Context, response *upstream.Response) (balance.Outcome, error) {
 	reader := eventstream.NewReader(response.Body)
-	flusher := http.NewResponseController(e.w)
 	for {
 		event, err := reader.Next()
 		switch {
 		case err == io.EOF:
-			if !e.answered {
-				e.head(response, -1)
-			}
-			return balance.OutcomeServed, nil
+			e.open(response)
+			return balance.OutcomeServed, e.endStream()
 		case err != nil && ctx.Err() != nil:
 			return balance.OutcomeAbandoned, err
 		case err != nil:
 			return balance.OutcomeBroken, err
 		}
-		if !e.answered {
-			e.head(response, -1)
-			e.first = e.Clock.Now().Sub(e.arrived)
-			e.metrics.firstEvent.RecordDuration(e.first)
-		}
+		e.open(response)
 		if err := e.afford(ctx, event); err != nil {
 			return balance.OutcomeAbandoned, err
 		}
-		if err := e.pass(flusher, event); err != nil {
+		if err := e.pass(event); err != nil {
 			return balance.OutcomeAbandoned, err
 		}
 	}
 }
 
+// open notes the answer that the caller's stream begins with.
+func (e *exchange) open(response *upstream.Response) {
+	if e.opening == nil {
+		e.opening, e.status = response, response.Status
+	}
+}
+
+// endStream gives the caller what is held back of an answer that is whole, if its
+// turn need not be kept first.
+func (e *exchange) endStream() error {
+	if e.route.KeepsHistory && e.holdsBack() {
+		return nil
+	}
+	return e.give(e.outbox.takeAll(e.Clock.Now()))
+}
+
+// holdsBack reports whether the answer may not be handed out whole: its budget is
+// promised in part, or the store may not take the turn in time. A caller can do
+// nothing with a part of an answer, and what it was handed is spent.
+func (e *exchange) holdsBack() bool {
+	if e.reservation != nil && e.reservation.Promised() < e.call.MaxTokens {
+		return true
+	}
+	return e.route.KeepsHistory && e.Durability.Slow()
+}
+
 // afford returns once the event's tokens are promised to the turn. A turn
 // begins with a part of what it may generate, and most end within it.
 func (e *exchange) afford(ctx context.Context, event eventstream.Event) error {
@@ -246,16 +261,36 @@
 		return nil
 	}
 	began := e.Clock.Now()
-	limited, cancel := context.WithTimeout(ctx, extendPatience)
-	defer cancel()
-	err := e.extend(limited, event)
+	err := e.whileWaiting(ctx, func(ctx context.Context) error { return e.extend(ctx, event) })
 	e.metrics.extend.RecordDuration(e.Clock.Now().Sub(began))
 	return e.notAfforded(err)
 }
 
+// whileWaiting returns the error of f, and gives the caller events that are held
+// back meanwhile, so that it stays. f must not touch what the caller is given.
+func (e *exchange) whileWaiting(ctx context.Context, f func(ctx context.Context) error) error {
+	if e.outbox.isEmpty() {
+		return f(ctx)
+	}
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	for !e.outbox.isEmpty() {
+		due := time.NewTimer(e.outbox.untilDue(e.Clock.Now()))
+		select {
+		case err := <-done:
+			due.Stop()
+			return err
+		case <-due.C:
+			// A caller that is gone ends ctx, and f with it.
+			_ = e.give(e.outbox.takeOne(e.Clock.Now()))
+		}
+	}
+	return <-done
+}
+
 // isAfforded reports whether the event's tokens are promised to the turn.
 func (e *exchange) isAfforded(event eventstream.Event) bool {
-	return !event.HasData || e.spent()+e.eventTokens() <= e.reservation.Promised()
+	return !event.HasData || (e.received+1)*e.eventTokens() <= e.reservation.Promised()
 }
 
 // extend asks for the rest of the turn's budget until the event is afforded,
@@ -311,10 +346,10 @@
 	return refuse(ReasonStoreAway, http.StatusBadGateway, 0, err)
 }
 
-// pass gives the caller one event.
-func (e *exchange) pass(flusher *http.ResponseController, event eventstream.Event) error {
+// pass takes in an event, and gives the caller those that need not be held back.
+func (e *exchange) pass(event eventstream.Event) error {
 	if event.HasData {
-		e.count++
+		e.received++
 		if e.route.KeepsHistory {
 			e.events = append(e.events, event.Data)
 		}
@@ -322,8 +357,31 @@
 	if event.ID != "" {
 		e.lastEvent = event.ID
 	}
-	if _, err := e.w.Write(event.Raw); err != nil {
-		return err
+	e.outbox.add(event)
+	if e.holdsBack() {
+		return e.give(e.outbox.takeDue(e.Clock.Now()))
+	}
+	return e.give(e.outbox.takeAll(e.Clock.Now()))
+}
+
+// give writes events to the caller, after the head of the answer. Without any it
+// writes the head, unless events are held back.
+func (e *exchange) give(events []eventstream.Event) error {
+	if len(events) == 0 && (e.answered || !e.outbox.isEmpty()) {
+		return nil
+	}
+	if !e.answered {
+		e.head(e.opening, -1)
+		e.first = e.Clock.Now().Sub(e.arrived)
+		e.metrics.firstEvent.RecordDuration(e.first)
+	}
+	for _, event := range events {
+		if event.HasData {
+			e.count++
+		}
+		if _, err := e.w.Write(event.Raw); err != nil {
+			return err
+		}
 	}
-	return flusher.Flush()
+	return http.NewResponseController(e.w).Flush()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -17,6 +17,7 @@
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 const (
@@ -114,13 +115,18 @@
 	runs  int
 	// asked is the start of the endpoint that was asked last.
 	asked string
-	// What the caller was given: the head of an answer, events, and the ID
-	// of the last one.
+	// opening is the answer that a stream begins with. received counts its events,
+	// also those that are still in the outbox; events are their data, if the turn
+	// is to be kept, lastEvent the ID of the last one.
+	opening   *upstream.Response
+	received  int64
+	events    [][]byte
+	lastEvent string
+	outbox    *outbox
+	// What the caller was given: the head of an answer, and how many events.
 	answered  bool
 	status    int
-	events    [][]byte
 	count     int64
-	lastEvent string
 	first     time.Duration
 	lastError error
 }
@@ -208,6 +214,7 @@
 	if e.route == nil {
 		return refuse(ReasonNoRoute, http.StatusNotFound, 0, nil)
 	}
+	e.outbox = newOutbox(e.arrived, e.callerGap())
 	if err := e.identify(); err != nil {
 		return err
 	}
@@ -450,7 +457,7 @@
 	e.entrances.started(e.program, e.priority)
 	if parts := e.call.Parts; len(parts) > 1 {
 		last := parts[len(parts)-1]
-		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.asked, Tokens: last.Tokens + e.spent(), Instance: e.Instance})
+		e.reservation.KeptAt(account.Place{Part: last.ID, Endpoint: e.asked, Tokens: last.Tokens + e.received*e.eventTokens(), Instance: e.Instance})
 	}
 }
 
@@ -465,7 +472,8 @@
 }
 
 // keep makes an answered turn durable before the caller learns that it is
-// whole: the end of the answer is written only after this returns nil.
+// whole: the end of the answer is written only after this returns nil. Events that
+// are held back keep the caller meanwhile.
 func (e *exchange) keep(ctx context.Context) error {
 	if !e.route.KeepsHistory || e.status != http.StatusOK || e.route.Kind != route.KindStream {
 		return nil
@@ -475,11 +483,12 @@
 		turn.Ancestors = e.chain[len(e.chain)-1].Chain()
 	}
 	began := e.Clock.Now()
-	err := e.Archive.Keep(ctx, turn)
+	err := e.whileWaiting(ctx, func(ctx context.Context) error { return e.Archive.Keep(ctx, turn) })
 	e.metrics.keep.RecordDuration(e.Clock.Now().Sub(began))
 	if err != nil {
 		return refuse(ReasonNotKept, http.StatusBadGateway, 0, err)
 	}
+	_ = e.give(e.outbox.takeAll(e.Clock.Now())) // the caller may be gone; the turn is kept
 	return nil
 }
 
--- a/store/guard.go
+++ b/store/guard.go
@@ -24,6 +24,11 @@
 	// second; other instances wait 600 ms for a call made for them, and callers
 	// of streams two seconds.
 	silentCall = 500 * time.Millisecond
+	// slowCall is how late a call is answered, or how long none is, and the store
+	// counts as slow for slowTime: it answers in 4 ms, and in some 20 when many
+	// write at once.
+	slowCall = 100 * time.Millisecond
+	slowTime = time.Second
 	// probeInterval is how often a store that is away is tried, probeTimeout
 	// how long each try waits.
 	probeInterval = 100 * time.Millisecond
@@ -44,9 +49,14 @@
 	store  Store
 	change func(partition string, away bool, err error)
 
-	mu         sync.Mutex
-	whole      health
-	answered   time.Time // when the store last answered
+	mu       sync.Mutex
+	whole    health
+	answered time.Time // when the store last answered
+	// pending calls wait for an answer; since unserved, if it is set, calls were
+	// made and none was served. late is when one was last served after slowCall.
+	pending    int
+	unserved   time.Time
+	late       time.Time
 	partitions map[string]*health
 	// watches in progress are ended when the store is found away: they were
 	// begun before, and would wait for news that cannot come.
@@ -87,6 +97,51 @@
 	return guard.answered.After(t)
 }
 
+// Slow reports whether the store serves calls later than usual, or none for the
+// moment. It tells so much earlier than Away, and of a store that is only slow.
+func (guard *Guard) Slow() bool {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	now := time.Now()
+	return !guard.unserved.IsZero() && now.Sub(guard.unserved) >= slowCall || now.Sub(guard.late) < slowTime
+}
+
+// begin notes a call.
+func (guard *Guard) begin() time.Time {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	return guard.beginLocked()
+}
+
+// beginLocked is begin for a caller that holds mu.
+func (guard *Guard) beginLocked() time.Time {
+	now := time.Now()
+	guard.pending++
+	if guard.unserved.IsZero() {
+		guard.unserved = now
+	}
+	return now
+}
+
+// end takes in whether a call that began then was served. One that its caller
+// gave up says nothing.
+func (guard *Guard) end(began time.Time, unserved, givenUp bool) {
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	now := time.Now()
+	guard.pending--
+	switch {
+	case unserved && !givenUp:
+	case !unserved && guard.pending > 0:
+		guard.unserved = now
+	case guard.pending == 0:
+		guard.unserved = time.Time{}
+	}
+	if !unserved && now.Sub(began) >= slowCall {
+		guard.late = now
+	}
+}
+
 // health returns the state of a partition. The caller holds mu. Partitions
 // are few: the product's own tables have a fixed number each.
 func (guard *Guard) health(partition string) *health {
@@ -101,10 +156,10 @@
 // Commit implements Store.
 func (guard *Guard) Commit(ctx context.Context, tx Transaction) (uint64, error) {
 	partition := tx.partition()
-	if err := guard.enter("commit", partition); err != nil {
+	began, err := guard.enter("commit", partition)
+	if err != nil {
 		return 0, err
 	}
-	began := time.Now()
 	version, err := guard.store.Commit(ctx, tx)
 	guard.leaveCall(ctx, began, partition, err)
 	return version, err
@@ -112,10 +167,10 @@
 
 // Read implements Store.
 func (guard *Guard) Read(ctx context.Context, r Range) (Page, error) {
-	if err := guard.enter("read", r.Partition); err != nil {
+	began, err := guard.enter("read", r.Partition)
+	if err != nil {
 		return Page{}, err
 	}
-	began := time.Now()
 	page, err := guard.store.Read(ctx, r)
 	guard.leaveCall(ctx, began, r.Partition, err)
 	return page, err
@@ -150,13 +205,15 @@
 	}
 }
 
-func (guard *Guard) enter(op, partition string) error {
+// enter returns when a call to a partition began, or the error of one that is
+// away.
+func (guard *Guard) enter(op, partition string) (time.Time, error) {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	if guard.whole.failures < wholeFailures && guard.health(partition).failures < guardFailures {
-		return nil
+		return guard.beginLocked(), nil
 	}
-	return NewError(FailureRefused, op, "the store is away")
+	return time.Time{}, NewError(FailureRefused, op, "the store is away")
 }
 
 // Run tries what is away until ctx ends, then reports on done.
@@ -171,7 +228,7 @@
 		tries.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			began := time.Now()
+			began := guard.begin()
 			_, err := guard.store.Read(limited, Range{Table: probedTable, Partition: partition, Limit: 1})
 			guard.leaveCall(limited, began, partition, err)
 		})
@@ -197,10 +254,11 @@
 // leaveCall takes in how a call that began then ended. One that its caller soon
 // gave up says nothing; one that was not answered in its time does.
 func (guard *Guard) leaveCall(ctx context.Context, began time.Time, partition string, err error) {
-	if Unserved(err) && errors.Is(ctx.Err(), context.Canceled) && time.Since(began) < silentCall {
-		return
+	givenUp := Unserved(err) && errors.Is(ctx.Err(), context.Canceled) && time.Since(began) < silentCall
+	guard.end(began, Unserved(err), givenUp)
+	if !givenUp {
+		guard.leave(partition, err)
 	}
-	guard.leave(partition, err)
 }
 
 // leave takes in what a call to a partition came to.
--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -277,6 +277,38 @@
 	}
 }
 
+// Guards against events that are passed on at once while the store serves no turn,
+// and held back while it does.
+func TestStoreIsFoundSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowStore{Store: storetest.New(), answer: 4 * time.Millisecond}
+		guard := store.NewGuard(slow, func(string, bool, error) {})
+		commit := func() { _, _ = guard.Commit(context.Background(), in("a")) }
+		commit()
+		time.Sleep(time.Hour)
+		assert.False(t, guard.Slow(), "nothing is asked of it")
+		slow.answer = 300 * time.Millisecond
+		go commit()
+		time.Sleep(99 * time.Millisecond)
+		assert.False(t, guard.Slow())
+		time.Sleep(time.Millisecond)
+		assert.True(t, guard.Slow(), "a call is late")
+		time.Sleep(300 * time.Millisecond)
+		assert.True(t, guard.Slow(), "the last answer was")
+		slow.answer = 4 * time.Millisecond
+		time.Sleep(time.Second)
+		commit()
+		assert.False(t, guard.Slow())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		slow.answer = time.Hour
+		_, err := guard.Commit(ctx, in("a"))
+		assert.Error(t, err)
+		time.Sleep(time.Second)
+		assert.False(t, guard.Slow(), "a call that was given up says nothing")
+	})
+}
+
 // Guards against a store that is made busier as it turns slow: each write that is
 // made again takes a place in its partition, which serves six a second then.
 func TestStoreThatTurnsSlowIsNotAskedTwice(t *testing.T) {
