store: the return of a silent store is found at once

Cause: a store that is away is tried each 100 ms, but one try at a time, and a silent store never answers: a try that began just before the return was waited for its whole second.

Change: the next try begins 200 ms after one without an answer. A failure of a call that began before the store was found back, or before its partition served another one, no longer counts: the tries of before end after the return, and would have the partition away again. A silent store is asked five times a second by each instance in place of once; one that refuses was asked ten times.

Test, failing before (0.6 s late; with the second half alone taken out the partition goes away again): TestReturnOfSilentStoreIsFoundAtOnce.

--- a/store/guard.go
+++ b/store/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
@@ -30,8 +31,11 @@
 	slowCall = 100 * time.Millisecond
 	slowTime = time.Second
 	// probeInterval is how often a store that is away is tried, probeTimeout
-	// how long each try waits.
+	// how long each try waits. While one has no answer the next begins after
+	// probeSpacing: a store that was silent never answers the tries of before,
+	// and each caller that waits for it waits for the try after its return.
 	probeInterval = 100 * time.Millisecond
+	probeSpacing  = 200 * time.Millisecond
 	probeTimeout  = time.Second
 	// probedTable is what is read to try a store; it need not exist.
 	probedTable = "probe"
@@ -52,6 +56,7 @@
 	mu       sync.Mutex
 	whole    health
 	answered time.Time // when the store last answered
+	returned time.Time // when the whole store was last found back
 	// pending calls wait for an answer; since unserved, if it is set, calls were
 	// made and none was served. late is when one was last served after slowCall.
 	pending    int
@@ -68,6 +73,7 @@
 // be away while the others are served.
 type health struct {
 	failures int
+	answered time.Time
 }
 
 // NewGuard returns a guard before s; Run must run. It calls change each time that the
@@ -181,10 +187,11 @@
 func (guard *Guard) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
 	limited, end := guard.watching(ctx)
 	defer end()
+	began := time.Now()
 	page, err := guard.store.Watch(limited, table, after, wait)
 	// However long it waited: a watch waits for news, not for an answer.
 	if !errors.Is(limited.Err(), context.Canceled) || !Unserved(err) {
-		guard.leave("", err)
+		guard.leave("", began, err)
 	}
 	return page, err
 }
@@ -218,7 +225,23 @@
 
 // Run tries what is away until ctx ends, then reports on done.
 func (guard *Guard) Run(ctx context.Context, done chan<- error) {
-	clock.Every(ctx, probeInterval, func(time.Time) { guard.Probe(ctx) }, done)
+	var probes sync.WaitGroup
+	var pending atomic.Int32
+	var last time.Time
+	ended := make(chan error, 1)
+	clock.Every(ctx, probeInterval, func(now time.Time) {
+		if len(guard.toProbe()) == 0 || pending.Load() > 0 && now.Sub(last) < probeSpacing {
+			return
+		}
+		last = now
+		pending.Add(1)
+		probes.Go(func() {
+			defer pending.Add(-1)
+			guard.Probe(ctx)
+		})
+	}, ended)
+	probes.Wait()
+	done <- <-ended
 }
 
 // Probe tries each partition that is away once, or any one if all are.
@@ -257,15 +280,21 @@
 	givenUp := Unserved(err) && errors.Is(ctx.Err(), context.Canceled) && time.Since(began) < silentCall
 	guard.end(began, Unserved(err), givenUp)
 	if !givenUp {
-		guard.leave(partition, err)
+		guard.leave(partition, began, err)
 	}
 }
 
-// leave takes in what a call to a partition came to.
-func (guard *Guard) leave(partition string, err error) {
+// leave takes in what a call to a partition came to that began then. One without
+// an answer says nothing if the store was found back, or the partition served
+// another one, since.
+func (guard *Guard) leave(partition string, began time.Time, err error) {
 	failed := Unserved(err)
 	guard.mu.Lock()
 	state := guard.health(partition)
+	if failed && (began.Before(state.answered) || began.Before(guard.returned)) {
+		guard.mu.Unlock()
+		return
+	}
 	was, wasWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
 	now := time.Now()
 	if failed {
@@ -280,7 +309,7 @@
 		state.failures++
 	} else {
 		state.failures, guard.whole.failures = 0, 0
-		guard.answered = now
+		state.answered, guard.answered = now, now
 	}
 	is, isWhole := state.failures >= guardFailures, guard.whole.failures >= wholeFailures
 	switch {
@@ -292,6 +321,7 @@
 		// What was found out of single partitions is from the outage: left
 		// standing, their refusals would have the whole store away again.
 		clear(guard.partitions)
+		guard.returned = now
 	}
 	guard.mu.Unlock()
 	switch {
--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -277,6 +278,51 @@
 	}
 }
 
+// returning is a store that answers nothing until it is back, and never what was
+// asked before.
+type returning struct {
+	store.Store
+	back time.Time
+}
+
+func (s *returning) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return store.Page{}, store.NewError(store.FailureUnanswered, "read", "test")
+	}
+	return s.Store.Read(ctx, r)
+}
+
+// Guards against requests that wait for a store which has been back for up to a
+// second, since the try before its return was waited for.
+func TestReturnOfSilentStoreIsFoundAtOnce(t *testing.T) {
+	for _, silent := range []time.Duration{4 * time.Second, 4300 * time.Millisecond, 4900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			var changes []string
+			var found time.Time
+			s := &returning{Store: storetest.New(), back: time.Now().Add(silent)}
+			guard := store.NewGuard(s, func(partition string, away bool, _ error) {
+				changes, found = append(changes, fmt.Sprint(partition, " away=", away)), time.Now()
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go guard.Run(ctx, done)
+			for _, partition := range []string{"a", "a", "a", "b", "b", "b"} {
+				limited, end := context.WithTimeout(ctx, 600*time.Millisecond)
+				_, err := guard.Read(limited, store.Range{Table: "t", Partition: partition})
+				assert.True(t, store.Unserved(err))
+				end()
+			}
+			require.True(t, guard.WholeAway())
+			time.Sleep(time.Until(s.back.Add(3 * time.Second)))
+			cancel()
+			require.NoError(t, <-done)
+			assert.LessOrEqual(t, found.Sub(s.back), 300*time.Millisecond)
+			assert.Equal(t, []string{"a away=true", "all away=true", "all away=false"}, changes, "tries of before do not count after the return")
+		})
+	}
+}
+
 // Guards against events that are passed on at once while the store serves no turn,
 // and held back while it does.
 func TestStoreIsFoundSlow(t *testing.T) {
