entrypeer: a relayed call goes to an instance that reaches the store

Cause: an instance whose own way fails asks two others, those of its data centre first, at random, and forgot at once who could not help. front-ist-a-8, -a-5, -a-9 and -a-1 were turned away together and asked each other for two seconds and more ("store commit: Refused: the store is away" for each answer not kept).

Change: the instance that last served a relayed call is asked first, and one that could not within the last second is asked last.

--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -1,6 +1,7 @@
 package entrypeer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -32,6 +33,9 @@
 	// seconds, after which it has left, or has started again and entered
 	// itself anew.
 	stopTime = 8 * time.Second
+	// storelessTime is how long an instance that could not serve a relayed call of
+	// the store is asked last: outages last seconds.
+	storelessTime = time.Second
 	// joinPause and maxJoinPause are between tries to enter the table.
 	joinPause = 100 * time.Millisecond
 	// watchWait is how long a call for news of other instances is held. An
@@ -69,6 +73,10 @@
 	// unreached are the instances that could not be reached since any last
 	// answered.
 	unreached map[string]struct{}
+	// storeless are the instances that could not serve a relayed call, until when
+	// they are asked last; way is the one that last served one.
+	storeless map[string]time.Time
+	way       string
 	// changed is when an instance last joined, left or started again.
 	changed time.Time
 	// joined is when each instance was first known in its present start.
@@ -85,7 +93,7 @@
 
 // NewDirectory returns a directory that knows only self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, unreached: map[string]struct{}{}, displaced: make(chan struct{}, 1), changed: clk.Now(), joined: map[string]time.Time{}}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, avoid: map[string]absence{}, unreached: map[string]struct{}{}, storeless: map[string]time.Time{}, displaced: make(chan struct{}, 1), changed: clk.Now(), joined: map[string]time.Time{}}
 }
 
 func (directory *Directory) key() store.Key {
@@ -157,6 +165,7 @@
 	if row.Removed {
 		delete(directory.instances, row.Key.Name)
 		delete(directory.joined, row.Key.Name)
+		delete(directory.storeless, row.Key.Name)
 		directory.changed = directory.clock.Now()
 		return
 	}
@@ -224,29 +233,47 @@
 	return instance, ok && !directory.left(name, directory.clock.Now())
 }
 
-// some returns up to n other instances to ask, those of the own data centre
-// first, in random order.
+// some returns up to n other instances to relay a call of the store: first the one
+// that last served one, then those of the own data centre, in random order, and
+// last those that could not of late.
 func (directory *Directory) some(n int) []Instance {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	now := directory.clock.Now()
-	var near, far []Instance
+	var all []Instance
 	for _, instance := range directory.instances {
-		if directory.left(instance.Name, now) {
-			continue
+		if !directory.left(instance.Name, now) {
+			all = append(all, instance)
 		}
-		if instance.DataCentre == directory.self.DataCentre {
-			near = append(near, instance)
-		} else {
-			far = append(far, instance)
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	rank := func(instance Instance) int {
+		switch {
+		case now.Before(directory.storeless[instance.Name]):
+			return 3
+		case instance.Name == directory.way:
+			return 0
+		case instance.DataCentre == directory.self.DataCentre:
+			return 1
 		}
+		return 2
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	all := append(near, far...)
+	slices.SortStableFunc(all, func(a, b Instance) int { return cmp.Compare(rank(a), rank(b)) })
 	return all[:min(n, len(all))]
 }
 
+// relayed notes whether an instance served a relayed call of the store.
+func (directory *Directory) relayed(instance Instance, served bool) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if served {
+		directory.way = instance.Name
+		delete(directory.storeless, instance.Name)
+		return
+	}
+	directory.storeless[instance.Name] = directory.clock.Now().Add(storelessTime)
+}
+
 // left reports whether an instance is left out. The caller holds mu.
 func (directory *Directory) left(name string, now time.Time) bool {
 	return now.Before(directory.avoid[name].until)
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -157,6 +157,29 @@
 	assert.True(t, shut.directory.Isolated())
 }
 
+// Guards against turns refused for a store that others reach: of those that the
+// store turns away, too, an instance asked the same ones again and again.
+func TestInstanceThatReachesStoreIsFoundAmongOthers(t *testing.T) {
+	memory := storetest.New()
+	own := start(t, memory, "own")
+	start(t, memory, "open")
+	doors := []*platformtest.Door{own.door}
+	for n := range 6 {
+		doors = append(doors, start(t, memory, fmt.Sprint("shut", n)).door)
+	}
+	require.Eventually(t, func() bool { _, all := own.directory.Members(); return len(all) == 8 }, 2*time.Second, 5*time.Millisecond)
+	for _, door := range doors {
+		door.Set(platformtest.Busy)
+	}
+	failed := 0
+	for range 30 {
+		if own.put(t) != nil {
+			failed++
+		}
+	}
+	assert.LessOrEqual(t, failed, 3, "each call asks two others")
+}
+
 // While the store is away an instance takes itself for cut off, and turns its
 // callers away at once, since one other instance has ended or waits for the
 // store itself.
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -44,3 +44,14 @@
 	Detail  string
 	Rows    []store.Row
 }
+
+// failure returns the store's *store.Error, nil if it served the call.
+func (answer *storeAnswer) failure() error {
+	switch {
+	case !answer.Failed:
+		return nil
+	case answer.Failure == store.FailureConflict:
+		return store.NewConflict("relayed", answer.Rows)
+	}
+	return store.NewError(answer.Failure, "relayed", answer.Detail)
+}
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -73,23 +73,17 @@
 			break
 		}
 		answer, err := relay.ask(ctx, instance, message, timeout)
-		if err == nil && !answer.Failed {
-			return answer, nil
+		failure := answer.failure()
+		if ctx.Err() == nil {
+			relay.client.directory.relayed(instance, err == nil && !store.Unserved(failure))
 		}
-		if err != nil {
-			if !isDial(err) {
-				own = store.NewError(store.FailureUnanswered, "relayed", err.Error())
-			}
-			continue
-		}
-		if answer.Failure == store.FailureConflict {
-			return answer, store.NewConflict("relayed", answer.Rows)
-		}
-		failure := store.NewError(answer.Failure, "relayed", answer.Detail)
-		if !store.Unserved(failure) {
+		switch {
+		case err != nil && isDial(err):
+		case err != nil:
+			own = store.NewError(store.FailureUnanswered, "relayed", err.Error())
+		case !store.Unserved(failure):
 			return answer, failure
-		}
-		if answer.Failure == store.FailureUnanswered {
+		case answer.Failure == store.FailureUnanswered:
 			own = failure
 		}
 	}
