store: while answers are being lost, calls are made again soon

Cause: waits 250 ms for a call without an answer unless a later one was answered, and an instance of these sites makes 20 calls a second.

Change: once a repeat is answered within 60 ms, and no try before it, answers count as being lost for two seconds, and calls are made again after 60 ms as before. A slow store answers no repeat so soon.

Test, failing before (254 ms): TestStoreThatLosesAnswersIsAskedAgainSoon.

--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -405,6 +405,31 @@
 	})
 }
 
+// Guards against turns that wait for each lost answer as for a slow store's, while
+// the store loses a third of them.
+func TestStoreThatLosesAnswersIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowStore{Store: storetest.New(), answer: 4 * time.Millisecond}
+		persistent := store.NewPersistent(slow, clock.Real{})
+		var worst time.Duration
+		for n := range 20 {
+			if n%3 == 0 {
+				slow.mu.Lock()
+				slow.lose = slow.calls + 1 // its first answer
+				slow.mu.Unlock()
+			}
+			began := time.Now()
+			_, err := persistent.Commit(context.Background(), in("a"))
+			require.NoError(t, err)
+			if n > 3 {
+				worst = max(worst, time.Since(began))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Less(t, worst, 100*time.Millisecond)
+	})
+}
+
 // Guards against a call that is given up at the limit of a quick store though
 // answers show by then that it is slow.
 func TestCallUnderWayIsWaitedForAsAnswersTellItIsSlow(t *testing.T) {
--- a/store/persistent.go
+++ b/store/persistent.go
@@ -24,6 +24,9 @@
 	// later was answered: the store may have turned slow, and each transaction
 	// that comes again takes a place in its partition.
 	silentPatience = 250 * time.Millisecond
+	// lossTime is how long answers count as being lost after one was: of a store
+	// that loses some, calls are made again after leastPatience.
+	lossTime = 2 * time.Second
 	// silentUsual bounds what a call without an answer says of the usual time:
 	// a store that is silent is waited for a second a call, one that is seen to
 	// be slow for as long as it takes.
@@ -54,6 +57,8 @@
 	// answered is when the call began that is the last to begin of those that
 	// were answered, heard when the last answer came.
 	answered, heard time.Time
+	// lost is when a repeat was last answered soon, and no try before it.
+	lost time.Time
 }
 
 // NewPersistent returns a store that repeats calls to s.
@@ -108,7 +113,7 @@
 		case got := <-answers:
 			tries--
 			if !Unserved(got.err) {
-				persistent.served(got.began)
+				persistent.served(got.began, got.began.After(began))
 				return got.result, got.err
 			}
 			// A try that was refused does not undo one that has no answer.
@@ -143,7 +148,7 @@
 func (persistent *Persistent) patience(tried time.Time) time.Duration {
 	persistent.mu.Lock()
 	defer persistent.mu.Unlock()
-	if persistent.answered.After(tried) {
+	if persistent.answered.After(tried) || persistent.clock.Now().Sub(persistent.lost) < lossTime {
 		return max(patienceFactor*persistent.usual, leastPatience)
 	}
 	return max(patienceFactor*persistent.usual, silentPatience)
@@ -168,8 +173,9 @@
 	return max(first, persistent.limit())
 }
 
-// served notes that a call that began then was answered.
-func (persistent *Persistent) served(began time.Time) {
+// served notes that a try that began then was answered, and whether it is the
+// repeat of another.
+func (persistent *Persistent) served(began time.Time, isRepeat bool) {
 	now := persistent.clock.Now()
 	took := now.Sub(began)
 	persistent.mu.Lock()
@@ -183,6 +189,9 @@
 	if began.After(persistent.answered) {
 		persistent.answered = began
 	}
+	if isRepeat && took < leastPatience {
+		persistent.lost = now
+	}
 }
 
 // unanswered notes that no answer came in the time waited. The store may have
