gateway: a stop tells which connections it cuts

"serving ended" now tells how many connections were accepted in the second before the listener's close (callers still come), and how many ended since the stop began with a request read and nothing answered; each of the latter has a line of its own. Test: TestStopTellsWhatItCuts.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -87,9 +87,10 @@
 
 // Close implements net.Conn.
 func (conn *callerConn) Close() error {
-	conn.server.mu.Lock()
-	delete(conn.server.conns, conn)
-	conn.server.mu.Unlock()
+	conn.mu.Lock()
+	unanswered := conn.read && !conn.closed
+	conn.mu.Unlock()
+	conn.server.ended(conn, unanswered)
 	return conn.Conn.Close()
 }
 
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -35,9 +35,13 @@
 	// callers for a request's head and between requests.
 	headTimeout = 20 * time.Second
 	idleTimeout = 60 * time.Second
-	// lateLines bounds the lines of a stop about requests that came too late,
-	// so that those of what it cut stand in the same log.
+	// lateLines bounds the lines of a stop about requests that came too late, and
+	// those about requests without an answer, so that those of what it cut stand
+	// in the same log.
 	lateLines = 20
+	// lateAccept is the time before the listener's close whose new connections are
+	// counted: there are none once the balancer sends callers elsewhere.
+	lateAccept = time.Second
 	// maxHead bounds a request's head, in bytes.
 	maxHead = 64 << 10
 )
@@ -52,6 +56,11 @@
 	// closed counts the connections that a stop closed as quiet, late those
 	// on which bytes came after that, lateBytes these bytes.
 	closed, late, lateBytes int
+	// stopping is when the listener is closed; accepted counts the connections
+	// taken within lateAccept before, unanswered those that ended since the stop
+	// began after bytes came that nothing was answered to.
+	stopping             time.Time
+	accepted, unanswered int
 }
 
 // NewServer returns a server of handler.
@@ -72,9 +81,7 @@
 		return nil, err
 	}
 	conn := &callerConn{Conn: raw, server: listener.server, since: time.Now()}
-	listener.server.mu.Lock()
-	listener.server.conns[conn] = true
-	listener.server.mu.Unlock()
+	listener.server.began(conn)
 	return conn, nil
 }
 
@@ -99,6 +106,9 @@
 	case <-ctx.Done():
 	}
 	began := time.Now()
+	server.mu.Lock()
+	server.stopping = began.Add(noticeTime)
+	server.mu.Unlock()
 	time.Sleep(noticeTime)
 	_ = listener.Close()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
@@ -114,11 +124,40 @@
 	}
 	server.mu.Lock()
 	closed, late, lateBytes := server.closed, server.late, server.lateBytes
+	accepted, unanswered := server.accepted, server.unanswered
 	server.mu.Unlock()
-	server.log.Info("serving ended", "took", time.Since(began), "connections", open, "closed_quiet", closed, "late", late, "late_bytes", lateBytes, "left", left)
+	server.log.Info("serving ended", "took", time.Since(began), "connections", open, "closed_quiet", closed, "late", late, "late_bytes", lateBytes, "left", left,
+		"accepted_last", accepted, "unanswered", unanswered)
 	done <- nil
 }
 
+// began notes a connection that was taken.
+func (server *Server) began(conn *callerConn) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.conns[conn] = true
+	if !server.stopping.IsZero() && conn.since.After(server.stopping.Add(-lateAccept)) {
+		server.accepted++
+	}
+}
+
+// ended notes a connection that ends. During a stop it tells of one that a
+// request, or a part of one, came on and nothing was answered to.
+func (server *Server) ended(conn *callerConn, unanswered bool) {
+	server.mu.Lock()
+	_, open := server.conns[conn]
+	delete(server.conns, conn)
+	tell := open && unanswered && !server.stopping.IsZero()
+	if tell {
+		server.unanswered++
+	}
+	log := tell && server.unanswered <= lateLines
+	server.mu.Unlock()
+	if log {
+		server.log.Warn("connection ended without an answer", "caller", conn.RemoteAddr(), "since", conn.since)
+	}
+}
+
 // open returns how many connections there are.
 func (server *Server) open() int {
 	server.mu.Lock()
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -137,6 +137,29 @@
 	})
 }
 
+// Guards against connections that a stop cuts and no line tells of: those that new
+// callers open while the listener closes, and those that end with a request unanswered.
+func TestStopTellsWhatItCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		listener, done := newPipeListener(), make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, 8*time.Second, done)
+		cancel()
+		time.Sleep(closeTime - 1100*time.Millisecond)
+		early := listener.dial()
+		time.Sleep(200 * time.Millisecond)
+		late := listener.dial()
+		_, err := askOn(late)
+		require.Error(t, err)
+		_ = early.Close()
+		require.NoError(t, <-done)
+		assert.Contains(t, out.String(), `msg="connection ended without an answer"`)
+		assert.Regexp(t, `msg="serving ended" .* left=0 accepted_last=1 unanswered=1`, out.String())
+	})
+}
+
 // Guards against a request that ends with its connection, so that its caller cannot know whether it ran: it crossed the close of a stopping instance.
 func TestRequestThatCrossesCloseGetsNoPromise(t *testing.T) {
 	for _, way := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond} {
