--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -39,6 +39,13 @@
 	refused   int
 	// isProcessOnly: the machine of an instance that died answers for it.
 	isProcessOnly bool
+	// isCalm: no instance freezes or is cut off, and no answer is lost.
+	isCalm bool
+	// mute are pairs of instances of which the first does not reach the second,
+	// deaf those of which the first does not hear the second's answers to
+	// questions. asks counts questions by pair.
+	mute, deaf map[[2]string]bool
+	asks       map[[2]string]int
 	// mu guards what calls of one instance that run at once share.
 	mu     sync.Mutex
 	events []string
@@ -75,7 +82,7 @@
 
 func newFleet(t *testing.T, seed uint64, size int) *fleet {
 	f := &fleet{t: t, isProcessOnly: seed%2 == 1, random: rand.New(rand.NewPCG(seed, 7)), clock: clock.NewFake(time.Unix(1_000_000, 0)),
-		limits: map[string]quota.Limit{}, changes: map[string][]change{}, sent: map[string][]time.Time{}}
+		limits: map[string]quota.Limit{}, changes: map[string][]change{}, sent: map[string][]time.Time{}, mute: map[[2]string]bool{}, deaf: map[[2]string]bool{}, asks: map[[2]string]int{}}
 	for i := range size {
 		f.instances = append(f.instances, &member{fleet: f, name: fmt.Sprint("i", i)})
 	}
@@ -173,6 +180,9 @@
 func (m *member) Settled() time.Duration { return m.fleet.clock.Now().Sub(m.changed) }
 
 func (m *member) peer(name string) (*member, error) {
+	if m.fleet.mute[[2]string{m.name, name}] {
+		return nil, errUnreached
+	}
 	for _, other := range m.fleet.instances {
 		if other.name == name && m.reaches(other) {
 			other.learn()
@@ -193,8 +203,9 @@
 	if err != nil {
 		return quota.Answer{}, err
 	}
+	m.fleet.asks[[2]string{m.name, name}]++
 	answer, err := other.limiter.Answer(ctx, question)
-	if m.fleet.random.IntN(200) == 0 {
+	if m.fleet.deaf[[2]string{m.name, name}] || !m.fleet.isCalm && m.fleet.random.IntN(200) == 0 {
 		return quota.Answer{}, errUnreached // the answer is lost
 	}
 	return answer, err
@@ -213,7 +224,7 @@
 	if err != nil {
 		return quota.Transfer{}, err
 	}
-	if len(transfer.Wanted) > 0 && m.fleet.random.IntN(200) == 0 {
+	if !m.fleet.isCalm && len(transfer.Wanted) > 0 && m.fleet.random.IntN(200) == 0 {
 		return quota.Transfer{}, errUnreached // the answer is lost
 	}
 	return given, nil
@@ -269,7 +280,11 @@
 			if c.at.After(at) || until.Before(sent[first].Add(-time.Second)) {
 				continue
 			}
-			most = max(most, (c.limit.Rate*tolerance.Window.Seconds()+c.limit.Burst)*(1+tolerance.Overage)+tolerance.Slack)
+			share := 1.0
+			if f.isCalm {
+				share = quota.ToleranceShare
+			}
+			most = max(most, (c.limit.Rate*tolerance.Window.Seconds()+c.limit.Burst)*(1+share*tolerance.Overage)+share*tolerance.Slack)
 		}
 		if over := float64(i-first+1) - most; over > worst.over {
 			worst = excess{over: over, from: sent[first], to: at, most: most}
@@ -291,7 +306,11 @@
 
 // trouble is one thing that happens to an instance, and its end.
 func (f *fleet) trouble(m *member) {
-	switch f.random.IntN(7) {
+	kind := f.random.IntN(7)
+	if f.isCalm && (kind == 1 || kind == 2) {
+		return
+	}
+	switch kind {
 	case 0:
 		f.note("%s dies", m.name)
 		m.dead = true
@@ -337,49 +356,70 @@
 // and join, answers are lost, all lose power at once, limits are raised and
 // lowered, while callers ask for much more than the quota, in bursts.
 func TestNoWindowSeesMoreThanItsQuota(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { newFleet(t, uint64(seed), 4+seed%9).play() })
+	}
+}
+
+// Guards against what the last part of the tolerance hides, which is there for the
+// time in which two instances take themselves for the home: while all that run are
+// in reach there is one, and no window sees more than its bucket gives.
+func TestNoWindowSeesMoreThanOneBucketGives(t *testing.T) {
 	for seed := range *seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			f := newFleet(t, uint64(seed), 4+seed%9)
-			organisations := []string{"small", "middle", "large"}
-			for i, organisation := range organisations {
-				rate := []float64{5, 20, 200}[i]
-				f.limit(organisation, rate, rate)
-			}
-			for range 600 {
-				f.clock.Advance(time.Duration(5+f.random.IntN(95)) * time.Millisecond)
-				f.beat()
-				for _, organisation := range organisations {
-					wanted := 0.05 * f.limits[organisation].Rate * []float64{0.3, 1, 4, 9}[f.random.IntN(4)]
-					for range int(wanted + f.random.Float64()) {
-						f.request(organisation, f.instances[f.random.IntN(len(f.instances))])
-					}
-				}
-				m := f.instances[f.random.IntN(len(f.instances))]
-				switch n := f.random.IntN(1000); {
-				case n < 40:
-					f.trouble(m)
-				case n < 120:
-					f.end(m)
-				case n == 120:
-					f.note("all lose power")
-					for _, m := range f.instances {
-						m.dead = true
-					}
-					f.clock.Advance(time.Duration(f.random.IntN(1500)) * time.Millisecond)
-					for _, m := range f.instances {
-						m.start()
-					}
-				case n < 124:
-					organisation := organisations[f.random.IntN(3)]
-					rate := float64(2 + f.random.IntN(200))
-					f.limit(organisation, rate, rate*float64(f.random.IntN(3)))
-				}
-			}
-			for _, organisation := range organisations {
-				f.check(organisation)
-			}
-			require.NotEmpty(t, f.sent["large"])
-			require.NotZero(t, f.refused)
+			f.isCalm = true
+			f.play()
 		})
 	}
 }
+
+// play has callers ask for much more than their quotas in bursts, amid troubles, and
+// checks every window.
+func (f *fleet) play() {
+	organisations := []string{"small", "middle", "large"}
+	for i, organisation := range organisations {
+		rate := []float64{5, 20, 200}[i]
+		f.limit(organisation, rate, rate)
+	}
+	for range 600 {
+		f.clock.Advance(time.Duration(5+f.random.IntN(95)) * time.Millisecond)
+		f.beat()
+		for _, organisation := range organisations {
+			wanted := 0.05 * f.limits[organisation].Rate * []float64{0.3, 1, 4, 9}[f.random.IntN(4)]
+			for range int(wanted + f.random.Float64()) {
+				f.request(organisation, f.instances[f.random.IntN(len(f.instances))])
+			}
+		}
+		m := f.instances[f.random.IntN(len(f.instances))]
+		switch n := f.random.IntN(1000); {
+		case n < 40:
+			f.trouble(m)
+		case n < 120:
+			f.end(m)
+		case n == 120:
+			f.losePower()
+		case n < 124:
+			organisation := organisations[f.random.IntN(3)]
+			rate := float64(2 + f.random.IntN(200))
+			f.limit(organisation, rate, rate*float64(f.random.IntN(3)))
+		}
+	}
+	for _, organisation := range organisations {
+		f.check(organisation)
+	}
+	require.NotEmpty(f.t, f.sent["large"])
+	require.NotZero(f.t, f.refused)
+}
+
+// losePower ends all instances, and starts them again soon after.
+func (f *fleet) losePower() {
+	f.note("all lose power")
+	for _, m := range f.instances {
+		m.dead = true
+	}
+	f.clock.Advance(time.Duration(f.random.IntN(1500)) * time.Millisecond)
+	for _, m := range f.instances {
+		m.start()
+	}
+}
