soak: organisations, keys and quotas amid faults of all kinds

TestSoakOfOrganisations plays the faults of the soak, replaced keys and changed quotas, under callers of three organisations and some with a key that nobody holds. Checked, as seen by callers and endpoints: each run is for the organisation whose key was shown, and the key is not passed on; an unknown key runs nowhere; after the last fault a revoked key gets 401 at every instance and its successor is served; no window of 5 s sees more of an organisation's requests than its quota and what operators tolerate, also after the quota was lowered and 24 callers ask for much more.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -53,6 +53,9 @@
 	// body is what was sent, prompt what an endpoint must get.
 	body, prompt string
 	budget       int64
+	// organisation is the caller's, "" for none; key is what it shows, if not the
+	// organisation's present one.
+	organisation, key string
 	// most is what a turn may generate.
 	most int64
 	// status is 0 if no answer came; whole tells that it ended as it should.
@@ -90,10 +93,15 @@
 	rng    *rand.Rand
 	client *http.Client
 	front  *front
+	// organisation is "" on a site without any.
+	organisation string
 }
 
 func newCaller(s *site, b *book, seed, n uint64) *caller {
 	c := &caller{site: s, book: b, rng: rand.New(rand.NewPCG(seed, 100+n)), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
+	if s.organisations {
+		c.organisation = organisationNames[n%uint64(len(organisationNames))]
+	}
 	c.move()
 	return c
 }
@@ -104,6 +112,9 @@
 // play plays programs until ctx ends, and keeps its connections open.
 func (caller *caller) play(ctx context.Context, n int) {
 	for round := 0; ctx.Err() == nil; round++ {
+		if caller.organisation != "" {
+			caller.showUnknownKey(ctx)
+		}
 		program := fmt.Sprintf("p%d-%d", n, round)
 		switch draw := caller.rng.IntN(10); {
 		case draw < 5:
@@ -161,6 +172,9 @@
 func newTurn(program string, k kind, budget int64, number int, previous *attempt) *attempt {
 	a := &attempt{program: program, kind: k, budget: budget, most: mostTokens, body: fmt.Sprintf("input %d of %s. ", number, program)}
 	a.prompt = a.body
+	if previous != nil {
+		a.organisation = previous.organisation
+	}
 	if k == kindKeep && previous != nil {
 		a.previous, a.prompt = previous.id, previous.history()+a.body
 	}
@@ -205,6 +219,9 @@
 // send sends one attempt and notes how it ended. The end of the run does not
 // cut it off.
 func (caller *caller) send(ctx context.Context, a *attempt) {
+	if a.organisation == "" {
+		a.organisation = caller.organisation
+	}
 	caller.book.open(a)
 	defer func() { a.done = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.kind.deadline()+answerSlack)
@@ -233,6 +250,9 @@
 		r.Header.Set("X-Token-Count", "100,"+strconv.FormatInt(a.most, 10))
 		r.Header.Set("X-Prompt-Prefix", "5ea:12600,"+a.program+":1000")
 	}
+	if a.organisation != "" {
+		r.Header.Set("Api-Key", caller.site.keyOf(a))
+	}
 	if a.previous != "" {
 		r.Header.Set("X-Previous-Turn", a.previous)
 	}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -30,6 +30,7 @@
 	planned bool
 	log     func(format string, args ...any)
 	running sync.WaitGroup
+	kinds   []fault
 }
 
 // fault injects one kind of fault at front, for d.
@@ -139,7 +140,7 @@
 func (faults *faults) run(ctx context.Context) {
 	began := time.Now()
 	for ctx.Err() == nil {
-		next := allFaults[faults.rng.IntN(len(allFaults))]
+		next := faults.kinds[faults.rng.IntN(len(faults.kinds))]
 		f := faults.site.fronts[faults.rng.IntN(frontCount)]
 		draw, d := faults.rng.Uint64(), time.Duration(faults.rng.Int64N(int64(longestFault)))
 		pause := time.Duration(faults.rng.Int64N(int64(longestPause)))
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -37,6 +37,11 @@
 	endpoints []*endpoint
 	version   int
 	named     int
+	// organisations tells whether the configuration has any. rotation counts the
+	// changes of a key, quota is the rate and burst of the one that has a quota.
+	organisations bool
+	rotation      int
+	quota         float64
 	// failing is the share of requests that endpoints fail in some way.
 	failing float64
 	rng     *rand.Rand
@@ -60,9 +65,12 @@
 	gone  bool
 }
 
-func newSite(t *testing.T, seed uint64) *site {
+func newSite(t *testing.T, seed uint64) *site { return newSiteOf(t, seed, false) }
+
+// newSiteOf returns a site, with organisations or without.
+func newSiteOf(t *testing.T, seed uint64, organisations bool) *site {
 	t.Helper()
-	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1))}
+	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), organisations: organisations, quota: usualQuota}
 	s.configure()
 	for n := range modelCount + toolCount {
 		s.add(n < modelCount, nil)
@@ -91,8 +99,17 @@
 func (s *site) configure() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.configureLocked()
+}
+
+// configureLocked is configure for a caller that holds mu.
+func (s *site) configureLocked() int {
 	s.version += 1 + s.named%3
-	platformtest.Configure(s.memory, platformtest.Configuration(s.version))
+	document := platformtest.Configuration(s.version)
+	if s.organisations {
+		document = platformtest.WithOrganisations(document, s.organisationsLocked()...)
+	}
+	platformtest.Configure(s.memory, document)
 	return s.version
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,10 +57,14 @@
 }
 
 func soak(t *testing.T, seed uint64, span time.Duration) {
-	s := newSite(t, seed)
+	soakSite(t, newSite(t, seed), seed, span, allFaults)
+}
+
+// soakSite injects faults of kinds into a site for span, while callers play programs.
+func soakSite(t *testing.T, s *site, seed uint64, span time.Duration, kinds []fault) {
 	b := &book{attempts: map[string]*attempt{}}
 	planned := seed%4 == 0
-	faults := &faults{site: s, rng: rand.New(rand.NewPCG(seed, 2)), planned: planned, log: t.Logf}
+	faults := &faults{site: s, rng: rand.New(rand.NewPCG(seed, 2)), planned: planned, log: t.Logf, kinds: kinds}
 	calls, stop := context.WithCancel(context.Background())
 	defer stop()
 	var callers sync.WaitGroup
@@ -75,6 +79,9 @@
 	stop()
 	callers.Wait()
 	s.checkRecovered(b, seed)
+	if s.organisations {
+		s.checkOrganisations(b, seed)
+	}
 	// A write that was lost may come late; what it does must harm nobody.
 	s.memory.ApplyLate()
 	for _, broken := range b.broken(s.runsByID(), planned) {
