quota: a quota is known though all that are named as its home have ended

Cause: a request asks three instances, and three are named as an organisation's home; with half of the processes gone, all three are for one organisation in eight. An instance that a question found ended was still named in the next one.

Change: an ended process is left out as after any other call, and asking it does not count as one of the three tries; it takes no time to find out.

Tests, failing before: TestQuotaIsKnownThoughAllItsHomesHaveEnded, TestEndedInstanceIsNamedAsNoHome.

--- a/entrypeer/credit.go
+++ b/entrypeer/credit.go
@@ -81,7 +81,7 @@
 const homeCandidates = 3
 
 // AskCredit implements quota.Peers. An instance that is late is not left out of
-// other calls for it.
+// other calls for it; one whose process has ended is.
 func (client *Client) AskCredit(ctx context.Context, name string, question quota.Question) (quota.Answer, error) {
 	instance, ok := client.directory.named(name)
 	if !ok {
@@ -92,7 +92,11 @@
 		Asker: ask.Asker, Program: ask.Program, New: ask.New, Patience: ask.Patience, Left: ask.Left, Spare: ask.Spare, Returned: ask.Returned, Hops: question.Hops}
 	var answer creditAnswer
 	if err := client.exchange(ctx, instance, pathCredit, &message, &answer); err != nil {
-		return quota.Answer{}, quotaError(err)
+		err = quotaError(err)
+		if errors.Is(err, quota.ErrNotRunning) {
+			client.directory.failed(instance, false)
+		}
+		return quota.Answer{}, err
 	}
 	return quota.Answer{Granted: answer.Granted, Wait: answer.Wait, Spare: answer.Spare, Level: float64(answer.Level)}, nil
 }
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -157,6 +157,20 @@
 	assert.True(t, shut.directory.Isolated())
 }
 
+// Guards against an ended process that goes on being named as the home of a quota:
+// if all that are named have ended, nobody is asked.
+func TestEndedInstanceIsNamedAsNoHome(t *testing.T) {
+	memory := storetest.New()
+	own, ended := start(t, memory, "own"), start(t, memory, "ended")
+	require.Eventually(t, func() bool { _, all := own.directory.Members(); return len(all) == 2 }, 2*time.Second, 5*time.Millisecond)
+	require.Contains(t, own.client.Homes("x", false), "ended")
+	ended.server.CloseClientConnections()
+	ended.server.Close()
+	_, err := own.client.AskCredit(context.Background(), "ended", quota.Question{Organisation: "x", Limit: quota.Limit{Rate: 1, Burst: 1}})
+	require.ErrorIs(t, err, quota.ErrNotRunning)
+	assert.NotContains(t, own.client.Homes("x", false), "ended")
+}
+
 // Guards against turns refused for a store that others reach: of those that the
 // store turns away, too, an instance asked the same ones again and again.
 func TestInstanceThatReachesStoreIsFoundAmongOthers(t *testing.T) {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -41,6 +41,9 @@
 	isProcessOnly bool
 	// isCalm: no instance freezes or is cut off, and no answer is lost.
 	isCalm bool
+	// leavesOut: an instance that was not reached is left out for a second, as
+	// after other calls than those for quotas. One whose process has ended always is.
+	leavesOut bool
 	// mute are pairs of instances of which the first does not reach the second,
 	// deaf those of which the first does not hear the second's answers to
 	// questions. asks counts questions by pair.
@@ -71,7 +74,9 @@
 	known   map[string]bool
 	joined  map[string]time.Time
 	changed time.Time
-	news    []news
+	// unreached are those that did not answer, until when they are left out.
+	unreached map[string]time.Time
+	news      []news
 }
 
 type news struct {
@@ -106,7 +111,7 @@
 // start is a new start of the instance: it reads the list and enters itself.
 func (m *member) start() {
 	m.dead, m.frozen, m.stopping, m.left = false, false, false, false
-	m.joined = map[string]time.Time{}
+	m.joined, m.unreached = map[string]time.Time{}, map[string]time.Time{}
 	m.known, m.news, m.changed = map[string]bool{}, nil, m.fleet.clock.Now()
 	for _, other := range m.fleet.instances {
 		if other.limiter != nil && !other.left {
@@ -142,6 +147,7 @@
 		if n.joined {
 			m.known[n.name] = true
 			m.joined[n.name] = now
+			delete(m.unreached, n.name)
 		} else {
 			delete(m.known, n.name)
 		}
@@ -155,11 +161,13 @@
 }
 
 // Homes implements quota.Peers.
-func (m *member) Homes(organisation string, _ bool) []string {
+func (m *member) Homes(organisation string, all bool) []string {
 	m.learn()
 	var names []string
 	for name := range m.known {
-		names = append(names, name)
+		if all || !m.fleet.clock.Now().Before(m.unreached[name]) {
+			names = append(names, name)
+		}
 	}
 	score := func(name string) uint64 {
 		h := fnv.New64a()
@@ -201,8 +209,12 @@
 func (m *member) AskCredit(ctx context.Context, name string, question quota.Question) (quota.Answer, error) {
 	other, err := m.peer(name)
 	if err != nil {
+		if m.fleet.leavesOut || errors.Is(err, quota.ErrNotRunning) {
+			m.unreached[name] = m.fleet.clock.Now().Add(time.Second)
+		}
 		return quota.Answer{}, err
 	}
+	delete(m.unreached, name)
 	m.fleet.asks[[2]string{m.name, name}]++
 	answer, err := other.limiter.Answer(ctx, question)
 	if m.fleet.deaf[[2]string{m.name, name}] || !m.fleet.isCalm && m.fleet.random.IntN(200) == 0 {
@@ -377,6 +389,7 @@
 // play has callers ask for much more than their quotas in bursts, amid troubles, and
 // checks every window.
 func (f *fleet) play() {
+	f.leavesOut = true
 	organisations := []string{"small", "middle", "large"}
 	for i, organisation := range organisations {
 		rate := []float64{5, 20, 200}[i]
--- a/quota/guard_test.go
+++ b/quota/guard_test.go
@@ -79,6 +79,16 @@
 	assert.InDelta(t, 60, f.drainFor(3*time.Second, order[0], order[1]), 4, "the rate, once")
 }
 
+// Guards against two homes at once, each with the whole rate: an instance that does
+// not reach the home by any call, though others do, leaves it out and takes over.
+func TestInstanceThatLeavesTheHomeOutIsNoHome(t *testing.T) {
+	f, order := calm(t)
+	f.leavesOut = true
+	f.drainAt(order[0])
+	f.cutFrom(order[0], true, order[1])
+	assert.InDelta(t, 60, f.drainFor(3*time.Second, order[0], order[1]), 4, "the rate, once")
+}
+
 // Guards against two homes at once for as long as a suspicion lasts: an instance
 // stands in for a home that is in reach again, and nobody tells it.
 func TestInstanceThatStandsInLooksWhetherTheHomeIsBack(t *testing.T) {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -211,7 +211,7 @@
 		return Answer{}, self, ErrNotHome
 	}
 	last := ErrNotHome
-	for range candidates {
+	for tries := (tries{}); tries.next(last); {
 		home, next, isStandIn := limiter.home(question.Organisation)
 		switch {
 		case home == self && isStandIn && next != "":
@@ -244,9 +244,28 @@
 	return Answer{}, "", last
 }
 
-// candidates are how many instances are asked for one request at most: a home
-// that does not answer, the next, and one more.
-const candidates = 3
+const (
+	// candidates are how many instances are asked for one request at most: a home
+	// that does not answer, the next, and one more.
+	candidates = 3
+	// mostOver is how many more are asked that are over, which takes no time to
+	// find out: half of all processes may have ended at once, and ten in a row
+	// have then for one organisation in a thousand.
+	mostOver = 8
+)
+
+// tries counts the instances that are asked for one request.
+type tries struct{ asked, over int }
+
+// next reports whether another instance is asked, after one that ended with last.
+func (tries *tries) next(last error) bool {
+	if isOver(last) && tries.over < mostOver {
+		tries.over++
+		return true
+	}
+	tries.asked++
+	return tries.asked <= candidates
+}
 
 // mostHops is how often a question is passed on: by one instance that knows a
 // newer home, and one that the home's answer did not reach.
@@ -313,7 +332,8 @@
 		return Answer{}, ErrStopping
 	}
 	self := limiter.peers.Self()
-	for range candidates {
+	var last error
+	for tries := (tries{}); tries.next(last); {
 		home, _, _ := limiter.home(question.Organisation)
 		switch {
 		case home == self:
@@ -330,6 +350,7 @@
 		if err == nil || errors.Is(err, ErrNotHome) || ctx.Err() != nil {
 			return answer, err
 		}
+		last = err
 		question.Ask.Returned = 0
 	}
 	return Answer{}, ErrNotHome
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -96,6 +96,23 @@
 	assert.InDelta(t, 20, granted, 8, "the rate, from when it stood in")
 }
 
+// Guards against requests that nobody answers for since the processes of all that
+// may be the home have ended at once, while others live.
+func TestQuotaIsKnownThoughAllItsHomesHaveEnded(t *testing.T) {
+	f, order := settled(t)
+	f.isCalm = true
+	require.NoError(t, f.take(order[0]))
+	for _, m := range order {
+		m.dead = true
+	}
+	for _, m := range f.instances {
+		if !m.dead {
+			var unsure *quota.UnsureError
+			assert.NotErrorAs(t, f.take(m), &unsure, m.name)
+		}
+	}
+}
+
 // Guards against an instance that takes itself for cut off, and refuses all,
 // since the processes of many others have ended.
 func TestEndedProcessesDoNotMakeAnInstanceCutOff(t *testing.T) {
