store: silent partitions are tried once a second, as before

Found in reading: tries that overlap are meant for a whole store that is away, which is tried by one partition. With a part of the partitions silent, all of these were tried, five times a second in place of once: 34 of 96 by each of 31 instances are 5,000 calls a second, where the store serves 2,000 reads. Now only the whole store's tries overlap.

Test, failing before (25 tries in 5 s): TestSilentPartitionsAreTriedOnceASecond.

--- a/store/guard.go
+++ b/store/guard.go
@@ -31,9 +31,12 @@
 	slowCall = 100 * time.Millisecond
 	slowTime = time.Second
 	// probeInterval is how often a store that is away is tried, probeTimeout
-	// how long each try waits. While one has no answer the next begins after
-	// probeSpacing: a store that was silent never answers the tries of before,
-	// and each caller that waits for it waits for the try after its return.
+	// how long each try waits. While the whole store is away and a try has no
+	// answer, the next begins after probeSpacing: a store that was silent never
+	// answers the tries of before, and each caller that waits for it waits for the
+	// try after its return. Partitions are tried all at once, one try at a time: 34
+	// of 96 that are silent, five times a second by 31 instances, would be 5,000
+	// calls a second, where the store serves 2,000.
 	probeInterval = 100 * time.Millisecond
 	probeSpacing  = 200 * time.Millisecond
 	probeTimeout  = time.Second
@@ -230,7 +233,8 @@
 	var last time.Time
 	ended := make(chan error, 1)
 	clock.Every(ctx, probeInterval, func(now time.Time) {
-		if len(guard.toProbe()) == 0 || pending.Load() > 0 && now.Sub(last) < probeSpacing {
+		isEarly := !guard.WholeAway() || now.Sub(last) < probeSpacing
+		if len(guard.toProbe()) == 0 || pending.Load() > 0 && isEarly {
 			return
 		}
 		last = now
--- a/store/guard_test.go
+++ b/store/guard_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -282,10 +283,12 @@
 // asked before.
 type returning struct {
 	store.Store
-	back time.Time
+	back  time.Time
+	reads atomic.Int32
 }
 
 func (s *returning) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	s.reads.Add(1)
 	if time.Now().Before(s.back) {
 		<-ctx.Done()
 		return store.Page{}, store.NewError(store.FailureUnanswered, "read", "test")
@@ -323,6 +326,30 @@
 	}
 }
 
+// Guards against a store that is pressed with tries of partitions that are silent,
+// while it serves the others.
+func TestSilentPartitionsAreTriedOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &returning{Store: storetest.New(), back: time.Now().Add(time.Hour)}
+		guard := store.NewGuard(s, func(string, bool, error) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go guard.Run(ctx, done)
+		for range 3 {
+			limited, end := context.WithTimeout(ctx, 600*time.Millisecond)
+			_, err := guard.Read(limited, store.Range{Table: "t", Partition: "a"})
+			assert.True(t, store.Unserved(err))
+			end()
+		}
+		require.True(t, guard.Away("a"))
+		before := s.reads.Load()
+		time.Sleep(5 * time.Second)
+		assert.LessOrEqual(t, s.reads.Load()-before, int32(5))
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
 // Guards against events that are passed on at once while the store serves no turn,
 // and held back while it does.
 func TestStoreIsFoundSlow(t *testing.T) {
