gateway: a request's line tells that its events were held back

From a request's ID to its cause: an answer whose first event came late, or a 502 after a run, while the store was slow or the budget promised in part, could not be told from a slow endpoint. TestStreamWithPartOfItsBudgetOutlastsAnOutage looks for it.

--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -77,6 +77,8 @@
 func TestStreamWithPartOfItsBudgetOutlastsAnOutage(t *testing.T) {
 	b := newBed(t)
 	b.model.Events, b.model.Pause = 21, 10*time.Millisecond // of 27 tokens: the most of the turn
+	logs := &lockedBuffer{}
+	b.logs = logs
 	i := b.start()
 	require.NoError(t, i.accounts.AcquireOnce(context.Background(), alone{}, false))
 	b.memory.SetFault(func(op, _ string) storetest.Fault {
@@ -91,6 +93,7 @@
 	body, err := i.patient(ask{path: "/chat/x", id: "t1", body: "x", header: turnOf("p", nil)})
 	require.NoError(t, err)
 	assert.Equal(t, events("t1", 1, 21), body)
+	assert.Contains(t, logs.String(), "held_back=true")
 }
 
 // Guards against whole answers that are lost since their callers leave while the
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -123,6 +123,8 @@
 	events    [][]byte
 	lastEvent string
 	outbox    *outbox
+	// heldBack tells that an event was not given to the caller at once.
+	heldBack bool
 	// What the caller was given: the head of an answer, and how many events.
 	answered  bool
 	status    int
@@ -574,6 +576,9 @@
 			attrs = append(attrs, slog.Int64("promised", e.reservation.Promised()), slog.Uint64("budget_version", e.reservation.Version), slog.String("budget_home", e.reservation.Home()))
 		}
 	}
+	if e.heldBack {
+		attrs = append(attrs, slog.Bool("held_back", true))
+	}
 	if e.call != nil && e.call.Previous != "" {
 		attrs = append(attrs, slog.String("previous", e.call.Previous))
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -176,6 +176,7 @@
 	}
 	e.outbox.add(event)
 	if e.holdsBack() {
+		e.heldBack = true
 		return e.give(e.outbox.takeDue(e.Clock.Now()))
 	}
 	return e.give(e.outbox.takeAll(e.Clock.Now()))
