--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -135,8 +135,10 @@
 		play.list = append(play.list, endpoint)
 		play.index[endpoint.ID] = i
 	}
-	for range model.instances {
-		play.pickers = append(play.pickers, balance.NewPicker(play.clock))
+	for n := range model.instances {
+		picker := balance.NewPicker(play.clock)
+		picker.DrawFrom(rand.New(rand.NewPCG(model.seed, uint64(2+n))))
+		play.pickers = append(play.pickers, picker)
 	}
 	play.at(0, play.arrive)
 	for len(play.events) > 0 {
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -69,6 +69,8 @@
 // Picker knows the load of the endpoints. It is safe for concurrent use.
 type Picker struct {
 	clock clock.Clock
+	// draw returns a random number below n, for a choice among equals.
+	draw func(n int) int
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -103,7 +105,7 @@
 
 // NewPicker returns a picker that knows nothing yet.
 func NewPicker(clk clock.Clock) *Picker {
-	return &Picker{clock: clk, endpoints: map[string]*endpoint{}, services: map[string]*service{}, shared: newSharedParts()}
+	return &Picker{clock: clk, draw: rand.IntN, endpoints: map[string]*endpoint{}, services: map[string]*service{}, shared: newSharedParts()}
 }
 
 // Choice is a request given to an endpoint, until Done.
@@ -149,7 +151,7 @@
 			ties = 1
 		case bestAvoided == avoided && cost == best.Cost:
 			ties++
-			better = rand.IntN(ties) == 0
+			better = picker.draw(ties) == 0
 		}
 		if better {
 			best = Choice{picker: picker, endpoint: candidate, state: state, began: now, prompt: len(request.Parts) > 0, Missing: missing, Cost: cost}
