--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -56,10 +56,10 @@
 	// closed counts the connections that a stop closed as quiet, late those
 	// on which bytes came after that, lateBytes these bytes.
 	closed, late, lateBytes int
-	// stopping is when the listener is closed; accepted counts the connections
+	// closing is when a stop closes the listener; accepted counts the connections
 	// taken within lateAccept before, unanswered those that ended since the stop
 	// began after bytes came that nothing was answered to.
-	stopping             time.Time
+	closing              time.Time
 	accepted, unanswered int
 }
 
@@ -107,7 +107,7 @@
 	}
 	began := time.Now()
 	server.mu.Lock()
-	server.stopping = began.Add(noticeTime)
+	server.closing = began.Add(noticeTime)
 	server.mu.Unlock()
 	time.Sleep(noticeTime)
 	_ = listener.Close()
@@ -136,7 +136,7 @@
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	server.conns[conn] = true
-	if !server.stopping.IsZero() && conn.since.After(server.stopping.Add(-lateAccept)) {
+	if !server.closing.IsZero() && conn.since.After(server.closing.Add(-lateAccept)) {
 		server.accepted++
 	}
 }
@@ -147,7 +147,7 @@
 	server.mu.Lock()
 	_, open := server.conns[conn]
 	delete(server.conns, conn)
-	tell := open && unanswered && !server.stopping.IsZero()
+	tell := open && unanswered && !server.closing.IsZero()
 	if tell {
 		server.unanswered++
 	}
--- a/store/persistent.go
+++ b/store/persistent.go
@@ -42,7 +42,7 @@
 )
 
 // Persistent makes a call again, beside the first, when its answer does not
-// come in a few times the usual time, since a store that loses answers, or a
+// come in a few times the usual time, and later ones are answered, since a store that loses answers, or a
 // connection that went silent, would cost the caller the whole of a long
 // timeout. The first is not given up: the store may only be slow. A
 // transaction that was applied without an answer fails its conditions when
