gateway: a held event keeps the caller of an endpoint that pauses

Found in reading: while events are held back the next one was waited for without looking at the caller. Of an endpoint that pauses for longer than its caller waits, the caller left with nothing, though an event was there.

Test, failing before (the caller leaves after two seconds): TestHeldEventKeepsCallerOfEndpointThatPauses.

--- a/gateway/outage_test.go
+++ b/gateway/outage_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 )
@@ -118,3 +119,23 @@
 	assert.Equal(t, events("t2", 1, 3), body)
 	<-first
 }
+
+// Guards against a caller that leaves an endpoint which pauses, while an event that it
+// was not given yet is held back.
+func TestHeldEventKeepsCallerOfEndpointThatPauses(t *testing.T) {
+	b := newBed(t)
+	b.model.Behave(func(*platformtest.Run) platformtest.Behaviour {
+		return platformtest.Behaviour{Stall: 2400 * time.Millisecond}
+	})
+	i := b.start()
+	require.NoError(t, i.accounts.AcquireOnce(context.Background(), alone{}, false))
+	b.memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	body, err := i.patient(ask{path: "/chat/x", id: "t1", body: "x", header: turnOf("p", nil)})
+	require.NoError(t, err)
+	assert.Equal(t, events("t1", 1, 3), body)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,7 +25,7 @@
 func (e *exchange) relayStream(ctx context.Context, response *upstream.Response) (balance.Outcome, error) {
 	reader := eventstream.NewReader(response.Body)
 	for {
-		event, err := reader.Next()
+		event, err := e.next(ctx, reader)
 		switch {
 		case err == io.EOF:
 			e.open(response)
@@ -45,6 +45,17 @@
 	}
 }
 
+// next returns the stream's next event. Events that are held back keep the caller
+// of an endpoint that pauses.
+func (e *exchange) next(ctx context.Context, reader *eventstream.Reader) (event eventstream.Event, err error) {
+	err = e.whileWaiting(ctx, func(context.Context) error {
+		var err error
+		event, err = reader.Next() // ends with the answer's connection, and that with ctx
+		return err
+	})
+	return event, err
+}
+
 // open notes the answer that the caller's stream begins with.
 func (e *exchange) open(response *upstream.Response) {
 	if e.opening == nil {
