gateway: count responses towards the memory of requests in flight

Callers and endpoints may read slowly. Up to 1 MiB of each plain response was read before any of it was relayed, and nothing of it counted towards the memory limit, nor did the events of a stream whose turn is stored. Some tens of callers that do not read could make the process exceed its memory, which ends it with all its requests.

Both are counted now and released with the request. When the limit is reached, a response is relayed as it is read instead of being refused: its request has run. The state dump shows the memory held (body_bytes).

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -24,6 +24,9 @@
 	// is relayed. A response that breaks off within this size is detected and
 	// can be retried.
 	maxBufferedBody = 1 << 20
+	// bufferStep is how much of a plain response is read at a time before the
+	// memory for bodies is checked.
+	bufferStep = 32 << 10
 	// lastEventHeader names the event after which a stream resumes.
 	lastEventHeader = "Last-Event-Id"
 )
@@ -177,11 +180,27 @@
 	e.w.WriteHeader(response.Status)
 }
 
-// relayBuffered relays a plain response. A body of at most maxBufferedBody is
-// read completely first; a longer one is then streamed.
+// bufferBody reads the beginning of a response body, up to maxBufferedBody, and
+// less if the memory for bodies is exhausted. Callers that read slowly could
+// otherwise make the process exceed its memory. It reports whether the body is
+// complete.
+func (e *exchange) bufferBody(body io.Reader) (data []byte, complete bool, err error) {
+	var buffer bytes.Buffer
+	for buffer.Len() < maxBufferedBody && e.countMemory(0) {
+		n, err := io.CopyN(&buffer, body, bufferStep)
+		e.countMemory(n)
+		if err != nil {
+			return buffer.Bytes(), err == io.EOF, err
+		}
+	}
+	return buffer.Bytes(), false, nil
+}
+
+// relayBuffered relays a plain response. A body within the limits of bufferBody
+// is read completely first; a longer one is then streamed.
 func (e *exchange) relayBuffered(ctx context.Context, response *upstream.Response) (balance.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody+1))
-	if err != nil {
+	body, complete, err := e.bufferBody(response.Body)
+	if err != nil && !complete {
 		if ctx.Err() != nil {
 			return balance.OutcomeAbandoned, err
 		}
@@ -191,7 +210,7 @@
 	if response.Status >= http.StatusInternalServerError {
 		outcome = balance.OutcomeFailed
 	}
-	if len(body) <= maxBufferedBody {
+	if complete {
 		e.writeHead(response, len(body))
 		_, _ = e.w.Write(body) // the caller may be gone; the request has run
 		return outcome, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,8 @@
 	serviceQueues *serviceQueues
 	draining      atomic.Bool
 	inFlight      atomic.Int64
-	// bodyMemory is the number of bytes reserved for bodies and prompts of the
-	// requests in flight.
+	// bodyMemory is the number of bytes reserved for the bodies, prompts and
+	// responses of the requests in flight.
 	bodyMemory atomic.Int64
 }
 
@@ -123,15 +123,17 @@
 
 // State holds the gateway's section of a state dump.
 type State struct {
-	Ready         bool           `json:"ready"`
-	Draining      bool           `json:"draining"`
-	Configuration uint64         `json:"configuration"`
-	Routes        int            `json:"routes"`
-	Endpoints     int            `json:"endpoints"`
-	InFlight      int64          `json:"in_flight"`
-	Programs      int            `json:"programs"`
-	Load          []balance.View `json:"load"`
-	Services      []ServiceState `json:"services"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	Configuration uint64 `json:"configuration"`
+	Routes        int    `json:"routes"`
+	Endpoints     int    `json:"endpoints"`
+	InFlight      int64  `json:"in_flight"`
+	// BodyBytes is the memory held for bodies, prompts and responses.
+	BodyBytes int64          `json:"body_bytes"`
+	Programs  int            `json:"programs"`
+	Load      []balance.View `json:"load"`
+	Services  []ServiceState `json:"services"`
 }
 
 // ServiceState describes the admission queue of one service in a state dump.
@@ -146,7 +148,7 @@
 // State returns the gateway's section of a state dump, of type State.
 func (gateway *Gateway) State() any {
 	state := State{Ready: gateway.Ready(), Draining: gateway.draining.Load(), Endpoints: gateway.Endpoints.Len(),
-		InFlight: gateway.InFlight(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state()}
+		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state()}
 	if table := gateway.Routes.Load(); table != nil {
 		state.Configuration, state.Routes = table.Version(), table.Routes()
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -103,7 +103,8 @@
 	body   []byte
 	prompt []byte
 
-	// memoryUsed is the number of bytes reserved for the body and the prompt.
+	// memoryUsed is the number of bytes reserved for the body, the prompt and
+	// what is kept of the response.
 	memoryUsed int64
 	// chain holds the earlier turns of the conversation, the oldest first.
 	chain []*history.Turn
@@ -301,13 +302,19 @@
 // the limit is exceeded. A process that exceeds its memory is killed together
 // with all its requests.
 func (e *exchange) reserveMemory(size int64) error {
-	e.memoryUsed += size
-	if e.bodyMemory.Add(size) > e.MaxBodyBytes && e.MaxBodyBytes > 0 {
+	if !e.countMemory(size) {
 		return refuse(ReasonNoMemory, http.StatusServiceUnavailable, busyRetryAfter, nil)
 	}
 	return nil
 }
 
+// countMemory adds size to the memory of the request, which settle releases. It
+// reports whether all requests together are within the limit.
+func (e *exchange) countMemory(size int64) bool {
+	e.memoryUsed += size
+	return e.bodyMemory.Add(size) <= e.MaxBodyBytes || e.MaxBodyBytes <= 0
+}
+
 // readBody reads the request's body. It returns a *refusal if the body exceeds
 // the size limit, the memory for bodies is exhausted, or reading fails.
 func (e *exchange) readBody() error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -184,6 +184,7 @@
 	if event.HasData {
 		e.received++
 		if e.route.KeepsHistory {
+			e.countMemory(int64(len(event.Raw)))
 			e.eventData = append(e.eventData, event.Data)
 		}
 	}
