balance: do not send requests together that exceed an engine's memory

An engine that holds more than its memory crashes, or preempts the newest request. The choice of an endpoint went by the number of requests there, whatever their size. Requests of other instances are not known and not counted; the reported load covers them.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -24,6 +24,8 @@
 	// Segments holds the prompt segments in order; it is empty for a request
 	// without a prompt.
 	Segments []Part
+	// OutputTokens is the maximum number of tokens that the request generates.
+	OutputTokens int64
 	// Capacity is the size of an engine's key-value cache in tokens; 0 for a
 	// service that runs no language model.
 	Capacity int64
@@ -112,6 +114,7 @@
 	// this instance.
 	otherLoad  int
 	cache      *segmentCache
+	memory     engineMemory
 	failures   int
 	avoidUntil time.Time
 	health     health
@@ -125,12 +128,11 @@
 // Choice is the assignment of a request to an endpoint. It lasts until Done.
 type Choice struct {
 	picker    *Picker
+	request   *Request
 	endpoint  *membership.Endpoint
 	state     *endpoint
 	startedAt time.Time
 	responded bool
-	// hasPrompt reports whether the request has prompt segments.
-	hasPrompt bool
 	// MissingTokens is the number of prompt tokens that the endpoint is expected to
 	// prefill.
 	MissingTokens int64
@@ -142,9 +144,9 @@
 func (choice *Choice) Endpoint() *membership.Endpoint { return choice.endpoint }
 
 // Pick chooses the candidate with the lowest expected cost for request. It
-// leaves out the candidates whose ID skip reports, and those that were
-// unreachable a moment ago unless there are no others. It returns nil if no
-// candidate remains.
+// leaves out the candidates whose ID skip reports, those whose memory the
+// request would exceed, and those that were unreachable a moment ago unless
+// there are no others. It returns nil if no candidate remains.
 func (picker *Picker) Pick(candidates []*membership.Endpoint, request *Request, skip func(id string) bool) *Choice {
 	picker.mu.Lock()
 	defer picker.mu.Unlock()
@@ -158,6 +160,9 @@
 			continue
 		}
 		state := picker.state(candidate.Incarnation())
+		if state.inFlight > 0 && !state.memory.fits(request) {
+			continue
+		}
 		avoided := now.Before(state.avoidUntil)
 		cost, missing := picker.cost(candidate, state, request, replicas.has(i), now)
 		better := best.state == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < best.Cost
@@ -169,7 +174,7 @@
 			better = picker.randIntN(ties) == 0
 		}
 		if better {
-			best = Choice{picker: picker, endpoint: candidate, state: state, startedAt: now, hasPrompt: len(request.Segments) > 0, MissingTokens: missing, Cost: cost}
+			best = Choice{picker: picker, request: request, endpoint: candidate, state: state, startedAt: now, MissingTokens: missing, Cost: cost}
 			bestAvoided = avoided
 		}
 	}
@@ -177,6 +182,7 @@
 		return nil
 	}
 	best.state.inFlight++
+	best.state.memory.add(request)
 	best.state.health.sent(now)
 	best.state.cache.add(request.Segments, request.Capacity, now)
 	return &best
@@ -274,7 +280,7 @@
 	if stats.headerTime == 0 {
 		stats.headerTime = headerTime
 	}
-	if choice.hasPrompt {
+	if len(choice.request.Segments) > 0 {
 		stats.prefill.observe(choice.MissingTokens, min(took, outlierFactor*(stats.headerTime+expected)))
 	}
 	stats.headerTime += time.Duration(serviceTimeWeight * float64(headerTime-stats.headerTime))
@@ -332,6 +338,7 @@
 	now := picker.clock.Now()
 	state := choice.state
 	state.inFlight--
+	state.memory.remove(choice.request)
 	if !choice.responded {
 		state.health.resolved(now, outcome == OutcomeRefused)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -640,7 +640,7 @@
 // balanceRequest returns the properties of the request that the picker uses to
 // choose an endpoint.
 func (e *exchange) balanceRequest() *balance.Request {
-	request := &balance.Request{DataCentre: e.DataCentre, Segments: e.call.Segments}
+	request := &balance.Request{DataCentre: e.DataCentre, Segments: e.call.Segments, OutputTokens: e.call.MaxTokens}
 	if service := e.table.Service(e.service); service != nil && service.Model != nil {
 		request.Capacity = service.Model.Capacity
 	}
