entrypeer, feed: read followed tables along a tree of instances

Calls and bytes grew with instances times changes.

The instances of a data centre now form a tree by a hash of their names: the first reads the store, each other one an instance before it, with a fan-out of 16. Nobody reads from an instance behind it in the order, so there are no cycles whatever each knows of the others. A page bears the version of the store, so that an instance may change its source at any time without missing a change or going back. Each change of the source is logged with its reason.

- Dead, restarting or older instances that serve no tables are avoided for 2 to 16 s, suspended ones after 1.7 s; two are tried for a call, then the store.
- A table that is not confirmed for two seconds, or whose instance cannot read it, is outdated.
At most two instances are avoided for that at a time, so that three instances of a data centre call a store that is away from all, and the others wait for them.
An instance that the store turns away reads through another, as before.
- An outage that the source went through fails one call of its readers, so that entries that expire in it are not taken for departures.
- A change without a meaning, such as the number in an endpoint's heartbeat, is not passed on, and not applied by a small fleet either.
- A data centre of up to 16 instances reads the store as before.

Weighed: batching of changes (calls stay linear in instances, bytes instances times changes); a star of one reader in each data centre (730 readers of one instance at the target size); gossip (more messages, and no version to continue from).

TestChangesArriveWhileReaderFails and TestOutageOfStoreCausesNoStorm play dead, suspended and cut off readers and an outage; entrypeer plays 40 instances on loopback.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/feed"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 	"github.com/wagtaildrum/wagtaildrum/route"
@@ -44,6 +46,10 @@
 	// writes, the number of calls would otherwise grow with the square of the
 	// number of processes.
 	MaxGatherDelay time.Duration
+	// Same reports whether two values of a row have the same meaning, so that a
+	// change from one to the other is not applied. Without it, values are
+	// compared byte by byte.
+	Same func(a, b []byte) bool
 	// Apply receives one changed row, which may be marked as removed.
 	Apply func(row store.Row)
 	// ReplaceAll receives all rows of the table (or the row of interest) and
@@ -57,11 +63,13 @@
 // Follower delivers the contents and changes of one table to a Source. Use
 // NewFollower.
 type Follower struct {
-	store  store.Store
+	reader store.Reader
 	source Source
-	log    *slog.Logger
+	// table is what was read so far.
+	table *feed.Copy
+	log   *slog.Logger
 	// lost counts the times when the store became unavailable; stale is the
-	// number of seconds since it last responded.
+	// number of seconds since the table was last known to be current.
 	lost  tally.Counter
 	stale tally.Gauge
 	clock clock.Clock
@@ -71,13 +79,20 @@
 	gatheredAt  time.Time
 }
 
-// NewFollower returns a Follower of source. It reports the metrics follow_lost
-// and follow_stale_seconds to scope, tagged with the table.
-func NewFollower(s store.Store, source Source, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Follower {
+// NewFollower returns a Follower of source, which it reads from reader. It
+// reports the metrics follow_lost and follow_stale_seconds to scope, tagged with
+// the table.
+func NewFollower(reader store.Reader, source Source, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Follower {
 	scope = scope.Tagged(map[string]string{"table": source.Table})
-	return &Follower{store: s, source: source, log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), stale: scope.Gauge("follow_stale_seconds")}
+	return &Follower{reader: reader, source: source, table: feed.NewCopy(source.Same, clk), log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), stale: scope.Gauge("follow_stale_seconds")}
 }
 
+// TableName returns the name of the table.
+func (follower *Follower) TableName() string { return follower.source.Table }
+
+// Table returns what the follower has read of the table, for other instances.
+func (follower *Follower) Table() *feed.Copy { return follower.table }
+
 // Run reads the table, then watches it for changes, until ctx ends. After a
 // failure it retries with backoff; if the store no longer has the history since
 // the last version seen, it reads the full table again. It sends nil on done
@@ -103,7 +118,7 @@
 			}
 			failing, lastSuccess = false, now
 			backoff = retry.Backoff{Initial: initialBackoff, Max: maxBackoff}
-			follower.stale.Update(0)
+			follower.stale.Update(now.Sub(follower.table.ConfirmedAt()).Seconds())
 			continue
 		}
 		if store.Is(err, store.FailureCompacted) {
@@ -120,6 +135,7 @@
 			follower.source.OnUnavailable()
 		}
 		failing = true
+		follower.table.SetFailing()
 		follower.stale.Update(now.Sub(lastSuccess).Seconds())
 		clock.Sleep(ctx, initialBackoff/2+backoff.Next()) // the loop condition checks ctx
 	}
@@ -135,8 +151,9 @@
 		r.From, r.To = follower.source.RowName, follower.source.RowName+"!"
 	}
 	var version uint64
+	var confirmedAt time.Time
 	for {
-		page, err := follower.store.Read(ctx, r)
+		page, err := follower.reader.Read(ctx, r)
 		if err != nil {
 			return 0, err
 		}
@@ -144,6 +161,7 @@
 			// The pages are read at different times. The version of the first
 			// makes the watch deliver again whatever changed between them.
 			version = page.Version
+			confirmedAt = follower.clock.Now().Add(-page.Age)
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -152,22 +170,25 @@
 		r.From = page.Rows[len(page.Rows)-1].Key.Name + " "
 	}
 	follower.source.ReplaceAll(rows)
+	follower.table.Replace(rows, version, confirmedAt)
 	return version, nil
 }
 
 // applyChanges waits for changes after a version, applies them and returns the
 // version to continue from.
 func (follower *Follower) applyChanges(ctx context.Context, after uint64) (uint64, error) {
-	page, err := follower.store.Watch(ctx, follower.source.Table, after, follower.source.WatchTimeout)
+	page, err := follower.reader.Watch(ctx, follower.source.Table, after, follower.source.WatchTimeout)
 	if err != nil {
 		return after, err
 	}
-	for _, row := range page.Rows {
-		if follower.source.RowName == "" || row.Key.Name == follower.source.RowName {
-			follower.source.Apply(row)
-		}
+	rows := slices.DeleteFunc(page.Rows, func(row store.Row) bool {
+		return follower.source.RowName != "" && row.Key.Name != follower.source.RowName
+	})
+	changed := len(rows) > 0
+	for _, row := range follower.table.Apply(rows, page.Version, follower.clock.Now().Add(-page.Age)) {
+		follower.source.Apply(row)
 	}
-	follower.gather(ctx, len(page.Rows) > 0)
+	follower.gather(ctx, changed)
 	return max(after, page.Version), nil
 }
 
@@ -219,6 +240,14 @@
 // keeps list up to date and calls onRestart for each endpoint that has
 // restarted under the same ID.
 func Endpoints(table string, decode func(id string, data []byte) (*membership.Endpoint, error), list *membership.List, onRestart func(*membership.Endpoint), clk clock.Clock, log *slog.Logger) Source {
+	same := func(a, b []byte) bool {
+		before, err := decode("", a)
+		if err != nil {
+			return false
+		}
+		after, err := decode("", b)
+		return err == nil && *before == *after
+	}
 	// A rejected entry still replaces the endpoint's previous
 	// one, which is no longer valid.
 	decodeEntry := func(row store.Row) *membership.Endpoint {
@@ -236,6 +265,7 @@
 	return Source{
 		Table:         table,
 		WatchTimeout:  promptWatchWait,
+		Same:          same,
 		OnUnavailable: list.StoreUnavailable,
 		OnAvailable:   func() { list.StoreAvailable(clk.Now()) },
 		Apply: func(row store.Row) {
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -13,6 +13,7 @@
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/codec"
 	"github.com/wagtaildrum/wagtaildrum/discovery"
+	"github.com/wagtaildrum/wagtaildrum/feed"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
@@ -73,6 +74,12 @@
 	mu sync.Mutex
 	// instances holds the other instances by name.
 	instances map[string]Instance
+	// ordered holds the names of the instances of this data centre, including
+	// this one, in the order of feed.Order; nil after a change of instances.
+	ordered []string
+	// loaded is closed once the table was read.
+	loaded   chan struct{}
+	loadOnce sync.Once
 	// exclusions holds the instances that failed or announced a shutdown, by
 	// name.
 	exclusions map[string]exclusion
@@ -106,7 +113,7 @@
 
 // NewDirectory returns a directory that holds no instance but self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, exclusions: map[string]exclusion{}, unreachable: map[string]struct{}{}, noStoreUntil: map[string]time.Time{}, overwritten: make(chan struct{}, 1), changedAt: clk.Now(), joinedAt: map[string]time.Time{}}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, exclusions: map[string]exclusion{}, unreachable: map[string]struct{}{}, noStoreUntil: map[string]time.Time{}, overwritten: make(chan struct{}, 1), loaded: make(chan struct{}), changedAt: clk.Now(), joinedAt: map[string]time.Time{}}
 }
 
 // selfKey returns the key of this instance's row.
@@ -161,10 +168,12 @@
 	return discovery.Source{Table: table, WatchTimeout: watchWait, MaxGatherDelay: maxGatherDelay, OnUnavailable: func() {}, OnAvailable: func() {}, Apply: func(row store.Row) { directory.apply(row, log) }, ReplaceAll: func(rows []store.Row) {
 		directory.mu.Lock()
 		clear(directory.instances)
+		directory.ordered = nil
 		directory.mu.Unlock()
 		for _, row := range rows {
 			directory.apply(row, log)
 		}
+		directory.loadOnce.Do(func() { close(directory.loaded) })
 	}}
 }
 
@@ -183,6 +192,7 @@
 	defer directory.mu.Unlock()
 	if row.Removed {
 		delete(directory.instances, row.Key.Name)
+		directory.ordered = nil
 		delete(directory.joinedAt, row.Key.Name)
 		delete(directory.noStoreUntil, row.Key.Name)
 		directory.changedAt = directory.clock.Now()
@@ -208,9 +218,43 @@
 			directory.joinedAt[row.Key.Name] = directory.changedAt
 		}
 		directory.instances[row.Key.Name] = instance
+		directory.ordered = nil
 	}
 }
 
+// neighbours returns the names of the reachable instances of this data centre,
+// including this one, in the order of feed.Order.
+func (directory *Directory) neighbours() []string {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if directory.ordered == nil {
+		directory.ordered = []string{directory.selfKey().Name}
+		for name, instance := range directory.instances {
+			if instance.DataCentre == directory.self.DataCentre {
+				directory.ordered = append(directory.ordered, name)
+			}
+		}
+		feed.Order(directory.ordered)
+	}
+	now := directory.clock.Now()
+	reachable := make([]string, 0, len(directory.ordered))
+	for _, name := range directory.ordered {
+		if !directory.isExcluded(name, now) {
+			reachable = append(reachable, name)
+		}
+	}
+	return reachable
+}
+
+// instance returns the recorded instance of the given name, whether or not it is
+// excluded, and false if there is none.
+func (directory *Directory) instance(name string) (Instance, bool) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	instance, ok := directory.instances[name]
+	return instance, ok
+}
+
 // Observe records an instance that made a call, unless a later or the same
 // incarnation of it is recorded.
 func (directory *Directory) Observe(instance Instance) {
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -15,6 +15,7 @@
 	pathTurns    = "/entry/turns"
 	pathCredit   = "/entry/credit"
 	pathHandOver = "/entry/hand-over"
+	pathFeed     = "/entry/feed"
 )
 
 // giveBackRequest requests the release of the unused tokens that the receiver
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -6,9 +6,11 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/feed"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
@@ -24,10 +26,16 @@
 	Lender Lender
 	Turns  TurnCache
 	Quotas QuotaHome
+	// Tables holds the followed tables that other instances may read from this
+	// one, by name.
+	Tables map[string]*feed.Copy
 	// Directory, unless nil, records instances that call before their entry has
 	// been read.
 	Directory *Directory
 	Log       *slog.Logger
+
+	// polls counts the requests for tables in progress.
+	polls atomic.Int32
 }
 
 // Lender manages the accounts of programs. *account.Manager implements it.
@@ -53,6 +61,7 @@
 	mux.HandleFunc("POST "+pathTurns, server.handleTurns)
 	mux.HandleFunc("POST "+pathCredit, server.handleCredit)
 	mux.HandleFunc("POST "+pathHandOver, server.handleTransfer)
+	mux.HandleFunc("POST "+pathFeed, server.handleFeed)
 	return mux
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -65,6 +65,9 @@
 	Version uint64
 	// More is set if further rows match.
 	More bool
+	// Age is how long ago the page was known to be current; 0 if it comes from
+	// the store itself.
+	Age time.Duration
 }
 
 // Range selects rows of one partition by name, from From (inclusive) to To
@@ -82,6 +85,11 @@
 	// Commit applies a transaction and returns its version. It fails with
 	// FailureConflict if a condition does not hold.
 	Commit(ctx context.Context, tx Transaction) (uint64, error)
+	Reader
+}
+
+// Reader reads tables. All errors are of type *Error.
+type Reader interface {
 	// Read returns the rows of a range from one consistent snapshot.
 	Read(ctx context.Context, r Range) (Page, error)
 	// Watch returns the rows of a table changed after a version, in order. If
@@ -92,7 +100,7 @@
 }
 
 // Get reads one row from s. A missing row has Version 0.
-func Get(ctx context.Context, s Store, key Key) (Row, error) {
+func Get(ctx context.Context, s Reader, key Key) (Row, error) {
 	page, err := s.Read(ctx, Range{Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00", Limit: 1})
 	if err != nil {
 		return Row{}, err
