store: repeat throttled calls, and do not take throttling for an outage

When all instances start at once they exceed the store's rates together, and the store rejects calls with status 429. Each rejection counted as a failure: in one start of 518 instances, 25,742 changes of belief about the store, calls that went by way of other instances, which call the same store, and probes on top.

Guard counts throttled calls as failures only after two seconds in which the store served this instance no call at all: a store may turn a single instance away that way, and TestStoreCallsRelayedWhenDirectConnectionFails holds unchanged. A follower goes on from what it has, without telling of an outage.

Ruled out: pacing each instance to its share of the stated rates.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -148,7 +148,7 @@
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
 	owner := entrypeer.NewOwner(s.Instance, clk.Now())
-	directStore := store.NewGuard(store.NewHedged(platform.NewStore(s.Store), clk), func(partition string, unavailable bool, err error) {
+	directStore := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(s.Store), clk), clk), func(partition string, unavailable bool, err error) {
 		p.log.Info("availability of the store by the direct connection changed", "partition", partition, "away", unavailable, "err", err)
 	})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -129,6 +129,12 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if store.Is(err, store.FailureThrottled) {
+			follower.log.Info("store limits the rate of calls; continuing with the last state read", "version", after, "err", err)
+			follower.stale.Update(now.Sub(follower.table.ConfirmedAt()).Seconds())
+			clock.Sleep(ctx, initialBackoff/2+backoff.Next()) // the loop condition checks ctx
+			continue
+		}
 		if !failing {
 			follower.lost.Inc(1)
 			follower.log.Warn("store unavailable; continuing with the last state read and retrying", "version", after, "err", err)
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -95,7 +95,7 @@
 	t.Cleanup(i.door.Close)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clk := clock.Real{}
-	direct := store.NewGuard(store.NewHedged(platform.NewStore(i.door.Address()), clk), func(string, bool, error) {})
+	direct := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(i.door.Address()), clk), clk), func(string, bool, error) {})
 	handler := &entrypeer.Server{Store: direct, Log: log, Lender: i, Turns: i}
 	i.server = httptest.NewUnstartedServer(nil)
 	t.Cleanup(i.server.Close)
--- a/store/guard.go
+++ b/store/guard.go
@@ -23,6 +23,11 @@
 	// to an instance with work.
 	storeFailureThreshold = 6
 	storeSilenceThreshold = 400 * time.Millisecond
+	// throttleSilenceThreshold is the time without a served call after which
+	// throttled calls count as failures. A store may reject all calls of one
+	// instance that way and serve the others; while all instances together
+	// exceed its rate limit, each is served some calls within that time.
+	throttleSilenceThreshold = 2 * time.Second
 	// unansweredThreshold is how long a call that its caller cancelled must have
 	// waited to count as unanswered. A slow store responds within 250 ms; other
 	// instances wait 600 ms for a call relayed through this one, and callers of
@@ -63,6 +68,7 @@
 	store    Store
 	onChange func(partition string, unavailable bool, err error)
 
+	createdAt    time.Time
 	mu           sync.Mutex
 	overall      health
 	lastResponse time.Time // when the store last responded
@@ -94,7 +100,7 @@
 // onChange each time a partition, or AllPartitions, becomes unavailable or
 // available again, with the result of the call that caused the change.
 func NewGuard(s Store, onChange func(partition string, unavailable bool, err error)) *Guard {
-	return &Guard{store: s, onChange: onChange, partitions: map[string]*health{}, watchCancels: map[uint64]context.CancelFunc{}}
+	return &Guard{store: s, onChange: onChange, createdAt: time.Now(), partitions: map[string]*health{}, watchCancels: map[uint64]context.CancelFunc{}}
 }
 
 // Unavailable reports whether a partition, or the complete store, is unavailable.
@@ -313,12 +319,15 @@
 
 // recordResult records the result of a call that started at started. A failure
 // is ignored if, since the start of the call, the complete store was found
-// available again or the partition served another call.
+// available again or the partition served another call. A throttled call is
+// ignored unless the store has not served any for throttleSilenceThreshold.
 func (guard *Guard) recordResult(partition string, started time.Time, err error) {
 	failed := Unserved(err)
 	guard.mu.Lock()
 	state := guard.health(partition)
-	if failed && (started.Before(state.lastResponse) || started.Before(guard.recoveredAt)) {
+	isServing := started.Before(state.lastResponse) || started.Before(guard.recoveredAt) ||
+		Is(err, FailureThrottled) && time.Since(later(guard.createdAt, guard.lastResponse)) < throttleSilenceThreshold
+	if failed && isServing {
 		guard.mu.Unlock()
 		return
 	}
@@ -359,3 +368,11 @@
 		guard.onChange(partition, isUnavailable, err)
 	}
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
