entrypeer: write each entry once when all instances start

The entries of all instances lie in one partition, which executes 300 transactions a second and queues a second of them. In a start of 518 the first try of an entry waited in that queue, was taken for lost after 0.25 s and sent again, up to three times; rejected tries came again after 0.1 to 1 s. The last entry was written after 8.6 s.

The first try, and those after a rejection, go by a connection that does not repeat slow calls; after a rejection the next one waits up to 0.5 to 2 s, as the partition has work for a second. A lost response is found after 1.5 s, and the next try is hedged as before.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -111,7 +111,7 @@
 	p.goroutine(workCtx, f.quotas.Run)
 	p.goroutine(workCtx, f.quotas.Watch)
 	p.goroutine(ctx, f.accounts.Acquire(f.directory))
-	p.goroutine(ctx, f.directory.Join(f.store, p.log))
+	p.goroutine(ctx, f.directory.Join(f.unhedgedStore, f.store, p.log))
 	p.goroutine(workCtx, f.maintain)
 	p.goroutine(workCtx, func(ctx context.Context, done chan<- error) { watchSettings(ctx, c.Settings, s, hangups, p.log, done) })
 	if err := f.serve(ctx, workCtx, s, stopWork); err != nil {
@@ -138,17 +138,20 @@
 	// directStore reaches the store by this instance's own connections only.
 	// store also relays through other instances while those connections fail.
 	directStore, store *store.Guard
-	directory          *entrypeer.Directory
-	peers              *entrypeer.Server
-	configuration      *discovery.Follower
-	endpoints          *discovery.Follower
-	instances          *discovery.Follower
+	// unhedgedStore is the direct connection without repeats of slow calls.
+	unhedgedStore store.Store
+	directory     *entrypeer.Directory
+	peers         *entrypeer.Server
+	configuration *discovery.Follower
+	endpoints     *discovery.Follower
+	instances     *discovery.Follower
 }
 
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
 	owner := entrypeer.NewOwner(s.Instance, clk.Now())
-	directStore := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(s.Store), clk), clk), func(partition string, unavailable bool, err error) {
+	connection := platform.NewStore(s.Store)
+	directStore := store.NewGuard(store.NewRetrying(store.NewHedged(connection, clk), clk), func(partition string, unavailable bool, err error) {
 		p.log.Info("availability of the store by the direct connection changed", "partition", partition, "away", unavailable, "err", err)
 	})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
@@ -164,7 +167,7 @@
 			list.StoreAvailable(clk.Now())
 		}
 	})
-	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard}
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard, unhedgedStore: connection}
 	f.accounts = account.NewManager(guard, owner, peers, peers, clk, p.log, scope)
 	turns := archive.New(guard, peers, s.RowBytes, int(turnCacheShare*float64(s.Memory)), p.log, scope)
 	f.quotas = quota.NewLimiter(peers, s.Tolerance, clk, p.log, scope)
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -50,6 +50,11 @@
 	// reads the entries in about eight calls instead of 84.
 	maxGatherDelay = 300 * time.Millisecond
 	maxJoinBackoff = time.Second
+	// throttledJoinBackoff and maxThrottledJoinBackoff take their place while the
+	// partition of the table rejects entries because others wait. It queues a
+	// second of them, so a later attempt delays nobody.
+	throttledJoinBackoff    = 500 * time.Millisecond
+	maxThrottledJoinBackoff = 2 * time.Second
 )
 
 // Instance is the entry of an entry instance in the table.
@@ -122,12 +127,15 @@
 }
 
 // Join returns a function that writes the entry of this instance to the table
-// and writes it again whenever an earlier incarnation's entry is found there: a
+// through s. The first attempt, and the next ones while the store limits the rate
+// of calls, go through first, which must not repeat a call that takes long: when
+// all instances start at once, their entries wait in one partition for up to a
+// second. The function writes the entry again whenever an earlier incarnation's entry is found there: a
 // write of that incarnation whose response was lost may be applied seconds
 // later, and other instances could then not find the holder of the present
 // incarnation's budget accounts. The function runs until its context ends, then
 // sends nil on done.
-func (directory *Directory) Join(s store.Store, log *slog.Logger) func(context.Context, chan<- error) {
+func (directory *Directory) Join(first, s store.Store, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
 		defer func() { done <- nil }()
 		value, err := codec.Marshal(&directory.self)
@@ -136,8 +144,10 @@
 			return
 		}
 		backoff := retry.Backoff{Initial: initialJoinBackoff, Max: maxJoinBackoff}
+		throttledBackoff := retry.Backoff{Initial: throttledJoinBackoff, Max: maxThrottledJoinBackoff}
+		through := first
 		for {
-			_, err := s.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: directory.selfKey(), Value: value}}})
+			_, err := through.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: directory.selfKey(), Value: value}}})
 			if err == nil {
 				log.Info("entry of this instance written; other instances can find it", "address", directory.self.Address, "owner", directory.self.Owner)
 				backoff = retry.Backoff{Initial: initialJoinBackoff, Max: maxJoinBackoff}
@@ -149,7 +159,13 @@
 				}
 			}
 			log.Warn("entry of this instance not written; retrying", "err", err)
-			if !clock.Sleep(ctx, initialJoinBackoff/2+backoff.Next()) {
+			var delay time.Duration
+			if store.Is(err, store.FailureThrottled) {
+				delay = throttledBackoff.Next()
+			} else {
+				through, delay = s, backoff.Next()
+			}
+			if !clock.Sleep(ctx, initialJoinBackoff/2+delay) {
 				return
 			}
 		}
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -110,7 +110,7 @@
 	t.Cleanup(cancel)
 	done := make(chan error, 4)
 	go i.quotas.Run(ctx, done)
-	go i.directory.Join(direct, log)(ctx, done)
+	go i.directory.Join(direct, direct, log)(ctx, done)
 	go discovery.NewFollower(i.relay, i.directory.Source(log), clk, log, tally.NoopScope).Run(ctx, done)
 	go direct.Run(ctx, done)
 	return i
--- a/entrypeer/feed_test.go
+++ b/entrypeer/feed_test.go
@@ -68,7 +68,7 @@
 	t.Cleanup(r.end)
 	done := make(chan error, 4)
 	go guard.Run(ctx, done)
-	go directory.Join(guard, log)(ctx, done)
+	go directory.Join(guard, guard, log)(ctx, done)
 	go instances.Run(ctx, done)
 	go followed.Run(ctx, done)
 	return r
