--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -150,12 +150,12 @@
 func newFront(p *process, s *platform.Settings) *front {
 	scope, clk := p.metrics.Scope(), clock.Real{}
 	owner := entrypeer.NewOwner(s.Instance, clk.Now())
-	connection := platform.NewStore(s.Store)
+	connection := platform.NewStore(s.Store, scope)
 	directStore := store.NewGuard(store.NewRetrying(store.NewHedged(connection, clk), clk), func(partition string, unavailable bool, err error) {
 		p.log.Info("availability of the store by the direct connection changed", "partition", partition, "away", unavailable, "err", err)
 	})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: s.Instance, Owner: owner, Address: s.Peer, DataCentre: s.DataCentre}, clk)
-	peers := entrypeer.NewClient(directory)
+	peers := entrypeer.NewClient(directory, scope)
 	relay := entrypeer.NewRelay(directStore, peers)
 	current, list := &route.Current{}, membership.NewList()
 	guard := store.NewGuard(relay, func(partition string, unavailable bool, err error) {
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -13,8 +13,10 @@
 
 	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/debug"
 	"github.com/wagtaildrum/wagtaildrum/tcp"
 )
 
@@ -64,12 +66,16 @@
 type Client struct {
 	directory *Directory
 	http      *http.Client
+	// calls and bytes count the calls and the sizes of their bodies, both ways,
+	// by path.
+	calls, bytes *debug.Counters
 }
 
-// NewClient returns a client for the instances in directory.
-func NewClient(directory *Directory) *Client {
+// NewClient returns a client for the instances in directory. It reports the
+// metrics peer_calls and peer_bytes to scope, tagged with the path of the call.
+func NewClient(directory *Directory, scope tally.Scope) *Client {
 	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	return &Client{directory: directory, http: &http.Client{Transport: transport}}
+	return &Client{directory: directory, http: &http.Client{Transport: transport}, calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
 }
 
 // ReleaseUnused implements account.Owners. It calls each instance that owns one of
@@ -122,12 +128,15 @@
 	if err != nil {
 		return eris.Wrap(err, "build request to another entry instance")
 	}
+	client.calls.Inc(1, path)
+	client.bytes.Inc(int64(len(body)), path)
 	response, err := client.http.Do(request.WithContext(ctx))
 	if err != nil {
 		return &TransportError{instance: instance.Name, cause: err}
 	}
 	defer func() { _ = response.Body.Close() }() // io.ReadAll below has consumed the body
 	data, err := io.ReadAll(io.LimitReader(response.Body, 2*maxMessageBytes))
+	client.bytes.Inc(int64(len(data)), path)
 	if err != nil {
 		return &TransportError{instance: instance.Name, cause: err}
 	}
--- a/entrypeer/credit_test.go
+++ b/entrypeer/credit_test.go
@@ -99,7 +99,7 @@
 	now := time.Now()
 	call := func(address string, began time.Time) {
 		directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "new", Owner: entrypeer.NewOwner("new", began), Address: address, DataCentre: "a"}, clock.Real{})
-		client := entrypeer.NewClient(directory)
+		client := entrypeer.NewClient(directory, tally.NoopScope)
 		instance := entrypeer.Instance{Name: "a", Owner: entrypeer.NewOwner("a", now), Address: a.server.Listener.Addr().String()}
 		directory.Observe(instance)
 		_, err := client.TransferBuckets(context.Background(), "a", quota.Transfer{From: "new"})
@@ -116,7 +116,7 @@
 // defined status.
 func FuzzCreditMessage(f *testing.F) {
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "a", Owner: "a-1"}, clock.Real{})
-	client := entrypeer.NewClient(directory)
+	client := entrypeer.NewClient(directory, tally.NoopScope)
 	limiter := quota.NewLimiter(client, quota.Tolerance{}, clock.Real{}, slog.New(slog.DiscardHandler), tally.NoopScope)
 	server := &entrypeer.Server{Quotas: limiter, Log: slog.New(slog.DiscardHandler)}
 	handler := server.Handler()
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -95,12 +95,12 @@
 	t.Cleanup(i.door.Close)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clk := clock.Real{}
-	direct := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(i.door.Address()), clk), clk), func(string, bool, error) {})
+	direct := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(i.door.Address(), tally.NoopScope), clk), clk), func(string, bool, error) {})
 	handler := &entrypeer.Server{Store: direct, Log: log, Lender: i, Turns: i}
 	i.server = httptest.NewUnstartedServer(nil)
 	t.Cleanup(i.server.Close)
 	i.directory = entrypeer.NewDirectory(entrypeer.Instance{Name: name, Owner: i.owner, Address: i.server.Listener.Addr().String(), DataCentre: "a"}, clk)
-	i.client = entrypeer.NewClient(i.directory)
+	i.client = entrypeer.NewClient(i.directory, tally.NoopScope)
 	i.quotas = quota.NewLimiter(i.client, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope)
 	handler.Directory, handler.Quotas = i.directory, i.quotas
 	i.server.Config.Handler = handler.Handler()
--- a/entrypeer/feed_test.go
+++ b/entrypeer/feed_test.go
@@ -47,9 +47,9 @@
 	r := &reader{door: platformtest.NewStoreServer(memory), server: httptest.NewUnstartedServer(nil)}
 	t.Cleanup(r.door.Close)
 	log, clk := slog.New(slog.NewTextHandler(io.Discard, nil)), clock.Real{}
-	guard := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(r.door.Address()), clk), clk), func(string, bool, error) {})
+	guard := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(r.door.Address(), tally.NoopScope), clk), clk), func(string, bool, error) {})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: name, Owner: name + "-1", Address: r.server.Listener.Addr().String(), DataCentre: "a"}, clk)
-	client := entrypeer.NewClient(directory)
+	client := entrypeer.NewClient(directory, tally.NoopScope)
 	tables := entrypeer.NewFeed(entrypeer.NewRelay(guard, client), client, clk, log, tally.NoopScope)
 	instances := discovery.NewFollower(tables, directory.Source(log), clk, log, tally.NoopScope)
 	followed := discovery.NewFollower(tables, r.source(), clk, log, tally.NoopScope)
--- a/store/store.go
+++ b/store/store.go
@@ -44,20 +44,27 @@
 	Deletes    []Key
 }
 
-// partition returns the partition of the first row of the transaction. All
-// transactions of this project stay within one partition.
-func (tx *Transaction) partition() string {
+// firstKey returns the key of the first row of the transaction, and the zero Key
+// if it has none.
+func (tx *Transaction) firstKey() Key {
 	switch {
 	case len(tx.Puts) > 0:
-		return tx.Puts[0].Key.Partition
+		return tx.Puts[0].Key
 	case len(tx.Deletes) > 0:
-		return tx.Deletes[0].Partition
+		return tx.Deletes[0]
 	case len(tx.Conditions) > 0:
-		return tx.Conditions[0].Key.Partition
+		return tx.Conditions[0].Key
 	}
-	return ""
+	return Key{}
 }
 
+// partition returns the partition of the first row of the transaction. All
+// transactions of this project stay within one partition.
+func (tx *Transaction) partition() string { return tx.firstKey().Partition }
+
+// Table returns the table of the first row of the transaction.
+func (tx *Transaction) Table() string { return tx.firstKey().Table }
+
 // Page is the result of Read or Watch.
 type Page struct {
 	Rows []Row
