--- a/feed/tree.go
+++ b/feed/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -96,13 +97,16 @@
 // so large that they read from each other.
 func IsShared(instances int) bool { return instances > maxDirect }
 
-// RecordFailure avoids an instance that did not respond.
+// RecordFailure avoids an instance that did not respond. It forgets those whose
+// avoidance ended long ago.
 func (tree *Tree) RecordFailure(name string) {
 	tree.mu.Lock()
 	defer tree.mu.Unlock()
+	now := tree.clock.Now()
+	maps.DeleteFunc(tree.avoided, func(_ string, avoided avoidance) bool { return now.Sub(avoided.until) > maxAvoidance })
 	failures := tree.avoided[name].failures
 	duration := min(initialAvoidance<<min(failures, 10), maxAvoidance)
-	tree.avoided[name] = avoidance{until: tree.clock.Now().Add(duration), failures: failures + 1}
+	tree.avoided[name] = avoidance{until: now.Add(duration), failures: failures + 1}
 }
 
 // RecordOutdated avoids an instance whose copy is outdated, unless maxOutdated
