gateway: let requests wait for an instance that has just started

After a loss of power of all instances callers find only such as have just started. A request now waits for both, for at most 0.5 s, and is refused then.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,12 @@
 // false while the instance drains, before the configuration and the list of
 // endpoints are loaded, and while the instance is partitioned.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.draining.Load() && gateway.Routes.Load() != nil && gateway.Endpoints.Loaded() && !gateway.partitioned()
+	return !gateway.draining.Load() && gateway.isLoaded() && !gateway.partitioned()
+}
+
+// isLoaded reports whether the configuration and the list of endpoints were read.
+func (gateway *Gateway) isLoaded() bool {
+	return gateway.Routes.Load() != nil && gateway.Endpoints.Loaded()
 }
 
 // partitioned reports whether neither the store nor any other instance is
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,12 @@
 	// startupRetryAfter is the retry delay while an instance has no
 	// configuration yet; it reads the configuration within a second.
 	startupRetryAfter = 500 * time.Millisecond
+	// startupWait bounds how long a request waits for an instance that has not
+	// read the configuration or the list of endpoints yet. After a loss of power
+	// of all instances callers find only such ones, and a refusal costs them an
+	// attempt.
+	startupWait         = 500 * time.Millisecond
+	startupPollInterval = 20 * time.Millisecond
 	// maxStoreWait bounds how long a request waits for a store that is
 	// unavailable to all instances. Outages last seconds: a caller that is
 	// refused at once has used all its attempts after three refusals, while one
@@ -231,6 +237,7 @@
 		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
 	}
 	e.call = call
+	e.awaitStartup()
 	e.table = e.Routes.Load()
 	if e.table == nil {
 		return refuse(ReasonNoConfiguration, http.StatusServiceUnavailable, startupRetryAfter, nil)
@@ -255,6 +262,16 @@
 	return e.readBody()
 }
 
+// awaitStartup waits until the configuration and the list of endpoints were read,
+// for at most startupWait.
+func (e *exchange) awaitStartup() {
+	for !e.isLoaded() && e.Clock.Now().Sub(e.arrived) < startupWait {
+		if !clock.Sleep(e.r.Context(), startupPollInterval) {
+			return
+		}
+	}
+}
+
 // authenticate finds the caller's organisation by its key. If the route needs a
 // key and it is unknown, a partitioned instance refuses with 503, so that the
 // caller retries at another instance: this one may have missed a new key.
