--- a/entrypeer/feed.go
+++ b/entrypeer/feed.go
@@ -23,10 +23,6 @@
 	// that other instances read from, and bounds the time in which they learn
 	// that it is current.
 	sharedWatchWait = 800 * time.Millisecond
-	// fullReadTimeout bounds a request for a complete table, which an instance
-	// makes when it starts. After a loss of power of all instances the others are
-	// starting, too, and the store must be read soon.
-	fullReadTimeout = 100 * time.Millisecond
 	// maxFeedAttempts is the number of instances tried for one request before
 	// the store is read. An instance that is partitioned reaches none of them.
 	maxFeedAttempts = 2
@@ -37,8 +33,8 @@
 	// recoveryTolerance is the difference from which a reported recovery of the
 	// store counts as another one than the last.
 	recoveryTolerance = time.Second
-	// loadTimeout bounds the wait for the first instances, without which a table
-	// can only be read from the store.
+	// loadTimeout bounds the wait for the first list of instances, without which
+	// a table can only be read from the store.
 	loadTimeout = 500 * time.Millisecond
 	// bootstrapRows is the number of rows of the table of instances that an
 	// instance reads from the store to find others that have the complete table.
@@ -101,18 +97,15 @@
 	// the store last recovered, as reported with each table.
 	sources    map[string]string
 	recoveries map[string]time.Time
-	// seeds holds the instances found by bootstrap, by name; seeded is closed
-	// when it has ended.
-	seeds    map[string]Instance
-	seeded   chan struct{}
-	seedOnce sync.Once
+	// seeds holds the instances found by bootstrap, by name.
+	seeds map[string]Instance
 }
 
 // NewFeed returns a Feed that reads from the instances known to client and from
 // s. It reports the metrics feed_failures and feed_source_changes to scope.
 func NewFeed(s store.Reader, client *Client, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Feed {
 	self := client.directory.selfKey().Name
-	return &Feed{store: s, client: client, tree: feed.NewTree(self, clk), clock: clk, log: log, sources: map[string]string{}, seeded: make(chan struct{}), recoveries: map[string]time.Time{},
+	return &Feed{store: s, client: client, tree: feed.NewTree(self, clk), clock: clk, log: log, sources: map[string]string{}, recoveries: map[string]time.Time{},
 		failures: scope.Counter("feed_failures"), changes: scope.Counter("feed_source_changes")}
 }
 
@@ -123,9 +116,7 @@
 	case r.Table != table:
 		reader.awaitInstances(ctx)
 	case !reader.client.directory.isLoaded() && r.From == "":
-		page, isComplete, err := reader.bootstrap(ctx, r)
-		reader.seedOnce.Do(func() { close(reader.seeded) })
-		if isComplete || err != nil {
+		if page, isComplete, err := reader.bootstrap(ctx, r); isComplete || err != nil {
 			return page, err
 		}
 	}
@@ -171,13 +162,13 @@
 	return store.Page{}, false, nil
 }
 
-// awaitInstances waits until some other instances are known, for at most
+// awaitInstances waits until the list of instances was read, for at most
 // loadTimeout.
 func (reader *Feed) awaitInstances(ctx context.Context) {
 	timer := time.NewTimer(loadTimeout)
 	defer timer.Stop()
 	select {
-	case <-reader.seeded:
+	case <-reader.client.directory.loaded:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -187,11 +178,7 @@
 // and calls fromStore if there are none or maxFeedAttempts of them failed.
 func (reader *Feed) read(ctx context.Context, request *feedRequest, fromStore func() (store.Page, error)) (store.Page, error) {
 	reason := "no instance before this one"
-	attempts := maxFeedAttempts
-	if request.Full {
-		attempts = 1
-	}
-	for range attempts {
+	for range maxFeedAttempts {
 		instance, ok := reader.next()
 		if !ok {
 			break
@@ -245,11 +232,7 @@
 // ask makes one request to an instance. A failure does not exclude the instance
 // from other calls, whose timeouts are shorter.
 func (reader *Feed) ask(ctx context.Context, instance Instance, request *feedRequest) (feed.Update, error) {
-	timeout := pollTimeout
-	if request.Full {
-		timeout = fullReadTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var response feedResponse
 	if err := reader.client.exchange(ctx, instance, pathFeed, request, &response); err != nil {
