--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -262,16 +262,6 @@
 	return reachable
 }
 
-// isLoaded reports whether the table was read.
-func (directory *Directory) isLoaded() bool {
-	select {
-	case <-directory.loaded:
-		return true
-	default:
-		return false
-	}
-}
-
 // instance returns the recorded instance of the given name, whether or not it is
 // excluded, and false if there is none.
 func (directory *Directory) instance(name string) (Instance, bool) {
--- a/entrypeer/feed.go
+++ b/entrypeer/feed.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
-	"github.com/wagtaildrum/wagtaildrum/codec"
 	"github.com/wagtaildrum/wagtaildrum/feed"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
@@ -36,9 +35,6 @@
 	// loadTimeout bounds the wait for the first list of instances, without which
 	// a table can only be read from the store.
 	loadTimeout = 500 * time.Millisecond
-	// bootstrapRows is the number of rows of the table of instances that an
-	// instance reads from the store to find others that have the complete table.
-	bootstrapRows = 64
 	// storeName stands for the store where a source of a table is logged.
 	storeName = "store"
 )
@@ -97,8 +93,6 @@
 	// the store last recovered, as reported with each table.
 	sources    map[string]string
 	recoveries map[string]time.Time
-	// seeds holds the instances found by bootstrap, by name.
-	seeds map[string]Instance
 }
 
 // NewFeed returns a Feed that reads from the instances known to client and from
@@ -112,13 +106,8 @@
 // Read implements store.Reader. A page from another instance holds the complete
 // table.
 func (reader *Feed) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	switch {
-	case r.Table != table:
+	if r.Table != table {
 		reader.awaitInstances(ctx)
-	case !reader.client.directory.isLoaded() && r.From == "":
-		if page, isComplete, err := reader.bootstrap(ctx, r); isComplete || err != nil {
-			return page, err
-		}
 	}
 	return reader.read(ctx, &feedRequest{Table: r.Table, Full: true}, func() (store.Page, error) { return reader.store.Read(ctx, r) })
 }
@@ -133,35 +122,6 @@
 	})
 }
 
-// bootstrap reads the first rows of the table of instances from the store. If
-// there are more, it also reads rows that follow the one of this instance, whose
-// names are likely to be of the same data centre, and records their instances as
-// seeds. Otherwise a start would read all instances, and a start of all of them
-// the square of their number.
-func (reader *Feed) bootstrap(ctx context.Context, r store.Range) (page store.Page, isComplete bool, err error) {
-	r.Limit = bootstrapRows
-	page, err = reader.store.Read(ctx, r)
-	if err != nil || !page.More {
-		return page, err == nil, err
-	}
-	r.From = reader.client.directory.selfKey().Name
-	near, err := reader.store.Read(ctx, r)
-	if err != nil {
-		return near, false, err
-	}
-	reader.mu.Lock()
-	defer reader.mu.Unlock()
-	reader.seeds = map[string]Instance{}
-	for _, row := range near.Rows {
-		var instance Instance
-		if codec.Unmarshal(row.Value, &instance) == nil && instance.DataCentre == reader.client.directory.self.DataCentre {
-			instance.Name = row.Key.Name
-			reader.seeds[instance.Name] = instance
-		}
-	}
-	return store.Page{}, false, nil
-}
-
 // awaitInstances waits until the list of instances was read, for at most
 // loadTimeout.
 func (reader *Feed) awaitInstances(ctx context.Context) {
@@ -211,22 +171,11 @@
 // next returns the instance to read from, and false if it is this one's turn to
 // read from the store.
 func (reader *Feed) next() (Instance, bool) {
-	directory := reader.client.directory
-	if directory.isLoaded() {
-		return directory.instance(reader.tree.Source(directory.neighbours()))
-	}
-	reader.mu.Lock()
-	defer reader.mu.Unlock()
-	self := directory.selfKey().Name
-	names := []string{self}
-	for name := range reader.seeds {
-		if name != self {
-			names = append(names, name)
-		}
+	name := reader.tree.Source(reader.client.directory.neighbours())
+	if name == "" {
+		return Instance{}, false
 	}
-	feed.Order(names)
-	instance, ok := reader.seeds[reader.tree.Source(names)]
-	return instance, ok
+	return reader.client.directory.instance(name)
 }
 
 // ask makes one request to an instance. A failure does not exclude the instance
