entrypeer: read tables from the store soon when other instances do not respond to a start

An instance that starts asks another one for the complete tables. A complete table is now asked for once, for 250 ms, then the store is read.

TestStartDoesNotWaitForSuspendedInstances fails with the timeout of changes.

--- a/entrypeer/feed.go
+++ b/entrypeer/feed.go
@@ -22,9 +22,15 @@
 	// that other instances read from, and bounds the time in which they learn
 	// that it is current.
 	sharedWatchWait = 800 * time.Millisecond
+	// fullReadTimeout bounds a request for a complete table, which an instance
+	// makes when it starts. After a loss of power of all instances the others are
+	// starting, too, and the store must be read soon.
+	fullReadTimeout = 250 * time.Millisecond
 	// maxFeedAttempts is the number of instances tried for one request before
-	// the store is read. An instance that is partitioned reaches none of them.
-	maxFeedAttempts = 2
+	// the store is read, and maxFullReadAttempts that for a complete table. An
+	// instance that is partitioned reaches none of them.
+	maxFeedAttempts     = 2
+	maxFullReadAttempts = 1
 	// maxPolls bounds the requests for tables that an instance holds open. While
 	// instances that start together do not know each other yet, many of them may
 	// read from the same one.
@@ -135,10 +141,14 @@
 }
 
 // read makes one request to the instances to read from, one after the other,
-// and calls fromStore if there are none or maxFeedAttempts of them failed.
+// and calls fromStore if there are none or as many as may be tried failed.
 func (reader *Feed) read(ctx context.Context, request *feedRequest, fromStore func() (store.Page, error)) (store.Page, error) {
 	reason := "no instance before this one"
-	for range maxFeedAttempts {
+	attempts := maxFeedAttempts
+	if request.Full {
+		attempts = maxFullReadAttempts
+	}
+	for range attempts {
 		instance, ok := reader.next()
 		if !ok {
 			break
@@ -181,7 +191,11 @@
 // ask makes one request to an instance. A failure does not exclude the instance
 // from other calls, whose timeouts are shorter.
 func (reader *Feed) ask(ctx context.Context, instance Instance, request *feedRequest) (feed.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	timeout := pollTimeout
+	if request.Full {
+		timeout = fullReadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var response feedResponse
 	if err := reader.client.exchange(ctx, instance, pathFeed, request, &response); err != nil {
--- a/entrypeer/feed_test.go
+++ b/entrypeer/feed_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	door   *platformtest.StoreServer
 	server *httptest.Server
 	end    context.CancelFunc
+	// suspended makes the reader hold the requests of others.
+	suspended atomic.Bool
 
 	mu       sync.Mutex
 	value    string
@@ -57,7 +60,15 @@
 	if !old {
 		handler.Tables = map[string]*feed.Copy{instances.TableName(): instances.Table(), followedTable: followed.Table()}
 	}
-	r.server.Config.Handler = handler.Handler()
+	calls := handler.Handler()
+	r.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.suspended.Load() {
+			_, _ = io.Copy(io.Discard, request.Body) // the server detects a closed connection only after the body
+			<-request.Context().Done()
+			return
+		}
+		calls.ServeHTTP(w, request)
+	})
 	r.server.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.end = func() {
@@ -229,3 +240,20 @@
 	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
 	require.NoError(t, response.Body.Close())
 }
+
+// Guards against an instance that starts late because those that it would read
+// from are suspended, or lost power with it: it must have the tables within a
+// second.
+func TestStartDoesNotWaitForSuspendedInstances(t *testing.T) {
+	memory := storetest.New()
+	readers := startReaders(t, memory, 40, 0)
+	value := writeValue(t, memory, 1)
+	requireValue(t, readers, value, time.Second)
+	for _, r := range readers {
+		r.suspended.Store(true)
+	}
+	began := time.Now()
+	started := startReader(t, memory, "new", false)
+	requireValue(t, []*reader{started}, value, 2*time.Second)
+	assert.Less(t, time.Since(began), time.Second)
+}
