discovery: ignore pages that are behind what is known

After a change of its source an instance may read from one that is behind, such as one that was suspended. Rows of an earlier version were ignored one by one, the page counted as a confirmation. It is now ignored as a whole, logged and counted (follow_behind). TestFollowerIgnoresPagesBehindWhatIsKnown.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -68,10 +68,11 @@
 	// table is what was read so far.
 	table *feed.Copy
 	log   *slog.Logger
-	// lost counts the times when the store became unavailable; stale is the
-	// number of seconds since the table was last known to be current.
-	lost  tally.Counter
-	stale tally.Gauge
+	// lost counts the times when the store became unavailable, behind the pages
+	// that were behind what is known; stale is the number of seconds since the
+	// table was last known to be current.
+	lost, behind tally.Counter
+	stale        tally.Gauge
 	clock clock.Clock
 	// gatherDelay is the last delay that batched changes, and gatheredAt when
 	// it ended.
@@ -80,11 +81,11 @@
 }
 
 // NewFollower returns a Follower of source, which it reads from reader. It
-// reports the metrics follow_lost and follow_stale_seconds to scope, tagged with
-// the table.
+// reports the metrics follow_lost, follow_behind and follow_stale_seconds to
+// scope, tagged with the table.
 func NewFollower(reader store.Reader, source Source, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Follower {
 	scope = scope.Tagged(map[string]string{"table": source.Table})
-	return &Follower{reader: reader, source: source, table: feed.NewCopy(source.Same, clk), log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), stale: scope.Gauge("follow_stale_seconds")}
+	return &Follower{reader: reader, source: source, table: feed.NewCopy(source.Same, clk), log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), behind: scope.Counter("follow_behind"), stale: scope.Gauge("follow_stale_seconds")}
 }
 
 // TableName returns the name of the table.
@@ -187,6 +188,12 @@
 	if err != nil {
 		return after, err
 	}
+	if page.Version < after {
+		// Another instance, read from since a moment ago, is behind this one.
+		follower.behind.Inc(1)
+		follower.log.Info("page ignored: it is behind what is known", "version", after, "page_version", page.Version)
+		return after, nil
+	}
 	rows := slices.DeleteFunc(page.Rows, func(row store.Row) bool {
 		return follower.source.RowName != "" && row.Key.Name != follower.source.RowName
 	})
@@ -195,7 +202,7 @@
 		follower.source.Apply(row)
 	}
 	follower.gather(ctx, changed)
-	return max(after, page.Version), nil
+	return page.Version, nil
 }
 
 // gather delays the next watch after a change, twice as long for each further
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -134,3 +134,58 @@
 	assert.Len(t, v.rows, entries+1)
 	assert.LessOrEqual(t, calls.Load(), int64(8))
 }
+
+// pages is a store.Reader that returns a sequence of pages, the last one again
+// and again.
+type pages struct {
+	mu    sync.Mutex
+	queue []store.Page
+	taken int
+}
+
+func (reader *pages) next() store.Page {
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	page := reader.queue[min(reader.taken, len(reader.queue)-1)]
+	reader.taken++
+	return page
+}
+
+func (reader *pages) Read(context.Context, store.Range) (store.Page, error) {
+	return reader.next(), nil
+}
+
+func (reader *pages) Watch(context.Context, string, uint64, time.Duration) (store.Page, error) {
+	time.Sleep(time.Millisecond)
+	return reader.next(), nil
+}
+
+// Guards against a table that goes back when its source changes to an instance
+// that is behind, as when a suspended instance wakes up.
+func TestFollowerIgnoresPagesBehindWhatIsKnown(t *testing.T) {
+	row := func(value string, version uint64) store.Row {
+		return store.Row{Key: store.Key{Table: "t", Name: "x"}, Value: []byte(value), Version: version}
+	}
+	reader := &pages{queue: []store.Page{
+		{Version: 5, Rows: []store.Row{row("a", 5)}},
+		{Version: 9, Rows: []store.Row{row("b", 9)}},
+		{Version: 7, Rows: []store.Row{row("old", 7)}},
+		{Version: 8, Rows: []store.Row{{Key: row("", 0).Key, Version: 8, Removed: true}}},
+		{Version: 10, Rows: []store.Row{row("c", 10)}},
+		{Version: 10},
+	}}
+	scope := tally.NewTestScope("", nil)
+	var values []string
+	v := &view{}
+	source := v.source()
+	source.Apply = func(row store.Row) { values = append(values, string(row.Value)) }
+	follower := discovery.NewFollower(reader, source, clock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), scope)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go follower.Run(ctx, done)
+	require.Eventually(t, func() bool { return follower.Table().All().Version == 10 }, time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+	assert.Equal(t, []string{"b", "c"}, values)
+	assert.EqualValues(t, 2, scope.Snapshot().Counters()["follow_behind+table=t"].Value())
+}
