--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -73,7 +73,7 @@
 	// table was last known to be current.
 	lost, behind tally.Counter
 	stale        tally.Gauge
-	clock clock.Clock
+	clock        clock.Clock
 	// gatherDelay is the last delay that batched changes, and gatheredAt when
 	// it ended.
 	gatherDelay time.Duration
