--- a/entrypeer/join_test.go
+++ b/entrypeer/join_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/entrypeer"
@@ -95,7 +96,7 @@
 			time.Sleep(2*needed + 5*time.Second)
 			cancel()
 			for range instances {
-				<-done
+				require.NoError(t, <-done)
 			}
 			took := partition.completedAt.Sub(began)
 			t.Logf("%d instances: %d calls, %d of them throttled, %v (the store needs %v)", instances, partition.calls, partition.throttled, took, needed)
