entrypeer: relay a call to a store that fell silent after another answer

The direct connection counts as serving if it answered any call since the start of the one that failed. The watch that was waiting when the store fell silent was answered just after that start, and more than half a second of silence followed.

It now counts as serving only if it also answered within the last 0.4 s. A call that waits in an overloaded partition is still not sent again: the other partitions answer an instance with work ten times a second.

--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -163,6 +163,23 @@
 	assert.True(t, shut.directory.Isolated())
 }
 
+// Guards against a call that fails though another instance reaches the store: the
+// store fell silent for this instance just after it had answered another call,
+// and was therefore taken for one that serves it.
+func TestCallIsRelayedWhenStoreFellSilent(t *testing.T) {
+	memory := storetest.New()
+	shut, open := start(t, memory, "shut"), start(t, memory, "open")
+	require.Eventually(t, func() bool { _, all := shut.directory.Members(); return len(all) == 2 }, 2*time.Second, 5*time.Millisecond)
+	require.NoError(t, open.put(t))
+	shut.door.SetModeForPartitions(platformtest.IgnoreRequests, func(partition string) bool { return partition != "served" })
+	result := make(chan error, 1)
+	go func() { result <- shut.put(t) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err := shut.relay.Read(context.Background(), store.Range{Table: "t", Partition: "served"})
+	require.NoError(t, err)
+	require.NoError(t, <-result)
+}
+
 // Guards against naming a terminated process as the home of a quota: if all
 // candidates have terminated, no instance is left to ask.
 func TestTerminatedInstanceIsNotQuotaHome(t *testing.T) {
--- a/entrypeer/relay.go
+++ b/entrypeer/relay.go
@@ -11,6 +11,9 @@
 	// relayTimeout bounds a store call through another instance. A watch gets
 	// its wait in addition.
 	relayTimeout = 600 * time.Millisecond
+	// servingPeriod is how long the direct connection counts as serving calls
+	// after a response.
+	servingPeriod = 400 * time.Millisecond
 	// maxRelayAttempts is the number of other instances tried for one call.
 	maxRelayAttempts = 2
 )
@@ -38,7 +41,7 @@
 func (relay *Relay) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
 	startedAt := time.Now()
 	version, err := relay.direct.Commit(ctx, tx)
-	if !store.Unserved(err) || relay.direct.RespondedSince(startedAt) {
+	if !store.Unserved(err) || relay.isServing(startedAt) {
 		return version, err
 	}
 	response, err := relay.viaPeers(ctx, &storeRequest{Commit: &tx}, relayTimeout, err)
@@ -49,13 +52,24 @@
 func (relay *Relay) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	startedAt := time.Now()
 	page, err := relay.direct.Read(ctx, r)
-	if !store.Unserved(err) || relay.direct.RespondedSince(startedAt) {
+	if !store.Unserved(err) || relay.isServing(startedAt) {
 		return page, err
 	}
 	response, err := relay.viaPeers(ctx, &storeRequest{Read: &r}, relayTimeout, err)
 	return response.Page, err
 }
 
+// isServing reports whether the direct connection served another call since
+// startedAt, and lately. A response right after startedAt, such as that of a watch
+// that was waiting, says nothing about the silence that followed.
+func (relay *Relay) isServing(startedAt time.Time) bool {
+	recently := time.Now().Add(-servingPeriod)
+	if startedAt.After(recently) {
+		recently = startedAt
+	}
+	return relay.direct.RespondedSince(recently)
+}
+
 // Watch implements store.Store. While the direct connection is unavailable it
 // goes to other instances at once.
 func (relay *Relay) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
