feed, entrypeer: Replica and TableReader; a full table never goes back

A reader expects a copy of a table in memory to be called a replica, and a receiver the name of its type: Copy is Replica now, and what reads tables for a follower is TableReader. Names of tests follow.

Found on reading: a follower whose history was compacted took any full table, also from an instance behind what it knew, and could have taken a leaving endpoint for a ready one. Such a table is refused now, counted and read again. TestFollowerIgnoresFullTableBehindWhatIsKnown fails without the check.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -181,11 +181,11 @@
 		StoreStatus: storeStatus{store: guard, directory: directory}, MaxBodyBytes: int64(bodyMemoryShare * float64(s.Memory)),
 		Clock: clk, Log: p.log, Metrics: scope,
 	})
-	tables := entrypeer.NewFeed(guard, peers, clk, p.log, scope)
+	tables := entrypeer.NewTableReader(guard, peers, clk, p.log, scope)
 	f.configuration = discovery.NewFollower(tables, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.endpoints = discovery.NewFollower(tables, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.dropConnections, clk, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(tables, directory.Source(p.log), clk, p.log, scope)
-	f.peers.Tables = map[string]*feed.Copy{}
+	f.peers.Tables = map[string]*feed.Replica{}
 	for _, follower := range []*discovery.Follower{f.configuration, f.endpoints, f.instances} {
 		f.peers.Tables[follower.TableName()] = follower.Table()
 	}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -66,7 +66,7 @@
 	reader store.Reader
 	source Source
 	// table is what was read so far.
-	table *feed.Copy
+	table *feed.Replica
 	log   *slog.Logger
 	// lost counts the times when the store became unavailable, behind the pages
 	// that were behind what is known; stale is the number of seconds since the
@@ -85,14 +85,14 @@
 // scope, tagged with the table.
 func NewFollower(reader store.Reader, source Source, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Follower {
 	scope = scope.Tagged(map[string]string{"table": source.Table})
-	return &Follower{reader: reader, source: source, table: feed.NewCopy(source.Same, clk), log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), behind: scope.Counter("follow_behind"), stale: scope.Gauge("follow_stale_seconds")}
+	return &Follower{reader: reader, source: source, table: feed.NewReplica(source.Same, clk), log: log.With("table", source.Table), clock: clk, lost: scope.Counter("follow_lost"), behind: scope.Counter("follow_behind"), stale: scope.Gauge("follow_stale_seconds")}
 }
 
 // TableName returns the name of the table.
 func (follower *Follower) TableName() string { return follower.source.Table }
 
 // Table returns what the follower has read of the table, for other instances.
-func (follower *Follower) Table() *feed.Copy { return follower.table }
+func (follower *Follower) Table() *feed.Replica { return follower.table }
 
 // Run reads the table, then watches it for changes, until ctx ends. After a
 // failure it retries with backoff; if the store no longer has the history since
@@ -150,7 +150,8 @@
 }
 
 // readAll reads the full table, passes it to the source and returns the version
-// at which reading began.
+// at which reading began. It fails with store.FailureRefused if that version is
+// behind what is known.
 func (follower *Follower) readAll(ctx context.Context) (uint64, error) {
 	var rows []store.Row
 	r := store.Range{Table: follower.source.Table}
@@ -176,6 +177,10 @@
 		}
 		r.From = page.Rows[len(page.Rows)-1].Key.Name + " "
 	}
+	if version < follower.table.Version() {
+		follower.behind.Inc(1)
+		return 0, store.NewError(store.FailureRefused, "read", "the table is behind what is known")
+	}
 	follower.source.ReplaceAll(rows)
 	follower.table.Replace(rows, version, confirmedAt)
 	return version, nil
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -189,3 +189,36 @@
 	assert.Equal(t, []string{"b", "c"}, values)
 	assert.EqualValues(t, 2, scope.Snapshot().Counters()["follow_behind+table=t"].Value())
 }
+
+// Guards against a table that goes back when its history was compacted and the
+// full table is read from an instance that is behind.
+func TestFollowerIgnoresFullTableBehindWhatIsKnown(t *testing.T) {
+	row := func(value string, version uint64) store.Row {
+		return store.Row{Key: store.Key{Table: "t", Name: "x"}, Value: []byte(value), Version: version}
+	}
+	reader := &compacted{pages: pages{queue: []store.Page{
+		{Version: 9, Rows: []store.Row{row("b", 9)}},
+		{Version: 7, Rows: []store.Row{row("old", 7)}},
+		{Version: 12, Rows: []store.Row{row("c", 12)}},
+	}}}
+	v := &view{}
+	source := v.source()
+	var values []string
+	source.ReplaceAll = func(rows []store.Row) { values = append(values, string(rows[0].Value)) }
+	follower := discovery.NewFollower(reader, source, clock.Real{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go follower.Run(ctx, done)
+	require.Eventually(t, func() bool { return follower.Table().Version() == 12 }, time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+	assert.Equal(t, []string{"b", "c"}, values[:2])
+}
+
+// compacted is a store.Reader whose history is compacted all the time.
+type compacted struct{ pages }
+
+func (reader *compacted) Watch(context.Context, string, uint64, time.Duration) (store.Page, error) {
+	time.Sleep(time.Millisecond)
+	return store.Page{}, store.NewError(store.FailureCompacted, "watch", "test")
+}
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -130,11 +130,13 @@
 // through s. The first attempt, and the next ones while the store limits the rate
 // of calls, go through first, which must not repeat a call that takes long: when
 // all instances start at once, their entries wait in one partition for up to a
-// second. The function writes the entry again whenever an earlier incarnation's entry is found there: a
-// write of that incarnation whose response was lost may be applied seconds
-// later, and other instances could then not find the holder of the present
-// incarnation's budget accounts. The function runs until its context ends, then
-// sends nil on done.
+// second.
+//
+// The function writes the entry again whenever an earlier incarnation's entry is
+// found there: a write of that incarnation whose response was lost may be applied
+// seconds later, and other instances could then not find the holder of the
+// present incarnation's budget accounts. The function runs until its context
+// ends, then sends nil on done.
 func (directory *Directory) Join(first, s store.Store, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
 		defer func() { done <- nil }()
--- a/entrypeer/feed_internal_test.go
+++ b/entrypeer/feed_internal_test.go
@@ -31,7 +31,7 @@
 		now := time.Now()
 		update := response.update("t", now)
 		_ = update.OutdatedReason(now)
-		table := feed.NewCopy(nil, realClock{})
+		table := feed.NewReplica(nil, realClock{})
 		table.Apply(update.Rows, update.Version, update.ConfirmedAt)
 	})
 }
--- a/entrypeer/feed_test.go
+++ b/entrypeer/feed_test.go
@@ -53,12 +53,12 @@
 	guard := store.NewGuard(store.NewRetrying(store.NewHedged(platform.NewStore(r.door.Address(), tally.NoopScope), clk), clk), func(string, bool, error) {})
 	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: name, Owner: name + "-1", Address: r.server.Listener.Addr().String(), DataCentre: "a"}, clk)
 	client := entrypeer.NewClient(directory, tally.NoopScope)
-	tables := entrypeer.NewFeed(entrypeer.NewRelay(guard, client), client, clk, log, tally.NoopScope)
+	tables := entrypeer.NewTableReader(entrypeer.NewRelay(guard, client), client, clk, log, tally.NoopScope)
 	instances := discovery.NewFollower(tables, directory.Source(log), clk, log, tally.NoopScope)
 	followed := discovery.NewFollower(tables, r.source(), clk, log, tally.NoopScope)
 	handler := &entrypeer.Server{Store: guard, Directory: directory, Log: log}
 	if !old {
-		handler.Tables = map[string]*feed.Copy{instances.TableName(): instances.Table(), followedTable: followed.Table()}
+		handler.Tables = map[string]*feed.Replica{instances.TableName(): instances.Table(), followedTable: followed.Table()}
 	}
 	calls := handler.Handler()
 	r.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -28,7 +28,7 @@
 	Quotas QuotaHome
 	// Tables holds the followed tables that other instances may read from this
 	// one, by name.
-	Tables map[string]*feed.Copy
+	Tables map[string]*feed.Replica
 	// Directory, unless nil, records instances that call before their entry has
 	// been read.
 	Directory *Directory
--- a/entrypeer/feed.go
+++ b/entrypeer/tablereader.go
@@ -78,14 +78,14 @@
 	Recovered time.Duration
 }
 
-// Feed reads followed tables from another instance of the data centre as
+// TableReader reads followed tables from another instance of the data centre as
 // feed.Tree chooses it, and from the store if this instance is the one to do so
 // or no other responds. It implements store.Reader for the tables that
 // discovery.Follower follows.
 //
 // An outage of the store that the other instance went through fails one call,
 // so that it is noticed by every instance.
-type Feed struct {
+type TableReader struct {
 	store  store.Reader
 	client *Client
 	tree   *feed.Tree
@@ -101,17 +101,18 @@
 	recoveries map[string]time.Time
 }
 
-// NewFeed returns a Feed that reads from the instances known to client and from
-// s. It reports the metrics feed_failures and feed_source_changes to scope.
-func NewFeed(s store.Reader, client *Client, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Feed {
+// NewTableReader returns a TableReader that reads from the instances known to
+// client and from s. It reports the metrics feed_failures and
+// feed_source_changes to scope.
+func NewTableReader(s store.Reader, client *Client, clk clock.Clock, log *slog.Logger, scope tally.Scope) *TableReader {
 	self := client.directory.selfKey().Name
-	return &Feed{store: s, client: client, tree: feed.NewTree(self, clk), clock: clk, log: log, sources: map[string]string{}, recoveries: map[string]time.Time{},
+	return &TableReader{store: s, client: client, tree: feed.NewTree(self, clk), clock: clk, log: log, sources: map[string]string{}, recoveries: map[string]time.Time{},
 		failures: scope.Counter("feed_failures"), changes: scope.Counter("feed_source_changes")}
 }
 
 // Read implements store.Reader. A page from another instance holds the complete
 // table.
-func (reader *Feed) Read(ctx context.Context, r store.Range) (store.Page, error) {
+func (reader *TableReader) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	if r.Table != table {
 		reader.awaitInstances(ctx)
 	}
@@ -119,7 +120,7 @@
 }
 
 // Watch implements store.Reader.
-func (reader *Feed) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
+func (reader *TableReader) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
 	return reader.read(ctx, &feedRequest{Table: table, After: after}, func() (store.Page, error) {
 		if feed.IsShared(len(reader.client.directory.neighbours())) {
 			wait = min(wait, sharedWatchWait)
@@ -130,7 +131,7 @@
 
 // awaitInstances waits until the list of instances was read, for at most
 // loadTimeout.
-func (reader *Feed) awaitInstances(ctx context.Context) {
+func (reader *TableReader) awaitInstances(ctx context.Context) {
 	timer := time.NewTimer(loadTimeout)
 	defer timer.Stop()
 	select {
@@ -142,7 +143,7 @@
 
 // read makes one request to the instances to read from, one after the other,
 // and calls fromStore if there are none or as many as may be tried failed.
-func (reader *Feed) read(ctx context.Context, request *feedRequest, fromStore func() (store.Page, error)) (store.Page, error) {
+func (reader *TableReader) read(ctx context.Context, request *feedRequest, fromStore func() (store.Page, error)) (store.Page, error) {
 	reason := "no instance before this one"
 	attempts := maxFeedAttempts
 	if request.Full {
@@ -180,7 +181,7 @@
 
 // next returns the instance to read from, and false if it is this one's turn to
 // read from the store.
-func (reader *Feed) next() (Instance, bool) {
+func (reader *TableReader) next() (Instance, bool) {
 	name := reader.tree.Source(reader.client.directory.neighbours())
 	if name == "" {
 		return Instance{}, false
@@ -190,7 +191,7 @@
 
 // ask makes one request to an instance. A failure does not exclude the instance
 // from other calls, whose timeouts are shorter.
-func (reader *Feed) ask(ctx context.Context, instance Instance, request *feedRequest) (feed.Update, error) {
+func (reader *TableReader) ask(ctx context.Context, instance Instance, request *feedRequest) (feed.Update, error) {
 	timeout := pollTimeout
 	if request.Full {
 		timeout = fullReadTimeout
@@ -208,7 +209,7 @@
 // store.FailureCompacted if the full table must be read, and with
 // store.FailureRefused once after an outage of the store that this instance has
 // not noticed.
-func (reader *Feed) page(table string, instance Instance, update feed.Update) (store.Page, error) {
+func (reader *TableReader) page(table string, instance Instance, update feed.Update) (store.Page, error) {
 	if reader.recordRecovery(table, update.RecoveredAt) {
 		return store.Page{}, store.NewError(store.FailureRefused, "feed", "instance "+instance.Name+": the store was unavailable")
 	}
@@ -221,7 +222,7 @@
 // recordRecovery records when the store last recovered, as reported with a
 // table. It reports whether that is a recovery not recorded before; the first
 // report tells of none.
-func (reader *Feed) recordRecovery(table string, recoveredAt time.Time) bool {
+func (reader *TableReader) recordRecovery(table string, recoveredAt time.Time) bool {
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
 	last, known := reader.recoveries[table]
@@ -233,7 +234,7 @@
 }
 
 // recordSource records and logs where a table is read from, if that changed.
-func (reader *Feed) recordSource(table, source, reason string) {
+func (reader *TableReader) recordSource(table, source, reason string) {
 	reader.mu.Lock()
 	previous, known := reader.sources[table]
 	reader.sources[table] = source
@@ -274,7 +275,7 @@
 
 // awaitUpdate returns what to respond to a request for a table. It returns the
 // error of ctx if that ends first.
-func awaitUpdate(ctx context.Context, followed *feed.Copy, message *feedRequest) (feed.Update, error) {
+func awaitUpdate(ctx context.Context, followed *feed.Replica, message *feedRequest) (feed.Update, error) {
 	if message.Full {
 		return followed.All(), nil
 	}
--- a/feed/doc.go
+++ b/feed/doc.go
@@ -4,6 +4,6 @@
 // centre reads a table and the others read it from each other, along a tree of
 // bounded fan-out.
 //
-// Tree decides from which instance to read, and Copy holds what an instance
+// Tree decides from which instance to read, and Replica holds what an instance
 // has read and passes on. The package does no input or output.
 package feed
--- a/feed/model_test.go
+++ b/feed/model_test.go
@@ -48,7 +48,7 @@
 	name   string
 	centre int
 	tree   *feed.Tree
-	table  *feed.Copy
+	table  *feed.Replica
 	// version is the version up to which the node has applied the changes.
 	version uint64
 	// source is the node that the poll in progress reads from; nil for the
@@ -71,7 +71,7 @@
 	m := &model{clock: clock.NewFake(time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)), members: map[int][]string{}, byName: map[string]*node{}}
 	for n := range instances {
 		name := fmt.Sprintf("instance-%d", n)
-		node := &node{name: name, centre: n % centres, tree: feed.NewTree(name, m.clock), table: feed.NewCopy(nil, m.clock)}
+		node := &node{name: name, centre: n % centres, tree: feed.NewTree(name, m.clock), table: feed.NewReplica(nil, m.clock)}
 		node.table.Replace(nil, 0, m.clock.Now())
 		m.nodes, m.byName[name] = append(m.nodes, node), node
 		m.members[node.centre] = append(m.members[node.centre], name)
--- a/feed/copy_test.go
+++ b/feed/replica_test.go
@@ -37,8 +37,8 @@
 }
 
 // Checks that a reader receives exactly the changes after its version, in order.
-func TestCopyPassesChangesOn(t *testing.T) {
-	table := feed.NewCopy(nil, clock.NewFake(start))
+func TestReplicaPassesChangesOn(t *testing.T) {
+	table := feed.NewReplica(nil, clock.NewFake(start))
 	update, changed := table.Since(0)
 	assert.False(t, update.Loaded)
 	table.Replace([]store.Row{row("a", "1", 3), row("b", "1", 5)}, 5, start)
@@ -59,8 +59,8 @@
 // Guards against a table that goes back to an earlier state when its reader
 // switches to an instance that is behind: a row of an earlier version is not
 // applied, nor one that was removed since.
-func TestCopyIgnoresOlderRows(t *testing.T) {
-	table := feed.NewCopy(nil, clock.NewFake(start))
+func TestReplicaIgnoresOlderRows(t *testing.T) {
+	table := feed.NewReplica(nil, clock.NewFake(start))
 	table.Replace([]store.Row{row("a", "1", 3), row("b", "1", 4)}, 4, start)
 	table.Apply([]store.Row{row("a", "2", 7), removal("b", 8)}, 8, start)
 	assert.Empty(t, table.Apply([]store.Row{row("a", "1", 3), row("b", "1", 4), removal("a", 2)}, 5, start))
@@ -70,10 +70,10 @@
 }
 
 // Guards against readers that miss what was removed while the history of the
-// store was compacted: the copy is replaced by a full read, and its readers
+// store was compacted: the replica is replaced by a full read, and its readers
 // receive the differences.
-func TestReplacedCopyPassesDifferencesOn(t *testing.T) {
-	table := feed.NewCopy(nil, clock.NewFake(start))
+func TestReplacedReplicaPassesDifferencesOn(t *testing.T) {
+	table := feed.NewReplica(nil, clock.NewFake(start))
 	table.Replace([]store.Row{row("a", "1", 3), row("b", "1", 4), row("c", "1", 5)}, 5, start)
 	table.Replace([]store.Row{row("a", "1", 3), row("c", "2", 9)}, 20, start)
 	update, _ := table.Since(5)
@@ -83,8 +83,8 @@
 
 // Guards against waking every instance for changes that mean nothing to them,
 // such as the sequence number in an endpoint's heartbeat.
-func TestCopyDropsInsignificantChanges(t *testing.T) {
-	table := feed.NewCopy(func(a, b []byte) bool { return a[0] == b[0] }, clock.NewFake(start))
+func TestReplicaDropsInsignificantChanges(t *testing.T) {
+	table := feed.NewReplica(func(a, b []byte) bool { return a[0] == b[0] }, clock.NewFake(start))
 	table.Replace([]store.Row{row("a", "x1", 3)}, 3, start)
 	_, changed := table.Since(3)
 	assert.Empty(t, table.Apply([]store.Row{row("a", "x2", 4)}, 4, start))
@@ -103,7 +103,7 @@
 // Checks that the memory of removed rows is bounded, and that a reader that
 // missed more of them reads the full table.
 func TestRemovalsAreBounded(t *testing.T) {
-	table := feed.NewCopy(nil, clock.NewFake(start))
+	table := feed.NewReplica(nil, clock.NewFake(start))
 	table.Replace(nil, 1, start)
 	version := uint64(1)
 	for n := range 5000 {
@@ -118,9 +118,9 @@
 }
 
 // Checks what a reader is told of an outage of the store.
-func TestCopyReportsOutage(t *testing.T) {
+func TestReplicaReportsOutage(t *testing.T) {
 	fake := clock.NewFake(start)
-	table := feed.NewCopy(nil, fake)
+	table := feed.NewReplica(nil, fake)
 	table.Replace(nil, 1, start)
 	_, changed := table.Since(1)
 	table.SetFailing()
@@ -189,6 +189,6 @@
 	assert.Equal(t, names[0], tree.Source(names))
 	assert.True(t, tree.RecordOutdated(names[0]))
 	assert.True(t, tree.RecordOutdated(names[1]))
-	assert.False(t, tree.RecordOutdated(names[2]), "two outdated copies mean that the store is unavailable to all")
+	assert.False(t, tree.RecordOutdated(names[2]), "two outdated replicas mean that the store is unavailable to all")
 	assert.Equal(t, names[2], tree.Source(names))
 }
--- a/feed/tree.go
+++ b/feed/tree.go
@@ -22,7 +22,7 @@
 	// The time doubles with each consecutive failure up to maxAvoidance.
 	initialAvoidance = 2 * time.Second
 	maxAvoidance     = 16 * time.Second
-	// outdatedAvoidance is how long an instance is avoided whose copy is
+	// outdatedAvoidance is how long an instance is avoided whose replica is
 	// outdated. It is short: the store may just be unavailable to all, and the
 	// first one to reach it again should serve the others.
 	outdatedAvoidance = time.Second
@@ -51,7 +51,7 @@
 type avoidance struct {
 	until time.Time
 	// failures counts the consecutive failures to respond; it is 0 for an
-	// instance that responds but has an outdated copy.
+	// instance that responds but has an outdated replica.
 	failures int
 }
 
@@ -109,7 +109,7 @@
 	tree.avoided[name] = avoidance{until: now.Add(duration), failures: failures + 1}
 }
 
-// RecordOutdated avoids an instance whose copy is outdated, unless maxOutdated
+// RecordOutdated avoids an instance whose replica is outdated, unless maxOutdated
 // others are avoided for that reason. It reports whether the instance is avoided.
 func (tree *Tree) RecordOutdated(name string) bool {
 	tree.mu.Lock()
@@ -128,7 +128,7 @@
 	return true
 }
 
-// RecordSuccess records that an instance served a current copy.
+// RecordSuccess records that an instance served a current replica.
 func (tree *Tree) RecordSuccess(name string) {
 	tree.mu.Lock()
 	defer tree.mu.Unlock()
--- a/feed/update.go
+++ b/feed/update.go
@@ -20,7 +20,7 @@
 	maxAge = 2 * time.Second
 )
 
-// Update describes the state of a Copy and what changed in it after a version.
+// Update describes the state of a Replica and what changed in it after a version.
 type Update struct {
 	// Rows are the changed rows in order of version.
 	Rows []store.Row
@@ -33,7 +33,7 @@
 	Loaded bool
 	// Failing is set while the table cannot be read.
 	Failing bool
-	// ConfirmedAt is when the copy was last known to be current.
+	// ConfirmedAt is when the replica was last known to be current.
 	ConfirmedAt time.Time
 	// RecoveredAt is when the table last became readable again; zero if it
 	// always was.
