gateway, membership, platform: log the software version of endpoints and what a request resumes

The incident's logs could not tell whether a stream went on at an endpoint of another version, or at one whose entry in the list was wrong, without the operators' log: no line named the version of an endpoint, and none told that a request resumed a stream.

The endpoint's entry already carried the version and was decoded for its type only. It is now part of membership.Endpoint, so that a change of the version alone is passed on by the followers; the lines of endpoints and of requests have it. A request's line names the attempt that it resumes and the last event received. No decision uses any of this yet.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -293,7 +293,7 @@
 				return
 			}
 			endpoint := decodeEntry(row)
-			log.Info("endpoint", "endpoint", endpoint.ID, "born", endpoint.StartMillis, "service", endpoint.Service, "address", endpoint.Address, "state", endpoint.State, "row_version", row.Version)
+			log.Info("endpoint", "endpoint", endpoint.ID, "born", endpoint.StartMillis, "service", endpoint.Service, "software", endpoint.Version, "address", endpoint.Address, "state", endpoint.State, "row_version", row.Version)
 			if list.Put(endpoint) {
 				notifyRestart(endpoint)
 			}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,11 @@
 	// Previous is the ID of the turn that this one continues; empty for the
 	// first turn.
 	Previous string
+	// Resumes is the ID of the attempt that brought the first event of the stream
+	// that the request resumes, and LastEvent the ID of the last event that the
+	// caller received. Both are empty for a new stream; callers that do not name
+	// the attempt send LastEvent alone.
+	Resumes, LastEvent string
 	// Segments are the segments of the prompt, in order.
 	Segments []balance.Part
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -51,6 +51,7 @@
 			break
 		}
 		e.tried, e.incarnation = append(e.tried, choice.Endpoint().ID), choice.Endpoint().Incarnation()
+		e.versions = append(e.versions, choice.Endpoint().Version)
 		outcome, err := e.try(ctx, choice)
 		choice.Done(outcome)
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -78,6 +78,8 @@
 	// defaultMaxBody is the body size limit in bytes if the configuration sets
 	// none.
 	defaultMaxBody = 4 << 20
+	// maxLoggedValue bounds the bytes of a caller's value in a log line.
+	maxLoggedValue = 64
 )
 
 // The buckets of the latency histograms range from 1 ms to 16 s.
@@ -128,10 +130,11 @@
 	priority  int
 	queueTime time.Duration
 
-	// tried lists the IDs of the endpoints tried. runs counts those that may
-	// have run the request.
-	tried []string
-	runs  int
+	// tried lists the IDs of the endpoints tried, and versions the versions of
+	// their software. runs counts those that may have run the request.
+	tried    []string
+	versions []string
+	runs     int
 	// incarnation identifies the incarnation of the endpoint tried last.
 	incarnation string
 	// firstResponse is the response whose head the caller's stream has.
@@ -628,7 +631,10 @@
 		attrs = append(attrs, slog.String("route", e.route.Name), slog.Uint64("configuration", e.table.Version()), slog.Time("until", e.deadline))
 	}
 	if len(e.tried) > 0 {
-		attrs = append(attrs, slog.Any("endpoints", e.tried), slog.Int("runs", e.runs))
+		attrs = append(attrs, slog.Any("endpoints", e.tried), slog.Any("software", e.versions), slog.Int("runs", e.runs))
+	}
+	if e.resumes() {
+		attrs = append(attrs, slog.String("resumes", abbreviate(e.call.Resumes)), slog.String("last_event", abbreviate(e.call.LastEvent)))
 	}
 	if e.queueTime >= time.Millisecond {
 		attrs = append(attrs, slog.Duration("queued", e.queueTime), slog.Int("priority", e.priority))
@@ -654,6 +660,15 @@
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
+// resumes reports whether the request resumes a stream that an earlier attempt
+// began.
+func (e *exchange) resumes() bool {
+	return e.route != nil && e.route.Kind == route.KindStream && (e.call.Resumes != "" || e.call.LastEvent != "")
+}
+
+// abbreviate returns the beginning of a caller's value for a log line.
+func abbreviate(value string) string { return value[:min(len(value), maxLoggedValue)] }
+
 // balanceRequest returns the properties of the request that the picker uses to
 // choose an endpoint.
 func (e *exchange) balanceRequest() *balance.Request {
--- a/membership/list.go
+++ b/membership/list.go
@@ -41,10 +41,13 @@
 	// incarnations of an endpoint.
 	StartMillis int64
 	Service     string
-	Address     string
-	DataCentre  string
-	Slots       int
-	State       State
+	// Version is the version of the endpoint's software, which need not be that of
+	// the service's other endpoints; empty if it is not reported.
+	Version    string
+	Address    string
+	DataCentre string
+	Slots      int
+	State      State
 }
 
 // Incarnation returns the name of the endpoint's present incarnation. Statistics
