soak: streams of endpoints of several software versions, red

Engines of two versions serve side by side, break off four tenths of their streams and are replaced by releases; callers resume a stream at another instance and name the attempt that brought its first event. Each event tells the version of the endpoint that wrote it, and the checker compares them within a stream.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -58,6 +58,9 @@
 	organisation, key string
 	// most is what a turn may generate.
 	most int64
+	// resumes is the attempt that began the stream which this one resumes, "" for a
+	// new stream; lastEvent is the ID of the last event received of it.
+	resumes, lastEvent string
 	// status is 0 if no answer came; whole tells that it ended as it should.
 	status int
 	whole  bool
@@ -253,6 +256,10 @@
 	if a.organisation != "" {
 		r.Header.Set("Api-Key", caller.site.keyOf(a))
 	}
+	if a.resumes != "" {
+		r.Header.Set("Resumes", a.resumes)
+		r.Header.Set("Last-Event-Id", a.lastEvent)
+	}
 	if a.previous != "" {
 		r.Header.Set("X-Previous-Turn", a.previous)
 	}
--- a/soak/organisation_test.go
+++ b/soak/organisation_test.go
@@ -56,7 +56,7 @@
 	for n := range max(1, *seeds/2) {
 		seed := *first + uint64(n)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			soakSite(t, newSiteOf(t, seed, true), seed, *span, organisationFaults)
+			soakSite(t, newSiteOf(t, seed, siteOptions{organisations: true}), seed, *span, organisationFaults)
 		})
 	}
 }
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -37,11 +37,13 @@
 	endpoints []*endpoint
 	version   int
 	named     int
-	// organisations tells whether the configuration has any. rotation counts the
-	// changes of a key, quota is the rate and burst of the one that has a quota.
-	organisations bool
-	rotation      int
-	quota         float64
+	siteOptions
+	// rotation counts the changes of an organisation's key, quota is the rate and
+	// burst of the one that has a quota.
+	rotation int
+	quota    float64
+	// releases counts the releases of software.
+	releases int
 	// failing is the share of requests that endpoints fail in some way.
 	failing float64
 	rng     *rand.Rand
@@ -65,12 +67,25 @@
 	gone  bool
 }
 
-func newSite(t *testing.T, seed uint64) *site { return newSiteOf(t, seed, false) }
+func newSite(t *testing.T, seed uint64) *site { return newSiteOf(t, seed, siteOptions{}) }
+
+// siteOptions selects what a site has beyond the usual.
+type siteOptions struct {
+	organisations bool
+	// versions are the software versions of the model endpoints, assigned in
+	// turn; none if empty.
+	versions []string
+	// events is the number of events of a stream; 0 for that of the stand-in.
+	events int
+	// brokenStreams is the share of streams that endpoints break off after one of
+	// their events.
+	brokenStreams float64
+}
 
-// newSiteOf returns a site, with organisations or without.
-func newSiteOf(t *testing.T, seed uint64, organisations bool) *site {
+// newSiteOf returns a site with the given options.
+func newSiteOf(t *testing.T, seed uint64, options siteOptions) *site {
 	t.Helper()
-	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), organisations: organisations, quota: usualQuota}
+	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), siteOptions: options, quota: usualQuota}
 	s.configure()
 	for n := range modelCount + toolCount {
 		s.add(n < modelCount, nil)
@@ -122,6 +137,12 @@
 	e := &endpoint{Endpoint: platformtest.NewEndpoint(fmt.Sprintf("e%d", s.named), map[bool]string{true: "model", false: "tool"}[model], model)}
 	s.t.Cleanup(e.Close)
 	e.EventDelay = 5 * time.Millisecond
+	if model && len(s.versions) > 0 {
+		e.Version = s.versions[s.named%len(s.versions)]
+	}
+	if s.events > 0 {
+		e.Events = s.events
+	}
 	e.SetBehaviour(s.behave(model))
 	if before != nil {
 		e.proxy = before.proxy
@@ -144,6 +165,9 @@
 	return func(*platformtest.ReceivedRequest) platformtest.Behaviour {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if model && s.brokenStreams > 0 && s.rng.Float64() < s.brokenStreams {
+			return platformtest.Behaviour{ResetAfter: 1 + s.rng.IntN(s.events-1)}
+		}
 		if s.rng.Float64() >= s.failing {
 			return platformtest.Behaviour{}
 		}
