gateway: accept all requests of a test before the first response uses up the memory

In each of the four failures that were traced 10 or 11 of the 12 requests had reached the endpoint: the others came after the first responses had used up the memory, and were refused for that as they should be, which the test took for a stall. A delay of the responses by 200 ms still failed in 1 of 60.

--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -40,9 +40,14 @@
 	b := newFixture(t)
 	i := b.startInstance()
 	i.MaxBodyBytes = limit
+	// The first response uses up the memory, so all requests are accepted before.
+	accepted, allAccepted := 0, make(chan struct{})
 	b.tool.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
 		if strings.HasPrefix(run.ID, "slow") {
-			return platformtest.Behaviour{ResponseSize: size}
+			if accepted++; accepted == callers {
+				close(allAccepted)
+			}
+			return platformtest.Behaviour{ResponseSize: size, Until: allAccepted}
 		}
 		return platformtest.Behaviour{}
 	})
