resumption, gateway: resume a stream only at the software version that began it

Callers received streams whose first events came from an engine of one software version and whose last ones from another: as they resumed a stream that had broken off, mostly at another instance, and where a route allows two attempts also within one response.

Cause: the gateway forwarded Last-Event-Id and let the picker choose any endpoint of the service. The version of an endpoint's software was not known to it, and nothing told one instance at which version a stream had begun at another.

What a stream began at is now its origin: service, version and the endpoint's incarnation. - Within a response only endpoints of its version are tried after a break. - A request that resumes a stream is refused as not run (503) unless its origin is certain and an endpoint of the version takes work, before it waits for admission. - While a service has several versions, the instance that relays a stream records the origin at one instance of its data centre and one of another, by rendezvous hashing of the attempt's ID, before the first event is sent; also during a stream, if another version comes meanwhile. An instance asks the two first ones of each data centre. Conflicting records count as unknown. - While a service has one version nothing is recorded. That it had no other one for as long as a stream may last is taken from the list of endpoints, if it was followed without a gap, here or at another instance, and the list of now is read from the store for each such request: an instance that hears late of a new version does not take the old one for the only one. - An endpoint that restarted with other software under its ID makes the origin unknown.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -26,6 +26,7 @@
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/quota"
+	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
@@ -171,19 +172,22 @@
 	f.accounts = account.NewManager(guard, owner, peers, peers, clk, p.log, scope)
 	turns := archive.New(guard, peers, s.RowBytes, int(turnCacheShare*float64(s.Memory)), p.log, scope)
 	f.quotas = quota.NewLimiter(peers, s.Tolerance, clk, p.log, scope)
-	f.peers = &entrypeer.Server{Store: directStore, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Directory: directory, Log: p.log}
+	tables := entrypeer.NewTableReader(guard, peers, clk, p.log, scope)
+	f.endpoints = discovery.NewFollower(tables, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.dropConnections, clk, p.log), clk, p.log, scope)
+	versions := discovery.NewVersions(list, f.endpoints, guard, platform.DecodeEndpoint, clk)
+	origins := resumption.NewRegistry(resumption.NewRecords(clk), peers, versions, scope)
+	f.peers = &entrypeer.Server{Store: directStore, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
 	self, _ := directory.Members()
 	f.gateway = gateway.New(gateway.Config{
 		Instance: self, DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:    f.accounts,
 		Archive:     turns,
+		Origins:     origins,
 		Quotas:      f.quotas,
 		StoreStatus: storeStatus{store: guard, directory: directory}, MaxBodyBytes: int64(bodyMemoryShare * float64(s.Memory)),
 		Clock: clk, Log: p.log, Metrics: scope,
 	})
-	tables := entrypeer.NewTableReader(guard, peers, clk, p.log, scope)
 	f.configuration = discovery.NewFollower(tables, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
-	f.endpoints = discovery.NewFollower(tables, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.dropConnections, clk, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(tables, directory.Source(p.log), clk, p.log, scope)
 	f.peers.Tables = map[string]*feed.Replica{}
 	for _, follower := range []*discovery.Follower{f.configuration, f.endpoints, f.instances} {
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -58,6 +59,9 @@
 	// OnUnavailable is called when the store becomes unavailable, and OnAvailable when it is
 	// available again.
 	OnUnavailable, OnAvailable func()
+	// OnCurrent, unless nil, is called after each successful read with the time at
+	// which the table was last known to be current.
+	OnCurrent func(at time.Time)
 }
 
 // Follower delivers the contents and changes of one table to a Source. Use
@@ -74,6 +78,8 @@
 	lost, behind tally.Counter
 	stale        tally.Gauge
 	clock        clock.Clock
+	// applied is the version up to which the source has received all changes.
+	applied atomic.Uint64
 	// gatherDelay is the last delay that batched changes, and gatheredAt when
 	// it ended.
 	gatherDelay time.Duration
@@ -117,6 +123,10 @@
 				follower.log.Info("store available again; following the table from this version", "version", after, "away", now.Sub(lastSuccess))
 				follower.source.OnAvailable()
 			}
+			follower.applied.Store(after)
+			if follower.source.OnCurrent != nil {
+				follower.source.OnCurrent(follower.table.ConfirmedAt())
+			}
 			failing, lastSuccess = false, now
 			backoff = retry.Backoff{Initial: initialBackoff, Max: maxBackoff}
 			follower.stale.Update(now.Sub(follower.table.ConfirmedAt()).Seconds())
@@ -286,6 +296,7 @@
 		Same:          same,
 		OnUnavailable: list.StoreUnavailable,
 		OnAvailable:   func() { list.StoreAvailable(clk.Now()) },
+		OnCurrent:     list.Confirm,
 		Apply: func(row store.Row) {
 			if row.Removed {
 				log.Info("endpoint removed from the list", "endpoint", row.Key.Name, "row_version", row.Version)
--- /dev/null
+++ b/discovery/versions.go
@@ -0,0 +1,72 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/store"
+)
+
+// Versions tells which software versions the endpoints of a service have. It
+// implements resumption.Versions.
+type Versions struct {
+	list     *membership.List
+	follower *Follower
+	reader   store.Reader
+	decode   func(id string, data []byte) (*membership.Endpoint, error)
+	clock    clock.Clock
+}
+
+// NewVersions returns Versions of the endpoints in list, which follower keeps up to
+// date. It reads the latest changes from reader, which must be the store itself.
+func NewVersions(list *membership.List, follower *Follower, reader store.Reader, decode func(id string, data []byte) (*membership.Endpoint, error), clk clock.Clock) *Versions {
+	return &Versions{list: list, follower: follower, reader: reader, decode: decode, clock: clk}
+}
+
+// Sole implements resumption.Versions. It goes by the list as this instance knows
+// it.
+func (versions *Versions) Sole(service string, period time.Duration) (string, bool) {
+	return versions.list.SoleVersion(service, period, versions.clock.Now())
+}
+
+// Confirm implements resumption.Versions. It reads the changes that this instance
+// has not received from the store. It returns a *VersionError if an endpoint of the
+// service has another version, and the error of the store.
+func (versions *Versions) Confirm(ctx context.Context, service, version string) error {
+	// What is applied after this is in the list by the time that it is read below.
+	after := versions.follower.applied.Load()
+	page, err := versions.reader.Watch(ctx, versions.follower.TableName(), after, 0)
+	if err != nil {
+		return err
+	}
+	if page.More {
+		return &VersionError{service: service}
+	}
+	for _, row := range page.Rows {
+		if row.Removed {
+			continue
+		}
+		// An entry that cannot be decoded names no endpoint.
+		if endpoint, err := versions.decode(row.Key.Name, row.Value); err == nil && endpoint.Service == service && endpoint.Version != version {
+			return &VersionError{service: service, version: endpoint.Version}
+		}
+	}
+	if other, ok := versions.list.OtherVersion(service, version); ok {
+		return &VersionError{service: service, version: other}
+	}
+	return nil
+}
+
+// VersionError is returned if a service may have endpoints of another software
+// version.
+type VersionError struct {
+	// version is the other version; empty if it is not known.
+	service, version string
+}
+
+// Error returns the service and the version.
+func (e *VersionError) Error() string {
+	return "service " + e.service + " may have endpoints of another version: " + e.version
+}
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -62,7 +62,7 @@
 func (e *TransportError) Unwrap() error { return e.cause }
 
 // Client calls other entry instances. It implements account.Owners,
-// account.Lenders, archive.Peers and quota.Peers.
+// account.Lenders, archive.Peers, quota.Peers and resumption.Peers.
 type Client struct {
 	directory *Directory
 	http      *http.Client
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -16,6 +16,9 @@
 	pathCredit   = "/entry/credit"
 	pathHandOver = "/entry/hand-over"
 	pathFeed     = "/entry/feed"
+
+	pathRecordOrigin = "/entry/record-origin"
+	pathFindOrigin   = "/entry/find-origin"
 )
 
 // giveBackRequest requests the release of the unused tokens that the receiver
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -26,6 +26,8 @@
 	Lender Lender
 	Turns  TurnCache
 	Quotas QuotaHome
+	// Origins holds the origins of streams that other instances recorded here.
+	Origins Origins
 	// Tables holds the followed tables that other instances may read from this
 	// one, by name.
 	Tables map[string]*feed.Replica
@@ -62,6 +64,8 @@
 	mux.HandleFunc("POST "+pathCredit, server.handleCredit)
 	mux.HandleFunc("POST "+pathHandOver, server.handleTransfer)
 	mux.HandleFunc("POST "+pathFeed, server.handleFeed)
+	mux.HandleFunc("POST "+pathRecordOrigin, server.handleRecordOrigin)
+	mux.HandleFunc("POST "+pathFindOrigin, server.handleFindOrigin)
 	return mux
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/textproto"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -46,7 +45,8 @@
 func (e *exchange) dispatch(ctx context.Context) error {
 	request := e.balanceRequest()
 	for len(e.tried) < maxEndpointsTried {
-		choice := e.Picker.Pick(e.Endpoints.Service(e.service), request, func(id string) bool { return slices.Contains(e.tried, id) })
+		endpoints := e.Endpoints.Service(e.service)
+		choice := e.Picker.Pick(endpoints, request, e.skipped(endpoints))
 		if choice == nil {
 			break
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/quota"
+	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
@@ -30,6 +31,8 @@
 	Accounts    *account.Manager
 	Archive     *archive.Archive
 	StoreStatus StoreStatus
+	// Origins holds where streams began.
+	Origins *resumption.Registry
 	// Quotas limits the request rate of each organisation.
 	Quotas *quota.Limiter
 	// MaxBodyBytes bounds the memory for the bodies and prompts of all requests in
@@ -68,7 +71,7 @@
 // metrics holds the metrics of a Gateway; refused is indexed by Reason.
 type metrics struct {
 	requests, served, failed, sends, resumed                      tally.Counter
-	refused                                                       [ReasonNoMemory + 1]tally.Counter
+	refused                                                       [ReasonNoVersion + 1]tally.Counter
 	latency, firstEvent, reserve, extend, storeTurn, queue, quota tally.Histogram
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,7 @@
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/quota"
+	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
@@ -45,7 +46,12 @@
 	tool  *platformtest.Endpoint
 	// logs receives the log output of all instances.
 	logs io.Writer
-	ids  atomic.Int64
+	// peers holds the origins of streams that instances record at each other.
+	peers originPeers
+	// followedFor is how long instances have followed the list of endpoints when
+	// they start.
+	followedFor time.Duration
+	ids         atomic.Int64
 }
 
 // instance is an entry instance of a fixture. It implements gateway.StoreStatus.
@@ -129,11 +135,17 @@
 	log := slog.New(slog.NewTextHandler(b.logs, nil))
 	clk := clock.Real{}
 	current, list := &route.Current{}, membership.NewList()
+	for at := clk.Now().Add(-b.followedFor); at.Before(clk.Now()); at = at.Add(time.Second) {
+		list.Confirm(at)
+	}
 	guard := store.NewGuard(b.store, func(string, bool, error) {})
 	i := &instance{fixture: b, client: upstream.NewClient(), guard: guard, done: make(chan error, 5)}
 	i.accounts = account.NewManager(guard, fmt.Sprintf("i%d", b.ids.Add(1)), singleInstance{}, singleInstance{}, clk, log, tally.NoopScope)
+	endpoints := discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, func(endpoint *membership.Endpoint) { i.client.CloseIdle(endpoint.Address) }, clk, log), clk, log, tally.NoopScope)
+	origins := resumption.NewRegistry(resumption.NewRecords(clk), &b.peers, discovery.NewVersions(list, endpoints, guard, platform.DecodeEndpoint, clk), tally.NoopScope)
+	b.peers.add(origins)
 	i.Gateway = gateway.New(gateway.Config{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
-		Accounts: i.accounts, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
+		Accounts: i.accounts, Origins: origins, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go guard.Run(ctx, i.done)
@@ -142,7 +154,7 @@
 	require.NoError(b.t, err)
 	i.address = listener.Addr().String()
 	go discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, log), clk, log, tally.NoopScope).Run(ctx, i.done)
-	go discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, func(endpoint *membership.Endpoint) { i.client.CloseIdle(endpoint.Address) }, clk, log), clk, log, tally.NoopScope).Run(ctx, i.done)
+	go endpoints.Run(ctx, i.done)
 	go gateway.NewServer(i.Gateway, log).Serve(ctx, listener, 5*time.Second, i.done)
 	b.t.Cleanup(cancel)
 	require.Eventually(b.t, i.Ready, 2*time.Second, 5*time.Millisecond)
--- a/gateway/reason_string.go
+++ b/gateway/reason_string.go
@@ -27,11 +27,13 @@
 	_ = x[ReasonCallerGone-16]
 	_ = x[ReasonNotKept-17]
 	_ = x[ReasonNoMemory-18]
+	_ = x[ReasonUnknownOrigin-19]
+	_ = x[ReasonNoVersion-20]
 }
 
-const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaQuotaUnknownNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemory"
+const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaQuotaUnknownNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemoryUnknownOriginNoVersion"
 
-var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 56, 71, 81, 94, 99, 109, 120, 129, 143, 150, 160, 167, 175}
+var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 56, 71, 81, 94, 99, 109, 120, 129, 143, 150, 160, 167, 175, 188, 197}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -61,6 +61,12 @@
 	// ReasonNoMemory means that the bodies of requests in flight use all the
 	// memory set aside for them.
 	ReasonNoMemory
+	// ReasonUnknownOrigin means that the software version at which the stream to
+	// resume began could not be determined.
+	ReasonUnknownOrigin
+	// ReasonNoVersion means that no endpoint has the software version at which the
+	// stream to resume began.
+	ReasonNoVersion
 )
 
 // refusal is an error that the gateway itself reports to the caller, as opposed
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,6 +15,7 @@
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/history"
+	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
@@ -137,6 +138,13 @@
 	runs     int
 	// incarnation identifies the incarnation of the endpoint tried last.
 	incarnation string
+	// origin is where the stream began; nil before its first event. originSource
+	// and originAge tell how it was found for a stream that the request resumes.
+	// originRecorded is set once other instances know it.
+	origin         *resumption.Origin
+	originSource   resumption.Source
+	originAge      time.Duration
+	originRecorded bool
 	// firstResponse is the response whose head the caller's stream has.
 	// received counts the events of the stream, including those in eventBuffer.
 	// eventData holds the data of these events if the turn is to be stored, and
@@ -209,6 +217,9 @@
 	if err := e.chargeQuota(ctx); err != nil {
 		return err
 	}
+	if err := e.findOrigin(ctx); err != nil {
+		return err
+	}
 	release, err := e.admit(ctx)
 	if err != nil {
 		return err
@@ -635,6 +646,9 @@
 	}
 	if e.resumes() {
 		attrs = append(attrs, slog.String("resumes", abbreviate(e.call.Resumes)), slog.String("last_event", abbreviate(e.call.LastEvent)))
+		if e.origin != nil {
+			attrs = append(attrs, slog.String("origin", e.origin.Version), slog.String("origin_source", e.originSource.String()), slog.Duration("origin_age", e.originAge))
+		}
 	}
 	if e.queueTime >= time.Millisecond {
 		attrs = append(attrs, slog.Duration("queued", e.queueTime), slog.Int("priority", e.priority))
@@ -660,12 +674,6 @@
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
-// resumes reports whether the request resumes a stream that an earlier attempt
-// began.
-func (e *exchange) resumes() bool {
-	return e.route != nil && e.route.Kind == route.KindStream && (e.call.Resumes != "" || e.call.LastEvent != "")
-}
-
 // abbreviate returns the beginning of a caller's value for a log line.
 func abbreviate(value string) string { return value[:min(len(value), maxLoggedValue)] }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,7 @@
 			return balance.OutcomeBroken, err
 		}
 		e.setFirstResponse(response)
+		e.recordOrigin(ctx)
 		if err := e.ensureBudget(ctx, event); err != nil {
 			return balance.OutcomeAbandoned, err
 		}
--- a/membership/list.go
+++ b/membership/list.go
@@ -75,13 +75,18 @@
 	// storeUnavailable is set during an outage.
 	storeReturnedAt  time.Time
 	storeUnavailable bool
-	services         atomic.Pointer[map[string][]*Endpoint]
-	loaded           atomic.Bool
+	// versions holds the software versions of each service.
+	versions map[string]*serviceVersions
+	// confirmedAt is when the list was last known to be current, and followedSince
+	// from when on no change of it was missed.
+	confirmedAt, followedSince time.Time
+	services                   atomic.Pointer[map[string][]*Endpoint]
+	loaded                     atomic.Bool
 }
 
 // NewList returns an empty list.
 func NewList() *List {
-	list := &List{endpoints: map[string]*Endpoint{}, missingSince: map[string]time.Time{}}
+	list := &List{endpoints: map[string]*Endpoint{}, missingSince: map[string]time.Time{}, versions: map[string]*serviceVersions{}}
 	list.services.Store(&map[string][]*Endpoint{})
 	return list
 }
@@ -157,10 +162,27 @@
 	default:
 		restarted = endpoint.StartMillis > previous.StartMillis && previous.Address != ""
 	}
-	list.endpoints[endpoint.ID] = endpoint
+	list.set(endpoint)
 	return restarted
 }
 
+// set records an endpoint in place of the previous one of its ID.
+func (list *List) set(endpoint *Endpoint) {
+	if previous, ok := list.endpoints[endpoint.ID]; ok {
+		list.versionsOf(previous.Service).drop(previous.Version)
+	}
+	list.endpoints[endpoint.ID] = endpoint
+	list.versionsOf(endpoint.Service).add(endpoint.Version)
+}
+
+// drop removes the endpoint of the given ID.
+func (list *List) drop(id string) {
+	if previous, ok := list.endpoints[id]; ok {
+		list.versionsOf(previous.Service).drop(previous.Version)
+	}
+	delete(list.endpoints, id)
+}
+
 // Remove records that an endpoint left the list. Around an outage of the store
 // the entry of a running endpoint may have expired, so a ready endpoint keeps
 // taking work until recoveryGrace after the store's return (see Expire).
@@ -178,7 +200,7 @@
 		return
 	}
 	if !endpoint.State.takesWork() || !list.storeUnavailable && now.Sub(list.storeReturnedAt) >= recoveryGrace {
-		delete(list.endpoints, id)
+		list.drop(id)
 		delete(list.missingSince, id)
 		return
 	}
@@ -187,7 +209,7 @@
 	}
 	lapsed := *endpoint
 	lapsed.State = StateMissing
-	list.endpoints[id] = &lapsed
+	list.set(&lapsed)
 	list.missingSince[id] = now
 }
 
@@ -223,7 +245,7 @@
 	}
 	var expired []string
 	for id := range list.missingSince {
-		delete(list.endpoints, id)
+		list.drop(id)
 		expired = append(expired, id)
 	}
 	clear(list.missingSince)
