--- a/entrypeer/origin.go
+++ b/entrypeer/origin.go
@@ -151,18 +151,33 @@
 	return best, nil
 }
 
-// originCandidate is an instance with its score for the origin of an attempt.
+// originCandidate is an instance with its rendezvous score for the origin of an
+// attempt.
 type originCandidate struct {
 	Instance
 	score uint64
 }
 
-// rankedForOrigin returns the other instances of each data centre, those with the
-// highest rendezvous scores for the attempt first. Excluded instances are left out
-// unless all is set.
-func (directory *Directory) rankedForOrigin(key resumption.Key, all bool) map[string][]originCandidate {
+// originRanking holds the instances of a data centre with the highest scores, the
+// highest one first.
+type originRanking [originHoldersPerDataCentre]originCandidate
+
+// consider adds an instance if its score is high enough.
+func (ranking *originRanking) consider(instance Instance, score uint64) {
+	for i := range ranking {
+		if ranking[i].Name == "" || score > ranking[i].score {
+			copy(ranking[i+1:], ranking[i:])
+			ranking[i] = originCandidate{Instance: instance, score: score}
+			return
+		}
+	}
+}
+
+// rankForOrigin ranks the other instances of each data centre for the origin of an
+// attempt by rendezvous hashing. Excluded instances are left out unless all is set.
+func (directory *Directory) rankForOrigin(key resumption.Key, all bool) map[string]*originRanking {
 	hash := binary.BigEndian.Uint64(key[:])
-	ranked := map[string][]originCandidate{}
+	rankings := map[string]*originRanking{}
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	now := directory.clock.Now()
@@ -170,34 +185,32 @@
 		if !all && directory.isExcluded(name, now) {
 			continue
 		}
-		best := append(ranked[instance.DataCentre], originCandidate{Instance: instance, score: mixBits(hash ^ xxhash.Sum64String(name))})
-		slices.SortFunc(best, func(a, b originCandidate) int { return cmp.Compare(b.score, a.score) })
-		ranked[instance.DataCentre] = best[:min(len(best), originHoldersPerDataCentre)]
+		ranking, ok := rankings[instance.DataCentre]
+		if !ok {
+			ranking = &originRanking{}
+			rankings[instance.DataCentre] = ranking
+		}
+		ranking.consider(instance, mixBits(hash^xxhash.Sum64String(name)))
 	}
-	return ranked
+	return rankings
 }
 
 // originRecorders returns the reachable instances that are to hold the origin of an
 // attempt which this instance serves: one of this data centre and the one with the
 // highest score of the others, as far as there are any.
 func (directory *Directory) originRecorders(key resumption.Key) []Instance {
-	ranked := directory.rankedForOrigin(key, false)
-	candidates := make([]originCandidate, 0, len(ranked))
-	for _, best := range ranked {
-		candidates = append(candidates, best[0])
-	}
-	own := directory.self.DataCentre
-	slices.SortFunc(candidates, func(a, b originCandidate) int {
-		if (a.DataCentre == own) != (b.DataCentre == own) {
-			if a.DataCentre == own {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.score, a.score)
-	})
+	rankings := directory.rankForOrigin(key, false)
 	recorders := make([]Instance, 0, originCopies)
-	for _, candidate := range candidates[:min(len(candidates), originCopies)] {
+	if own, ok := rankings[directory.self.DataCentre]; ok {
+		recorders = append(recorders, own[0].Instance)
+		delete(rankings, directory.self.DataCentre)
+	}
+	candidates := make([]originCandidate, 0, len(rankings))
+	for _, ranking := range rankings {
+		candidates = append(candidates, ranking[0])
+	}
+	slices.SortFunc(candidates, func(a, b originCandidate) int { return cmp.Compare(b.score, a.score) })
+	for _, candidate := range candidates[:min(len(candidates), originCopies-len(recorders))] {
 		recorders = append(recorders, candidate.Instance)
 	}
 	return recorders
@@ -207,9 +220,11 @@
 // whether or not they were reachable lately.
 func (directory *Directory) originHolders(key resumption.Key) []Instance {
 	var holders []Instance
-	for _, best := range directory.rankedForOrigin(key, true) {
-		for _, candidate := range best {
-			holders = append(holders, candidate.Instance)
+	for _, ranking := range directory.rankForOrigin(key, true) {
+		for _, candidate := range ranking {
+			if candidate.Name != "" {
+				holders = append(holders, candidate.Instance)
+			}
 		}
 	}
 	return holders
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -23,7 +23,8 @@
 
 // findOrigin determines the service and the software version at which a stream to
 // resume began. It returns a *refusal if they are unknown, or if no endpoint has
-// the version. It does nothing for other requests.
+// the version: another instance may know more, and a caller whose attempts are all
+// refused begins the stream anew. It does nothing for other requests.
 func (e *exchange) findOrigin(ctx context.Context) error {
 	if !e.resumes() {
 		return nil
@@ -34,7 +35,6 @@
 	}
 	origin, source, age, err := e.Origins.Find(ctx, query)
 	if err != nil {
-		// Another instance may know it, and a caller that gives up begins anew.
 		return e.orEnded(ctx, refuse(ReasonUnknownOrigin, http.StatusServiceUnavailable, otherInstanceRetryAfter, err))
 	}
 	e.origin, e.originSource, e.originAge = &origin, source, age
@@ -43,7 +43,7 @@
 	}
 	isTarget := slices.ContainsFunc(e.route.Targets, func(target route.Target) bool { return target.Service == origin.Service })
 	if !isTarget || !slices.ContainsFunc(e.Endpoints.Service(origin.Service), e.canContinue) {
-		return refuse(ReasonNoVersion, http.StatusServiceUnavailable, busyRetryAfter, nil)
+		return refuse(ReasonNoVersion, http.StatusServiceUnavailable, otherInstanceRetryAfter, nil)
 	}
 	e.service = origin.Service
 	return nil
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -230,8 +230,9 @@
 		return true
 	}
 	require.Eventually(t, isReplaced, 2*time.Second, 5*time.Millisecond)
-	status, _ := b.resume(second, "s1-again", "s1")
-	assert.Equal(t, 503, status)
+	response, body := second.mustSend(callerRequest{path: "/chat/x", id: "s1-again", body: "x", header: map[string]string{"Last-Event-Id": "1", "Resumes": "s1"}})
+	assert.Equal(t, 503, response.StatusCode)
+	assert.Contains(t, body, `"reason":"NoVersion"`)
 
 	b.endpoints[0].Born, b.endpoints[0].Version = 100, "v1"
 	b.endpoints[0].Register(b.memory, "a", "ready")
@@ -248,7 +249,7 @@
 		endpoints := second.Endpoints.Service("model")
 		return len(endpoints) == 2 && endpoints[0].StartMillis == 200
 	}, 2*time.Second, 5*time.Millisecond)
-	status, _ = b.resume(second, "s2-again", "s2")
+	status, _ := b.resume(second, "s2-again", "s2")
 	assert.Equal(t, 503, status, "either version may have begun the stream")
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,6 +63,9 @@
 func (e *exchange) setFirstResponse(response *upstream.Response) {
 	if e.firstResponse == nil {
 		e.firstResponse, e.status = response, response.Status
+		if e.resumes() {
+			e.metrics.resumed.Inc(1)
+		}
 	}
 }
 
