resumption: three copies of an origin, recorded again if nobody responded

Callers whose instance is killed resume their streams elsewhere, and are refused if the holders of the origin died with it. Where three fifths of all instances are killed at once, both of two copies are lost for a fifth of the streams at seven instances and for a third in a large fleet, three for a twentieth and a fifth (worked out).

An instance that is cut off for a moment as a stream begins no longer leaves it unrecorded for good: it tries again with a later event, half a second after.

The list of endpoints also counts as unconfirmed after a suspension that the steady clock does not count, and a service without a name has no versions: a query for a route of several services found those of rejected entries, and was refused for another reason.

--- a/entrypeer/origin.go
+++ b/entrypeer/origin.go
@@ -20,7 +20,7 @@
 	// the first while that was excluded.
 	originHoldersPerDataCentre = 2
 	// originCopies is the number of data centres in which an origin is recorded.
-	originCopies = 2
+	originCopies = 3
 	// recordOriginTimeout bounds the recording of an origin, for which the first
 	// event of a stream waits.
 	recordOriginTimeout = 60 * time.Millisecond
@@ -85,7 +85,8 @@
 var errNoInstance = errors.New("no other instance to hold the origins of streams")
 
 // RecordOrigin implements resumption.Peers. It records the origin at one instance of
-// this data centre and at one of another, and returns nil after the first response.
+// this data centre and at one of each of two others, and returns nil after the first
+// response.
 // The calls go on if ctx ends: the caller of the stream may leave at any time, and
 // resume it.
 func (client *Client) RecordOrigin(ctx context.Context, key resumption.Key, origin resumption.Origin) error {
@@ -196,8 +197,8 @@
 }
 
 // originRecorders returns the reachable instances that are to hold the origin of an
-// attempt which this instance serves: one of this data centre and the one with the
-// highest score of the others, as far as there are any.
+// attempt which this instance serves: one of this data centre and those with the
+// highest scores of others, as far as there are any.
 func (directory *Directory) originRecorders(key resumption.Key) []Instance {
 	rankings := directory.rankForOrigin(key, false)
 	recorders := make([]Instance, 0, originCopies)
--- a/entrypeer/origin_test.go
+++ b/entrypeer/origin_test.go
@@ -73,8 +73,8 @@
 	return names
 }
 
-// Guards against streams that cannot be resumed since the instance that served them died, or their whole data centre did: each origin is held in two.
-func TestOriginOutlivesInstanceAndDataCentre(t *testing.T) {
+// Guards against streams that cannot be resumed since the instance that served them died, or two whole data centres did: each origin is held in three.
+func TestOriginOutlivesInstanceAndDataCentres(t *testing.T) {
 	instances := startOrigins(t, 3)
 	origin := resumption.Origin{Service: "model", Version: "v1", Incarnation: "e1@100"}
 	ctx := context.Background()
@@ -82,20 +82,20 @@
 		key := resumption.NewKey("", fmt.Sprint("s", n))
 		first := instances[n%len(instances)]
 		first.registry.Record(ctx, key, origin)
-		assert.Eventually(t, func() bool { return len(holders(instances, key)) == 3 }, time.Second, time.Millisecond, "itself and one in each of two data centres")
+		assert.Eventually(t, func() bool { return len(holders(instances, key)) == 4 }, time.Second, time.Millisecond, "itself and one in each data centre")
 	}
-	for _, i := range instances[:3] {
+	for _, i := range instances[:6] {
 		i.server.CloseClientConnections()
 		i.server.Close()
 	}
 	for n := range 30 {
-		for _, i := range instances[3:] {
+		for _, i := range instances[6:] {
 			found, _, _, err := i.registry.Find(ctx, resumption.Query{Key: resumption.NewKey("", fmt.Sprint("s", n))})
 			require.NoError(t, err, "stream %d at %s", n, i.Name)
 			assert.Equal(t, origin, found)
 		}
 	}
-	finding, err := instances[3].client.FindOrigin(ctx, resumption.Query{Key: resumption.NewKey("x", "s1")})
+	finding, err := instances[6].client.FindOrigin(ctx, resumption.Query{Key: resumption.NewKey("x", "s1")})
 	require.NoError(t, err)
 	assert.False(t, finding.Found, "another organisation's attempt")
 }
@@ -113,9 +113,9 @@
 		began := time.Now()
 		require.NoError(t, instances[0].client.RecordOrigin(context.Background(), key, origin))
 		assert.Less(t, time.Since(began), 60*time.Millisecond, "the first response suffices")
-		finding, err := instances[5].client.FindOrigin(context.Background(), resumption.Query{Key: key})
+		found, _, _, err := instances[5].registry.Find(context.Background(), resumption.Query{Key: key})
 		require.NoError(t, err)
-		assert.True(t, finding.Found)
+		assert.Equal(t, origin, found)
 	}
 }
 
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -15,6 +15,10 @@
 // one does that stops without draining, or whose departure becomes known late.
 const unlistedServiceTime = 20 * time.Second
 
+// recordOriginInterval is the delay between attempts to record the origin of a
+// stream. Each of them may delay an event by some ten milliseconds.
+const recordOriginInterval = 500 * time.Millisecond
+
 // resumes reports whether the request resumes a stream that an earlier attempt
 // began.
 func (e *exchange) resumes() bool {
@@ -93,13 +97,14 @@
 		e.origin = &resumption.Origin{Service: e.service, Version: e.versions[len(e.versions)-1], Incarnation: e.incarnation}
 		e.Origins.Keep(resumption.NewKey(e.organisationName(), e.call.ID), *e.origin)
 	}
-	if !e.route.Resumable || e.originRecorded || len(e.route.Targets) == 1 && e.Origins.IsSole(e.service, e.originPeriod()) {
+	now := e.Clock.Now()
+	if !e.route.Resumable || e.originRecorded || now.Before(e.recordOriginAt) || len(e.route.Targets) == 1 && e.Origins.IsSole(e.service, e.originPeriod()) {
 		return
 	}
-	e.originRecorded = true
+	e.originRecorded, e.recordOriginAt = true, now.Add(recordOriginInterval)
 	for _, attempt := range []string{e.call.ID, e.call.Resumes} {
-		if attempt != "" {
-			e.Origins.Record(ctx, resumption.NewKey(e.organisationName(), attempt), *e.origin)
+		if attempt != "" && !e.Origins.Record(ctx, resumption.NewKey(e.organisationName(), attempt), *e.origin) {
+			e.originRecorded = false
 		}
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -140,11 +140,13 @@
 	incarnation string
 	// origin is where the stream began; nil before its first event. originSource
 	// and originAge tell how it was found for a stream that the request resumes.
-	// originRecorded is set once other instances know it.
+	// originRecorded is set once other instances know it; before recordOriginAt they
+	// are not told again.
 	origin         *resumption.Origin
 	originSource   resumption.Source
 	originAge      time.Duration
 	originRecorded bool
+	recordOriginAt time.Time
 	// firstResponse is the response whose head the caller's stream has.
 	// received counts the events of the stream, including those in eventBuffer.
 	// eventData holds the data of these events if the turn is to be stored, and
--- a/membership/versions.go
+++ b/membership/versions.go
@@ -68,27 +68,31 @@
 func (list *List) Confirm(at time.Time) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	// The steady clock may not count a suspension of the machine.
-	steady, wall := at.Sub(list.confirmedAt), at.Round(0).Sub(list.confirmedAt.Round(0))
-	if max(steady, wall) > maxConfirmationGap {
+	if elapsed(list.confirmedAt, at) > maxConfirmationGap {
 		list.followedSince = at
 	}
-	if steady > 0 {
+	if at.After(list.confirmedAt) {
 		list.confirmedAt = at
 	}
 }
 
+// elapsed returns the time between two moments, including a suspension of the machine
+// that the monotonic clock may not count.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // SoleVersion returns the software version of the endpoints of a service, if none
 // was listed with another version during the period before now. It returns false
-// if there was, or if the list was not followed all the time.
+// if there was, if the list was not followed all the time, or if service is empty.
 func (list *List) SoleVersion(service string, period time.Duration, now time.Time) (version string, ok bool) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	if list.storeUnavailable || period > maxVersionAge || now.Sub(list.confirmedAt) > maxConfirmationGap || now.Sub(list.followedSince) < period {
+	if list.storeUnavailable || period > maxVersionAge || elapsed(list.confirmedAt, now) > maxConfirmationGap || now.Sub(list.followedSince) < period {
 		return "", false
 	}
 	versions, known := list.versions[service]
-	if !known {
+	if !known || service == "" {
 		return "", false
 	}
 	versions.expire(now)
--- a/membership/versions_test.go
+++ b/membership/versions_test.go
@@ -77,9 +77,12 @@
 	assert.Equal(t, "unknown", soleVersion(list, now), "the version left a moment ago")
 	now = follow(list, now, 2*period)
 	assert.Equal(t, "v1", soleVersion(list, now))
-	_, ok := list.SoleVersion("none", period, now)
-	assert.False(t, ok)
-	_, ok = list.SoleVersion("model", 2*time.Hour, now)
+	list.Put(&membership.Endpoint{ID: "x", State: membership.StateInvalid})
+	for _, service := range []string{"none", ""} {
+		_, ok := list.SoleVersion(service, period, now)
+		assert.False(t, ok, service)
+	}
+	_, ok := list.SoleVersion("model", 2*time.Hour, now)
 	assert.False(t, ok, "longer than versions are remembered")
 	list.Remove("a", now)
 	list.Remove("b", now)
--- a/resumption/registry.go
+++ b/resumption/registry.go
@@ -130,15 +130,16 @@
 func (registry *Registry) Keep(key Key, origin Origin) { registry.records.Put(key, origin) }
 
 // Record records the origin of a stream at this instance and at others. It returns
-// when another one has it, or a short time later: a stream whose origin could not be
-// recorded may not be resumable, but is served.
-func (registry *Registry) Record(ctx context.Context, key Key, origin Origin) {
+// when another one has it, or a short time later, and reports whether one has it. A
+// stream for which none has it may not be resumable, but may be served.
+func (registry *Registry) Record(ctx context.Context, key Key, origin Origin) bool {
 	registry.records.Put(key, origin)
 	if err := registry.peers.RecordOrigin(ctx, key, origin); err != nil {
 		registry.unrecorded.Inc(1)
-		return
+		return false
 	}
 	registry.recorded.Inc(1)
+	return true
 }
 
 // Find returns the origin of a stream, how it was found, and how old that knowledge
