--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -35,7 +35,7 @@
 // has not received from the store. It returns a *VersionError if an endpoint of the
 // service has another version, and the error of the store.
 func (versions *Versions) Confirm(ctx context.Context, service, version string) error {
-	// What is applied after this is in the list by the time that it is read below.
+	// Changes up to this version are in the list already, later ones in the page.
 	after := versions.follower.applied.Load()
 	page, err := versions.reader.Watch(ctx, versions.follower.TableName(), after, 0)
 	if err != nil {
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -64,8 +64,9 @@
 	return "endpoint " + e.incarnation + " has restarted with another software version"
 }
 
-// originPeriod returns the time before now within which a stream may have begun
-// that is resumed now. Both its attempts last for the timeout of the route at most.
+// originPeriod returns the time before now in which endpoints may have begun a stream
+// that is resumed now: the attempt that began it and this one last for the timeout of
+// the route at most.
 func (e *exchange) originPeriod() time.Duration { return 2*e.route.Timeout + unlistedServiceTime }
 
 // canContinue reports whether the endpoint may send the next event of the stream.
--- a/resumption/registry_test.go
+++ b/resumption/registry_test.go
@@ -167,5 +167,5 @@
 	fmt.Println(err)
 	// Output:
 	// v1 Record <nil>
-	// software version that began the stream is unknown: no origin is recorded, and the service has had several versions
+	// software version that began the stream is unknown: no origin is recorded, and the service may have had several versions
 }
