entrypeer: three copies of an origin also where there are few data centres

In a deployment of one data centre an origin had a single copy besides the one of the instance that serves the stream, in one of two data centres two: callers were refused after a kill of two instances. TestOriginHasCopiesInFewDataCentres failed before (2 holders where 3 were expected in one data centre). Where there are three data centres or more the holders are the same as before.

--- a/entrypeer/origin.go
+++ b/entrypeer/origin.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -16,10 +17,11 @@
 
 const (
 	// originHoldersPerDataCentre is the number of instances of each data centre that
-	// are asked for an origin. It is recorded at the first one; the second one was
-	// the first while that was excluded.
+	// are asked for an origin. Mostly it is recorded at the first one; the second one
+	// is the first while that is excluded.
 	originHoldersPerDataCentre = 2
-	// originCopies is the number of data centres in which an origin is recorded.
+	// originCopies is the number of instances at which an origin is recorded, of as
+	// many data centres if possible.
 	originCopies = 3
 	// recordOriginTimeout bounds the recording of an origin, for which the first
 	// event of a stream waits.
@@ -84,9 +86,8 @@
 // errNoInstance is returned if no other instance is known.
 var errNoInstance = errors.New("no other instance to hold the origins of streams")
 
-// RecordOrigin implements resumption.Peers. It records the origin at one instance of
-// this data centre and at one of each of two others, and returns nil after the first
-// response.
+// RecordOrigin implements resumption.Peers. It records the origin at the instances of
+// originRecorders, and returns nil after the first response.
 // The calls go on if ctx ends: the caller of the stream may leave at any time, and
 // resume it.
 func (client *Client) RecordOrigin(ctx context.Context, key resumption.Key, origin resumption.Origin) error {
@@ -197,22 +198,29 @@
 }
 
 // originRecorders returns the reachable instances that are to hold the origin of an
-// attempt which this instance serves: one of this data centre and those with the
-// highest scores of others, as far as there are any.
+// attempt which this instance serves: the first one of this data centre, those of the
+// others in order of their scores, and the next ones where there are too few data
+// centres.
 func (directory *Directory) originRecorders(key resumption.Key) []Instance {
 	rankings := directory.rankForOrigin(key, false)
+	own := directory.self.DataCentre
+	dataCentres := slices.SortedFunc(maps.Keys(rankings), func(a, b string) int {
+		switch {
+		case a == own:
+			return -1
+		case b == own:
+			return 1
+		}
+		return cmp.Compare(rankings[b][0].score, rankings[a][0].score)
+	})
 	recorders := make([]Instance, 0, originCopies)
-	if own, ok := rankings[directory.self.DataCentre]; ok {
-		recorders = append(recorders, own[0].Instance)
-		delete(rankings, directory.self.DataCentre)
-	}
-	candidates := make([]originCandidate, 0, len(rankings))
-	for _, ranking := range rankings {
-		candidates = append(candidates, ranking[0])
-	}
-	slices.SortFunc(candidates, func(a, b originCandidate) int { return cmp.Compare(b.score, a.score) })
-	for _, candidate := range candidates[:min(len(candidates), originCopies-len(recorders))] {
-		recorders = append(recorders, candidate.Instance)
+	for rank := range originHoldersPerDataCentre {
+		for _, dataCentre := range dataCentres {
+			candidate := rankings[dataCentre][rank]
+			if candidate.Name != "" && len(recorders) < originCopies {
+				recorders = append(recorders, candidate.Instance)
+			}
+		}
 	}
 	return recorders
 }
--- a/entrypeer/origin_test.go
+++ b/entrypeer/origin_test.go
@@ -37,12 +37,12 @@
 	server    *httptest.Server
 }
 
-// startOrigins starts perDataCentre instances in each of three data centres, which
-// all know each other.
-func startOrigins(t *testing.T, perDataCentre int) []*originInstance {
+// startOrigins starts perDataCentre instances in each data centre, which all know
+// each other.
+func startOrigins(t *testing.T, perDataCentre int, dataCentres ...string) []*originInstance {
 	t.Helper()
 	var instances []*originInstance
-	for _, dataCentre := range []string{"a", "b", "c"} {
+	for _, dataCentre := range dataCentres {
 		for n := range perDataCentre {
 			i := &originInstance{server: httptest.NewUnstartedServer(nil), records: resumption.NewRecords(clock.Real{})}
 			i.Instance = entrypeer.Instance{Name: fmt.Sprint(dataCentre, n), Owner: fmt.Sprintf("%s%d-1-1", dataCentre, n), Address: i.server.Listener.Addr().String(), DataCentre: dataCentre}
@@ -75,7 +75,7 @@
 
 // Guards against streams that cannot be resumed since the instance that served them died, or two whole data centres did: each origin is held in three.
 func TestOriginOutlivesInstanceAndDataCentres(t *testing.T) {
-	instances := startOrigins(t, 3)
+	instances := startOrigins(t, 3, "a", "b", "c")
 	origin := resumption.Origin{Service: "model", Version: "v1", Incarnation: "e1@100"}
 	ctx := context.Background()
 	for n := range 30 {
@@ -100,9 +100,31 @@
 	assert.False(t, finding.Found, "another organisation's attempt")
 }
 
+// Guards against origins with a single copy where there are few data centres.
+func TestOriginHasCopiesInFewDataCentres(t *testing.T) {
+	for _, test := range []struct {
+		perDataCentre int
+		dataCentres   []string
+		holders       int
+	}{
+		{4, []string{"a"}, 3}, {2, []string{"a"}, 2}, {2, []string{"a", "b"}, 4}, {1, []string{"a", "b"}, 2}, {3, []string{"a", "b", "c", "d"}, 4},
+	} {
+		instances := startOrigins(t, test.perDataCentre, test.dataCentres...)
+		for n, first := range instances {
+			key := resumption.NewKey("", fmt.Sprint("s", n))
+			first.registry.Record(context.Background(), key, resumption.Origin{Service: "model", Version: "v1"})
+			assert.Eventually(t, func() bool { return len(holders(instances, key)) == test.holders }, time.Second, time.Millisecond, "%v: %v", test, holders(instances, key))
+			for _, i := range instances {
+				_, _, _, err := i.registry.Find(context.Background(), resumption.Query{Key: key})
+				assert.NoError(t, err, "%v at %s", test, i.Name)
+			}
+		}
+	}
+}
+
 // Guards against streams that cannot be resumed while the instance that is to hold their origin does not respond.
 func TestOriginIsRecordedDespiteSilentInstances(t *testing.T) {
-	instances := startOrigins(t, 2)
+	instances := startOrigins(t, 2, "a", "b", "c")
 	release := make(chan struct{})
 	defer close(release)
 	silent := instances[2] // of data centre b
@@ -128,7 +150,7 @@
 	_, err := alone.FindOrigin(ctx, resumption.Query{Key: key})
 	require.Error(t, err)
 
-	instances := startOrigins(t, 1)
+	instances := startOrigins(t, 1, "a", "b", "c")
 	for _, i := range instances[1:] {
 		i.server.Config.Handler = http.NotFoundHandler()
 	}
