--- a/entrypeer/origin.go
+++ b/entrypeer/origin.go
@@ -87,9 +87,8 @@
 var errNoInstance = errors.New("no other instance to hold the origins of streams")
 
 // RecordOrigin implements resumption.Peers. It records the origin at the instances of
-// originRecorders, and returns nil after the first response.
-// The calls go on if ctx ends: the caller of the stream may leave at any time, and
-// resume it.
+// originRecorders, and returns nil after the first response. The calls go on if ctx
+// ends: the caller of the stream may leave at any time, and resume it.
 func (client *Client) RecordOrigin(ctx context.Context, key resumption.Key, origin resumption.Origin) error {
 	message := &recordOriginRequest{Key: key[:], Service: origin.Service, Version: origin.Version, Incarnation: origin.Incarnation}
 	holders := client.directory.originRecorders(key)
