soak: requests that end the endpoints that work on them, failing; timeline of the incident

Stand-ins of endpoints crash under a request (reset, refused from then on, entry stays for 1.5 s; or silent).

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -53,6 +54,8 @@
 	// body is what was sent, prompt what an endpoint must get.
 	body, prompt string
 	budget       int64
+	// path is the path below that of the kind; "" for the usual one.
+	path string
 	// organisation is the caller's, "" for none; key is what it shows, if not the
 	// organisation's present one.
 	organisation, key string
@@ -234,7 +237,7 @@
 	if a.kind == kindLook {
 		method = http.MethodGet
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+caller.front.Callers+"/"+string(a.kind)+"/x", strings.NewReader(a.body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+caller.front.Callers+"/"+string(a.kind)+"/"+cmp.Or(a.path, "x"), strings.NewReader(a.body))
 	if err != nil {
 		a.err = err
 		return
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -35,8 +36,12 @@
 
 	mu        sync.Mutex
 	endpoints []*endpoint
-	version   int
-	named     int
+	// crashes holds the endpoints that ended under each crashing request, and lapses
+	// is done once the entries of all crashed endpoints have lapsed.
+	crashes map[string][]crash
+	lapses  sync.WaitGroup
+	version int
+	named   int
 	siteOptions
 	// rotation counts the changes of an organisation's key, quota is the rate and
 	// burst of the one that has a quota.
@@ -85,15 +90,21 @@
 	// a stream; 0 for that of the other sites.
 	slots      int
 	eventDelay time.Duration
+	// perService is the number of endpoints of each service, 0 for the usual ones.
+	perService int
 }
 
 // newSiteOf returns a site with the given options.
 func newSiteOf(t *testing.T, seed uint64, options siteOptions) *site {
 	t.Helper()
-	s := &site{t: t, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), siteOptions: options, quota: usualQuota}
+	s := &site{t: t, crashes: map[string][]crash{}, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), siteOptions: options, quota: usualQuota}
 	s.configure()
-	for n := range modelCount + toolCount {
-		s.add(n < modelCount, nil)
+	models, tools := modelCount, toolCount
+	if options.perService > 0 {
+		models, tools = options.perService, options.perService
+	}
+	for n := range models + tools {
+		s.add(n < models, nil)
 	}
 	dir := t.TempDir()
 	for n := range frontCount {
@@ -154,7 +165,7 @@
 	if model && s.eventDelay > 0 {
 		e.EventDelay = s.eventDelay
 	}
-	e.SetBehaviour(s.behave(model))
+	e.SetBehaviour(s.behaveOrCrash(e, model))
 	if before != nil {
 		e.proxy = before.proxy
 		e.proxy.retarget(e.Address())
@@ -189,6 +200,17 @@
 	}
 }
 
+// behaveOrCrash is behave for an endpoint that crashes under a crashing request.
+func (s *site) behaveOrCrash(e *endpoint, model bool) func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+	behave := s.behave(model)
+	return func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+		if strings.Contains(run.Path, crashPath) {
+			return s.crashUnder(e, run)
+		}
+		return behave(run)
+	}
+}
+
 func (s *site) fail(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
