gateway: log what attempts at one request share, and connections that fail under it

Change: package quarantine with the identity of a request over its attempts (organisation, program, session, previous turn, method, host, target, segments of the prompt, body); the request line has it as identity once an endpoint failed, and a line 'connection failed under a request' names the endpoint's incarnation. No decision depends on it.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -54,6 +54,9 @@
 		e.versions = append(e.versions, choice.Endpoint().Version)
 		outcome, err := e.try(ctx, choice)
 		choice.Done(outcome)
+		if outcome == balance.OutcomeBroken {
+			e.logFailure(choice.Endpoint(), err)
+		}
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
 			return nil
 		}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/membership"
 )
 
 // maxLoggedValue bounds the bytes of a caller's value in a log line.
@@ -46,6 +48,7 @@
 	if e.call != nil && e.call.Previous != "" {
 		attrs = append(attrs, slog.String("previous", e.call.Previous))
 	}
+	attrs = append(attrs, e.identityAttrs()...)
 	if e.lastError != nil {
 		attrs = append(attrs, slog.Any("last_error", e.lastError))
 	}
@@ -55,5 +58,13 @@
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
+// logFailure writes one line about an endpoint whose connection failed under the
+// request.
+func (e *exchange) logFailure(endpoint *membership.Endpoint, err error) {
+	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "connection failed under a request",
+		slog.String("request", e.call.ID), slog.String("identity", e.key().String()), slog.String("endpoint", endpoint.ID), slog.String("incarnation", endpoint.Incarnation()),
+		slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", err))
+}
+
 // abbreviate returns the beginning of a caller's value for a log line.
 func abbreviate(value string) string { return value[:min(len(value), maxLoggedValue)] }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/overload"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
@@ -131,6 +132,8 @@
 	status           int
 	eventsSent       int64
 	timeToFirstEvent time.Duration
+	// identityKey is the key of the request's identity; nil until it is needed.
+	identityKey *quarantine.Key
 	// lastError is the error of the latest endpoint that did not serve the
 	// request; it is logged.
 	lastError error
