--- /dev/null
+++ b/upstream/probe_test.go
@@ -0,0 +1,98 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/wagtaildrum/wagtaildrum/upstream"
+)
+
+// silentAddress returns an address that does not respond to new connections: its queue of
+// them is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, 0))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+	for {
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// Guards against an endpoint that lives and is taken for crashed, or the other way round.
+func TestProbeTellsWhatTheAddressDoes(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	ending, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { // a process that ends: it accepts one more connection, and closes it
+		conn, err := ending.Accept()
+		_ = ending.Close()
+		if err == nil {
+			time.Sleep(2 * time.Millisecond)
+			_ = conn.Close()
+		}
+	}()
+	for name, test := range map[string]struct {
+		address string
+		want    upstream.Liveness
+	}{
+		"nobody listens":   {closed.Addr().String(), upstream.LivenessRefused},
+		"ending":           {ending.Addr().String(), upstream.LivenessRefused},
+		"accepts":          {serve(t, func(_ int, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }), upstream.LivenessConnected},
+		"closes each":      {serve(t, func(int, net.Conn, *bufio.Reader) {}), upstream.LivenessUnknown},
+		"does not respond": {silentAddress(t), upstream.LivenessUnknown},
+	} {
+		began := time.Now()
+		assert.Equal(t, test.want, upstream.NewClient().Probe(context.Background(), test.address), name)
+		assert.Less(t, time.Since(began), time.Second, name)
+	}
+}
+
+// Guards against a connection for each request of an endpoint that fails, and against probes whose connections are not used.
+func TestProbesShareAConnectionThatIsReused(t *testing.T) {
+	var accepted atomic.Int32
+	address := serve(t, func(n int, conn net.Conn, reader *bufio.Reader) {
+		accepted.Add(1)
+		for {
+			if _, err := reader.ReadString('\n'); err != nil {
+				return
+			}
+			_, _ = reader.Discard(reader.Buffered())
+			respond(conn, "a", "", "ok")
+		}
+	})
+	client := upstream.NewClient()
+	var probes sync.WaitGroup
+	for range 20 {
+		probes.Go(func() {
+			assert.Equal(t, upstream.LivenessConnected, client.Probe(context.Background(), address))
+		})
+	}
+	probes.Wait()
+	body, response, err := do(t, client, request(address, "a", ""))
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+	response.Close()
+	assert.LessOrEqual(t, accepted.Load(), int32(2))
+}
