entrypeer: pass reports of crashes on to all instances

Reports go to 16 instances, which pass them on to the others; those that do not respond are called three times more within about 3 s. An instance that has just started asks three others.

Without the repeated calls it failed beside load: 60 ms were too short for some of 300.

--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -62,20 +62,22 @@
 func (e *TransportError) Unwrap() error { return e.cause }
 
 // Client calls other entry instances. It implements account.Owners,
-// account.Lenders, archive.Peers, quota.Peers and resumption.Peers.
+// account.Lenders, archive.Peers, quota.Peers, quarantine.Peers and resumption.Peers.
 type Client struct {
 	directory *Directory
 	http      *http.Client
 	// calls and bytes count the calls and the sizes of their bodies, both ways,
 	// by path.
 	calls, bytes *debug.Counters
+	// repeating holds an element for each repetition of reports in progress.
+	repeating chan struct{}
 }
 
 // NewClient returns a client for the instances in directory. It reports the
 // metrics peer_calls and peer_bytes to scope, tagged with the path of the call.
 func NewClient(directory *Directory, scope tally.Scope) *Client {
 	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	return &Client{directory: directory, http: &http.Client{Transport: transport}, calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
+	return &Client{directory: directory, http: &http.Client{Transport: transport}, repeating: make(chan struct{}, maxRepeating), calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
 }
 
 // ReleaseUnused implements account.Owners. It calls each instance that owns one of
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -99,6 +99,8 @@
 	// instance that last served one.
 	noStoreUntil map[string]time.Time
 	lastRelay    string
+	// writtenAt is when the entry of this instance was first written.
+	writtenAt time.Time
 	// changedAt is when an instance last joined, left or restarted.
 	changedAt time.Time
 	// joinedAt maps each instance to when its present incarnation was first
@@ -151,6 +153,7 @@
 		for {
 			_, err := through.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: directory.selfKey(), Value: value}}})
 			if err == nil {
+				directory.recordWritten()
 				log.Info("entry of this instance written; other instances can find it", "address", directory.self.Address, "owner", directory.self.Owner)
 				backoff = retry.Backoff{Initial: initialJoinBackoff, Max: maxJoinBackoff}
 				select {
@@ -174,6 +177,15 @@
 	}
 }
 
+// recordWritten records that the entry of this instance was written.
+func (directory *Directory) recordWritten() {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if directory.writtenAt.IsZero() {
+		directory.writtenAt = directory.clock.Now()
+	}
+}
+
 // Leave deletes the entry of this instance from the table. It returns the error
 // of the store.
 func (directory *Directory) Leave(ctx context.Context, s store.Store) error {
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -20,6 +20,8 @@
 
 	pathRecordOrigin = "/entry/record-origin"
 	pathFindOrigin   = "/entry/find-origin"
+	pathReports      = "/entry/crash-reports"
+	pathFetchReports = "/entry/fetch-crash-reports"
 )
 
 // giveBackRequest requests the release of the unused tokens that the receiver
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -30,6 +30,10 @@
 	Quotas QuotaHome
 	// Origins holds the origins of streams that other instances recorded here.
 	Origins Origins
+	// Crashes receives reports of endpoints that crashed, which are passed on through
+	// Client.
+	Crashes CrashReports
+	Client  *Client
 	// Programs decides which programs begin, and Loads holds the loads of instances.
 	Programs ProgramAdmission
 	Loads    LoadMeter
@@ -74,6 +78,8 @@
 	mux.HandleFunc("POST "+pathBegin, server.handleBegin)
 	mux.HandleFunc("POST "+pathRecordOrigin, server.handleRecordOrigin)
 	mux.HandleFunc("POST "+pathFindOrigin, server.handleFindOrigin)
+	mux.HandleFunc("POST "+pathReports, server.handleReports)
+	mux.HandleFunc("POST "+pathFetchReports, server.handleFetchReports)
 	return mux
 }
 
