--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -51,6 +52,9 @@
 	// writes, the number of calls would otherwise grow with the square of the
 	// number of processes.
 	MaxGatherDelay time.Duration
+	// MaxBackoff bounds the delay between attempts after a failure; 0 for maxBackoff.
+	// Failed calls are charged, too.
+	MaxBackoff time.Duration
 	// Same reports whether two values of a row have the same meaning, so that a
 	// change from one to the other is not applied. Without it, values are
 	// compared byte by byte.
@@ -116,7 +120,8 @@
 func (follower *Follower) Run(ctx context.Context, done chan<- error) {
 	after, synced := uint64(0), false
 	rowsVersion := uint64(0) // at which the last rows of the full table were read
-	backoff := retry.Backoff{Initial: initialBackoff, Max: maxBackoff}
+	newBackoff := retry.Backoff{Initial: initialBackoff, Max: cmp.Or(follower.source.MaxBackoff, maxBackoff)}
+	backoff := newBackoff
 	failing := false
 	lastSuccess := follower.clock.Now()
 	for ctx.Err() == nil {
@@ -142,7 +147,7 @@
 				follower.source.OnCurrent(follower.table.ConfirmedAt(), allChanges)
 			}
 			failing, lastSuccess = false, now
-			backoff = retry.Backoff{Initial: initialBackoff, Max: maxBackoff}
+			backoff = newBackoff
 			follower.stale.Update(now.Sub(follower.table.ConfirmedAt()).Seconds())
 			continue
 		}
