gateway: no request is sent after three endpoints crashed under it

Cause: a request was its attempt. Each has an ID of its own, the gateway counted runs within it and nothing was remembered from one to the next, not even within one instance; a broken connection was taken for the fault of the endpoint, whether that lived on or had ended. A fault of the class 'state of one attempt taken for that of the request'.

Change: before admission and before each send, the gateway asks the quarantine guard by the request's identity. After a lost connection it probes the address, and the verdict is at the other instances before the request is sent again or its caller learns of the failure. Refused requests get 503 with the time for which they are refused (Quarantined), or 0.3 s while a verdict is missing (CrashUnresolved); 502 if this attempt has run. Endpoints that process a suspect are avoided by other suspects, and by all once two crashed under it.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -28,6 +28,7 @@
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/overload"
 	"github.com/wagtaildrum/wagtaildrum/platform"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
@@ -117,6 +118,11 @@
 	p.goroutine(workCtx, f.configuration.Run)
 	p.goroutine(workCtx, f.endpoints.Run)
 	p.goroutine(workCtx, f.instances.Run)
+	p.goroutine(workCtx, f.crashTable.Run)
+	p.goroutine(workCtx, f.crashes.Run)
+	p.goroutine(workCtx, func(ctx context.Context, done chan<- error) {
+		clock.Every(ctx, quarantine.TickInterval, func(time.Time) { f.guard.Tick(ctx) }, done)
+	})
 	p.goroutine(workCtx, f.versions.Run(checkpointInterval, f.writesCheckpoints))
 	p.goroutine(workCtx, f.directStore.Run)
 	p.goroutine(workCtx, f.store.Run)
@@ -163,6 +169,11 @@
 	// whether this instance is one of those that write checkpoints of them.
 	versions          *discovery.Versions
 	writesCheckpoints func() bool
+	// guard holds the requests under which endpoints crashed; crashes keeps them in the
+	// store, and crashTable reads those of other instances.
+	guard      *quarantine.Guard
+	crashes    *discovery.Crashes
+	crashTable *discovery.Follower
 }
 
 func newFront(p *process, s *platform.Settings) *front {
@@ -198,16 +209,20 @@
 	f.endpoints = discovery.NewFollower(tables, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.dropConnections, clk, p.log), clk, p.log, scope)
 	f.versions = discovery.NewVersions(list, f.endpoints, guard, platform.DecodeEndpoint, clk, p.log)
 	origins := resumption.NewRegistry(resumption.NewRecords(clk), peers, f.versions, scope)
+	f.guard = quarantine.NewGuard(quarantine.NewRecords(clk), peers, list.Presence, clk, p.log, scope)
+	f.crashes = discovery.NewCrashes(f.guard, guard, s.Instance, clk, p.log)
+	f.crashTable = discovery.NewFollower(tables, f.crashes.Source(), clk, p.log, scope)
 	loads := overload.NewMeter(clk)
 	controller := overload.NewController(loads, fleetSize{endpoints: list, instances: directory}, f.accounts, clk, rand.Float64)
 	rejected := scope.Counter("overload_rejected")
-	f.peers = &entrypeer.Server{Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
+	f.peers = &entrypeer.Server{Crashes: f.guard, Client: peers, Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
 	self, _ := directory.Members()
 	f.gateway = gateway.New(gateway.Config{
 		Instance: self, DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:    f.accounts,
 		Archive:     turns,
 		Origins:     origins,
+		Crashes:     f.guard,
 		Quotas:      f.quotas,
 		Programs:    overload.NewAdmitter(controller, loads, peers.ProgramPeers(loads, rejected, p.log), scope),
 		Loads:       loads,
@@ -217,7 +232,7 @@
 	f.configuration = discovery.NewFollower(tables, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(tables, directory.Source(p.log), clk, p.log, scope)
 	f.peers.Tables = map[string]*feed.Replica{}
-	for _, follower := range []*discovery.Follower{f.configuration, f.endpoints, f.instances} {
+	for _, follower := range []*discovery.Follower{f.configuration, f.endpoints, f.instances, f.crashTable} {
 		f.peers.Tables[follower.TableName()] = follower.Table()
 	}
 	return f
--- /dev/null
+++ b/gateway/crash_test.go
@@ -0,0 +1,226 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
+)
+
+// crashPeers implements quarantine.Peers for an instance of a fixture.
+type crashPeers struct {
+	instance *instance
+}
+
+// PublishReports implements quarantine.Peers.
+func (peers *crashPeers) PublishReports(_ context.Context, reports []quarantine.Report) (received, instances int) {
+	b := peers.instance.fixture
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, guard := range b.guards {
+		if guard != peers.instance.crashes {
+			guard.Receive(reports)
+			n++
+		}
+	}
+	return n, n
+}
+
+// FetchReports implements quarantine.Peers.
+func (peers *crashPeers) FetchReports(context.Context) []quarantine.Report { return nil }
+
+// KnownFor implements quarantine.Peers.
+func (peers *crashPeers) KnownFor() time.Duration { return time.Hour }
+
+// addGuard adds what an instance knows of crashes.
+func (b *fixture) addGuard(guard *quarantine.Guard) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guards = append(b.guards, guard)
+}
+
+// removeGuard removes what an instance knows of crashes, as if it had been killed.
+func (b *fixture) removeGuard(guard *quarantine.Guard) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guards = slices.DeleteFunc(b.guards, func(other *quarantine.Guard) bool { return other == guard })
+}
+
+// crashFixture is a fixture with endpoints that crash under requests whose body or path
+// holds "crash".
+type crashFixture struct {
+	*fixture
+
+	mu sync.Mutex
+	// crashed holds the endpoints that crashed, in order.
+	crashed []string
+	// sent is the number of crashing requests that endpoints received.
+	sent int
+}
+
+// newCrashFixture returns a fixture with so many endpoints of each service.
+func newCrashFixture(t *testing.T, endpoints int) *crashFixture {
+	t.Helper()
+	b := &crashFixture{fixture: newFixture(t)}
+	b.model.Unregister(b.memory)
+	b.tool.Unregister(b.memory)
+	for n := range endpoints {
+		b.add(fmt.Sprint("m-", n), "model")
+		b.add(fmt.Sprint("t-", n), "tool")
+	}
+	return b
+}
+
+// add registers an endpoint.
+func (b *crashFixture) add(id, service string) {
+	endpoint := platformtest.NewEndpoint(id, service, service == "model")
+	b.t.Cleanup(endpoint.Close)
+	endpoint.Register(b.memory, "a", "ready")
+	endpoint.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+		if !strings.Contains(run.Body+run.Path, "crash") {
+			return platformtest.Behaviour{}
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.sent++
+		return platformtest.Behaviour{Crash: func() {
+			endpoint.Crash()
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.crashed = append(b.crashed, id)
+		}}
+	})
+}
+
+// counts returns the number of endpoints that crashed and of crashing requests received.
+func (b *crashFixture) counts() (crashed, sent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.crashed), b.sent
+}
+
+// crashingRequest returns an attempt at the crashing request of a program.
+func crashingRequest(path, id, program string) callerRequest {
+	request := callerRequest{path: path, id: id, body: "crash", header: map[string]string{"X-Program": program, "X-Session": program}}
+	if strings.HasPrefix(path, "/look/") {
+		request.path, request.body = path+"crash", ""
+	}
+	return request
+}
+
+// Guards against a request that ends one endpoint after the other because each attempt of its caller is taken for a new request.
+func TestRequestEndsThreeEndpointsAtMost(t *testing.T) {
+	for _, path := range []string{"/chat/x", "/keep/x", "/look/x"} {
+		t.Run(path, func(t *testing.T) {
+			b := newCrashFixture(t, 16)
+			instances := []*instance{b.startInstance(), b.startInstance(), b.startInstance()}
+			var last *http.Response
+			for n := range 6 {
+				last, _ = instances[n%len(instances)].mustSend(crashingRequest(path, fmt.Sprint("r", n), "p"))
+			}
+			crashed, sent := b.counts()
+			assert.Equal(t, 3, crashed)
+			assert.Equal(t, 3, sent)
+			assert.Equal(t, http.StatusServiceUnavailable, last.StatusCode)
+			assert.NotEmpty(t, last.Header.Get("Retry-After"))
+			response, body := instances[0].mustSend(callerRequest{path: path, id: "other", body: "x"})
+			assert.Equal(t, http.StatusOK, response.StatusCode, body)
+		})
+	}
+}
+
+// Guards against a count that only the instance holds which saw the endpoints crash.
+func TestCrashesAreKnownAfterInstanceIsKilled(t *testing.T) {
+	b := newCrashFixture(t, 16)
+	for n := range 6 {
+		i := b.startInstance()
+		if n == 0 {
+			b.startInstance()
+		}
+		for _, guard := range b.guards {
+			if guard != i.crashes { // an instance that starts reads the table
+				for _, report := range guard.Crashes(100) {
+					i.crashes.Receive([]quarantine.Report{report})
+				}
+			}
+		}
+		i.mustSend(crashingRequest("/chat/x", fmt.Sprint("r", n), "p"))
+		b.removeGuard(i.crashes)
+		i.stop()
+	}
+	crashed, _ := b.counts()
+	assert.Equal(t, 3, crashed)
+}
+
+// Guards against requests that share a count: of two programs, of two organisations, and of a program's other turns.
+func TestCrashesOfOtherRequestsDoNotCount(t *testing.T) {
+	b := newCrashFixture(t, 24)
+	i := b.startInstance()
+	for n := range 3 {
+		i.mustSend(crashingRequest("/keep/x", fmt.Sprint("a", n), "p1"))
+	}
+	response, _ := i.mustSend(crashingRequest("/keep/x", "a3", "p1"))
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	response, _ = i.mustSend(crashingRequest("/keep/x", "b0", "p2"))
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode, "another program")
+	other := crashingRequest("/keep/x", "c0", "p1")
+	other.body = "x"
+	response, _ = i.mustSend(other)
+	assert.Equal(t, http.StatusOK, response.StatusCode, "another turn of the program")
+}
+
+// Guards against requests whose connections are reset while their endpoints go on, and that are refused for it.
+func TestResetConnectionsAreNoCrashes(t *testing.T) {
+	b := newFixture(t)
+	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+		return platformtest.Behaviour{DropResponse: true}
+	})
+	first, second := b.startInstance(), b.startInstance()
+	for n := range 6 {
+		response, _ := []*instance{first, second}[n%2].mustSend(crashingRequest("/keep/x", fmt.Sprint("r", n), "p"))
+		assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+	}
+	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour { return platformtest.Behaviour{} })
+	response, body := first.mustSend(crashingRequest("/keep/x", "last", "p"))
+	assert.Equal(t, http.StatusOK, response.StatusCode, body)
+}
+
+// Guards against requests counted at endpoints that drain and end with them: a planned stop is no crash.
+func TestPlannedStopsAreNoCrashes(t *testing.T) {
+	b := newCrashFixture(t, 8)
+	i := b.startInstance()
+	for n := range 4 {
+		id := fmt.Sprint("m-", n)
+		// Only this endpoint takes work until the request has reached it.
+		endpoint := platformtest.NewEndpoint("stop-"+id, "model", true)
+		t.Cleanup(endpoint.Close)
+		endpoint.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+			return platformtest.Behaviour{Crash: func() {
+				endpoint.Register(b.memory, "a", "draining")
+				time.Sleep(100 * time.Millisecond)
+				endpoint.Crash()
+			}}
+		})
+		for m := range 8 {
+			(&platformtest.Endpoint{ID: fmt.Sprint("m-", m), Service: "model", Slots: 12, Public: "127.0.0.1:1"}).Register(b.memory, "a", "draining")
+		}
+		endpoint.Register(b.memory, "a", "ready")
+		require.Eventually(t, func() bool {
+			listed := i.Endpoints.Service("model")
+			return len(listed) == 1 && listed[0].ID == endpoint.ID
+		}, 2*time.Second, 5*time.Millisecond)
+		response, _ := i.mustSend(callerRequest{path: "/keep/x", id: fmt.Sprint("r", n), body: "x", header: map[string]string{"X-Program": "p", "X-Session": "p"}})
+		assert.Equal(t, http.StatusBadGateway, response.StatusCode, "attempt %d", n)
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,22 +45,24 @@
 func (e *exchange) dispatch(ctx context.Context) error {
 	request := e.balanceRequest()
 	for len(e.tried) < maxEndpointsTried {
-		endpoints := e.Endpoints.Service(e.service)
-		choice := e.Picker.Pick(endpoints, request, e.skipped(endpoints))
+		if err := e.checkCrashes(ctx); err != nil {
+			return err
+		}
+		choice := e.pick(request)
 		if choice == nil {
 			break
 		}
 		e.tried, e.incarnation = append(e.tried, choice.Endpoint().ID), choice.Endpoint().Incarnation()
 		e.versions = append(e.versions, choice.Endpoint().Version)
+		sentAt := e.Clock.Now()
+		e.beginSend(ctx, choice.Endpoint())
 		outcome, err := e.try(ctx, choice)
 		choice.Done(outcome)
-		if outcome == balance.OutcomeBroken {
-			e.logFailure(choice.Endpoint(), err)
-		}
+		e.lastError = err
+		e.endSend(ctx, choice.Endpoint(), sentAt, outcome, err)
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
 			return nil
 		}
-		e.lastError = err
 		var rejection *refusal
 		if errors.As(err, &rejection) && e.r.Context().Err() == nil {
 			return rejection
@@ -85,6 +87,18 @@
 	}
 }
 
+// pick chooses the next endpoint, nil if there is none.
+func (e *exchange) pick(request *balance.Request) *balance.Choice {
+	endpoints := e.Endpoints.Service(e.service)
+	skip := e.skipped(endpoints)
+	if isolated := e.isolated(endpoints); len(isolated) > 0 {
+		if choice := e.Picker.Pick(endpoints, request, func(id string) bool { return isolated[id] || skip(id) }); choice != nil {
+			return choice
+		}
+	}
+	return e.Picker.Pick(endpoints, request, skip)
+}
+
 // balanceRequest returns the properties of the request that the picker uses to
 // choose an endpoint.
 func (e *exchange) balanceRequest() *balance.Request {
@@ -118,6 +132,7 @@
 		return balance.OutcomeRefused, errors.New("request was not run by the endpoint: status " + strconv.Itoa(response.Status))
 	}
 	choice.HeaderReceived()
+	e.heard(choice.Endpoint())
 	e.runs++
 	if !verdict.Stamped {
 		return balance.OutcomeBroken, errUnstamped
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/overload"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
@@ -34,6 +35,9 @@
 	StoreStatus StoreStatus
 	// Origins holds where streams began.
 	Origins *resumption.Registry
+	// Crashes decides which requests are no longer sent because endpoints crashed under
+	// them.
+	Crashes *quarantine.Guard
 	// Quotas limits the request rate of each organisation.
 	Quotas *quota.Limiter
 	// Programs decides which programs begin while capacity is short, by the loads
@@ -77,7 +81,7 @@
 // metrics holds the metrics of a Gateway; refused is indexed by Reason.
 type metrics struct {
 	requests, served, failed, sends, resumed                      tally.Counter
-	refused                                                       [ReasonOverloaded + 1]tally.Counter
+	refused                                                       [ReasonCrashUnresolved + 1]tally.Counter
 	latency, firstEvent, reserve, extend, storeTurn, queue, quota tally.Histogram
 }
 
@@ -135,6 +139,9 @@
 	})
 }
 
+// maxCrashViews bounds the requests under which endpoints crashed in a state dump.
+const maxCrashViews = 100
+
 // State holds the gateway's section of a state dump.
 type State struct {
 	Ready         bool   `json:"ready"`
@@ -150,6 +157,8 @@
 	Services  []ServiceState `json:"services"`
 	// Utilisations lists the services whose load was observed within a second.
 	Utilisations []overload.Utilisation `json:"utilisations"`
+	// Crashes lists requests under which endpoints crashed.
+	Crashes []quarantine.View `json:"crashes"`
 }
 
 // ServiceState describes the admission queue of one service in a state dump.
@@ -167,7 +176,7 @@
 // State returns the gateway's section of a state dump, of type State.
 func (gateway *Gateway) State() any {
 	state := State{Ready: gateway.Ready(), Draining: gateway.draining.Load(), Endpoints: gateway.Endpoints.Len(),
-		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state(gateway.Loads), Utilisations: gateway.Loads.Utilisations()}
+		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state(gateway.Loads), Utilisations: gateway.Loads.Utilisations(), Crashes: gateway.Crashes.Views(maxCrashViews)}
 	if table := gateway.Routes.Load(); table != nil {
 		state.Configuration, state.Routes = table.Version(), table.Routes()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,6 +30,7 @@
 	"github.com/wagtaildrum/wagtaildrum/overload"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
@@ -54,6 +56,10 @@
 	// they start.
 	followedFor time.Duration
 	ids         atomic.Int64
+
+	mu sync.Mutex
+	// guards holds what instances know of crashes; a dead or cut instance is removed.
+	guards []*quarantine.Guard
 }
 
 // instance is an entry instance of a fixture. It implements gateway.StoreStatus.
@@ -63,6 +69,7 @@
 	client           *upstream.Client
 	guard            *store.Guard
 	accounts         *account.Manager
+	crashes          *quarantine.Guard
 	versions         *discovery.Versions
 	address          string
 	stop             context.CancelFunc
@@ -148,10 +155,12 @@
 	i.versions = discovery.NewVersions(list, endpoints, guard, platform.DecodeEndpoint, clk, log)
 	origins := resumption.NewRegistry(resumption.NewRecords(clk), &b.peers, i.versions, tally.NoopScope)
 	b.peers.add(origins)
+	i.crashes = quarantine.NewGuard(quarantine.NewRecords(clk), &crashPeers{instance: i}, list.Presence, clk, log, tally.NoopScope)
+	b.addGuard(i.crashes)
 	loads := overload.NewMeter(clk)
 	programs := overload.NewAdmitter(overload.NewController(loads, singleInstance{}, i.accounts, clk, rand.Float64), loads, singleInstance{}, tally.NoopScope)
 	i.Gateway = gateway.New(gateway.Config{DataCentre: "a", Programs: programs, Loads: loads, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
-		Accounts: i.accounts, Origins: origins, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
+		Accounts: i.accounts, Origins: origins, Crashes: i.crashes, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go guard.Run(ctx, i.done)
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -29,6 +29,10 @@
 	return *e.identityKey
 }
 
+// isShared reports whether several callers may send the same request independently of
+// each other, since it belongs to no program.
+func (e *exchange) isShared() bool { return e.call.Program == "" }
+
 // identityAttrs returns the attributes of a log line by which attempts at the same
 // request are recognised, none unless an endpoint failed under it.
 func (e *exchange) identityAttrs() []slog.Attr {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 // maxLoggedValue bounds the bytes of a caller's value in a log line.
@@ -58,12 +59,12 @@
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "request", attrs...)
 }
 
-// logFailure writes one line about an endpoint whose connection failed under the
-// request.
-func (e *exchange) logFailure(endpoint *membership.Endpoint, err error) {
-	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "connection failed under a request",
+// logFailure writes one line about an endpoint whose connection was lost under the
+// request, and what a probe of its address found.
+func (e *exchange) logFailure(endpoint *membership.Endpoint, liveness upstream.Liveness) {
+	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "connection lost under a request",
 		slog.String("request", e.call.ID), slog.String("identity", e.key().String()), slog.String("endpoint", endpoint.ID), slog.String("incarnation", endpoint.Incarnation()),
-		slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", err))
+		slog.String("presence", e.Endpoints.Presence(endpoint.Incarnation()).String()), slog.String("probe", liveness.String()), slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", e.lastError))
 }
 
 // abbreviate returns the beginning of a caller's value for a log line.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -69,6 +69,12 @@
 	ReasonNoVersion
 	// ReasonOverloaded means that capacity is short and the program has not begun.
 	ReasonOverloaded
+	// ReasonQuarantined means that too many endpoints crashed under this request or
+	// earlier attempts at it.
+	ReasonQuarantined
+	// ReasonCrashUnresolved means that too many endpoints may have crashed under this
+	// request or earlier attempts at it.
+	ReasonCrashUnresolved
 )
 
 // refusal is an error that the gateway itself reports to the caller, as opposed
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -134,6 +134,11 @@
 	timeToFirstEvent time.Duration
 	// identityKey is the key of the request's identity; nil until it is needed.
 	identityKey *quarantine.Key
+	// send is the latest sending of the request to an endpoint; nil while no request is
+	// in quarantine. heardAt is when the endpoint last sent something, or when the
+	// request was sent to it.
+	send    *quarantine.Send
+	heardAt time.Time
 	// lastError is the error of the latest endpoint that did not serve the
 	// request; it is logged.
 	lastError error
@@ -185,6 +190,9 @@
 	if e.spendsBudget() && e.Accounts.RecentlySpent(e.program, e.call.MaxTokens, e.call.Budget) {
 		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
 	}
+	if err := e.checkCrashes(ctx); err != nil {
+		return err
+	}
 	if err := e.chargeQuota(ctx); err != nil {
 		return err
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -48,6 +48,7 @@
 		case err != nil:
 			return balance.OutcomeBroken, err
 		}
+		e.heardAt = received
 		e.setFirstResponse(response)
 		e.recordOrigin(ctx)
 		if err := e.ensureBudget(ctx, event); err != nil {
