gateway, membership: tests of refusals, resets and presence that were missing

Taking guards out one by one showed that no test failed without the check before admission, with 503 for an attempt that had run, with a reset counted as a crash (all at one endpoint), and with missing entries taken for gone. Each has a test now that fails so.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/quarantine"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 )
 
 // crashPeers implements quarantine.Peers for an instance of a fixture.
@@ -62,6 +64,8 @@
 type crashFixture struct {
 	*fixture
 
+	endpoints []*platformtest.Endpoint
+
 	mu sync.Mutex
 	// crashed holds the endpoints that crashed, in order.
 	crashed []string
@@ -87,6 +91,7 @@
 	endpoint := platformtest.NewEndpoint(id, service, service == "model")
 	b.t.Cleanup(endpoint.Close)
 	endpoint.Register(b.memory, "a", "ready")
+	b.endpoints = append(b.endpoints, endpoint)
 	endpoint.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
 		if !strings.Contains(run.Body+run.Path, "crash") {
 			return platformtest.Behaviour{}
@@ -121,19 +126,24 @@
 
 // Guards against a request that ends one endpoint after the other because each attempt of its caller is taken for a new request.
 func TestRequestEndsThreeEndpointsAtMost(t *testing.T) {
-	for _, path := range []string{"/chat/x", "/keep/x", "/look/x"} {
+	for path, want := range map[string][]int{
+		"/chat/x": {502, 502, 503, 503, 503, 503},
+		"/keep/x": {502, 502, 502, 503, 503, 503},
+		"/look/x": {502, 502, 503, 503, 503, 503},
+	} {
 		t.Run(path, func(t *testing.T) {
 			b := newCrashFixture(t, 16)
 			instances := []*instance{b.startInstance(), b.startInstance(), b.startInstance()}
-			var last *http.Response
+			var statuses []int
 			for n := range 6 {
-				last, _ = instances[n%len(instances)].mustSend(crashingRequest(path, fmt.Sprint("r", n), "p"))
+				response, _ := instances[n%len(instances)].mustSend(crashingRequest(path, fmt.Sprint("r", n), "p"))
+				statuses = append(statuses, response.StatusCode)
+				assert.Equal(t, response.StatusCode == http.StatusServiceUnavailable, response.Header.Get("Retry-After") != "")
 			}
+			assert.Equal(t, want, statuses, "an attempt that has run is not told that it has not")
 			crashed, sent := b.counts()
 			assert.Equal(t, 3, crashed)
 			assert.Equal(t, 3, sent)
-			assert.Equal(t, http.StatusServiceUnavailable, last.StatusCode)
-			assert.NotEmpty(t, last.Header.Get("Retry-After"))
 			response, body := instances[0].mustSend(callerRequest{path: path, id: "other", body: "x"})
 			assert.Equal(t, http.StatusOK, response.StatusCode, body)
 		})
@@ -182,20 +192,65 @@
 
 // Guards against requests whose connections are reset while their endpoints go on, and that are refused for it.
 func TestResetConnectionsAreNoCrashes(t *testing.T) {
-	b := newFixture(t)
-	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
-		return platformtest.Behaviour{DropResponse: true}
-	})
+	b := newCrashFixture(t, 0)
+	var resets atomic.Bool
+	resets.Store(true)
+	for n := range 12 {
+		endpoint := platformtest.NewEndpoint(fmt.Sprint("m-", n), "model", true)
+		t.Cleanup(endpoint.Close)
+		endpoint.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+			return platformtest.Behaviour{DropResponse: resets.Load()}
+		})
+		endpoint.Register(b.memory, "a", "ready")
+	}
 	first, second := b.startInstance(), b.startInstance()
 	for n := range 6 {
 		response, _ := []*instance{first, second}[n%2].mustSend(crashingRequest("/keep/x", fmt.Sprint("r", n), "p"))
 		assert.Equal(t, http.StatusBadGateway, response.StatusCode)
 	}
-	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour { return platformtest.Behaviour{} })
+	resets.Store(false)
 	response, body := first.mustSend(crashingRequest("/keep/x", "last", "p"))
 	assert.Equal(t, http.StatusOK, response.StatusCode, body)
 }
 
+// Guards against a refused request that waits for the store, or in a queue, before it is refused.
+func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	b := newCrashFixture(t, 4)
+	i := b.startInstance()
+	for n := range 3 {
+		i.mustSend(crashingRequest("/keep/x", fmt.Sprint("r", n), "p"))
+	}
+	b.memory.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+	request := crashingRequest("/keep/x", "last", "p")
+	request.header["X-Token-Budget"], request.header["X-Token-Count"] = "9000", "100,567"
+	began := time.Now()
+	response, body := i.mustSend(request)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Contains(t, body, "Quarantined")
+	assert.Less(t, time.Since(began), 500*time.Millisecond)
+}
+
+// Guards against bystanders at the endpoint at which a request is tried that has crashed others.
+func TestRequestsAvoidEndpointsThatMayCrash(t *testing.T) {
+	b := newCrashFixture(t, 8)
+	i := b.startInstance()
+	now := time.Now()
+	key := quarantine.Key{1}
+	for n, report := range []quarantine.Report{{Incarnation: "gone-1", State: quarantine.StateCrashed}, {Incarnation: "gone-2", State: quarantine.StateCrashed}, {Incarnation: "m-0", State: quarantine.StateTrying}} {
+		report.Key, report.Attempt, report.SentAt, report.At = key, uint64(n), now, now
+		i.crashes.Receive([]quarantine.Report{report})
+	}
+	for n := range 60 {
+		response, _ := i.mustSend(callerRequest{path: "/chat/x", id: fmt.Sprint("r", n), body: "x"})
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	for _, endpoint := range b.endpoints {
+		if endpoint.ID == "m-0" {
+			assert.Empty(t, endpoint.ReceivedRequests())
+		}
+	}
+}
+
 // Guards against requests counted at endpoints that drain and end with them: a planned stop is no crash.
 func TestPlannedStopsAreNoCrashes(t *testing.T) {
 	b := newCrashFixture(t, 8)
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -129,3 +129,23 @@
 	assert.Equal(t, []string{"a"}, list.Expire(start.Add(3*time.Second)))
 	assert.Empty(t, ids(list))
 }
+
+// Guards against an endpoint that drains, or whose entry is missing during an outage of the store, and that is taken for crashed.
+func TestPresenceOfIncarnations(t *testing.T) {
+	list := membership.NewList()
+	born := func(id string, millis int64, state membership.State) *membership.Endpoint {
+		e := endpoint(id, state)
+		e.StartMillis = millis
+		return e
+	}
+	list.Replace([]*membership.Endpoint{born("a", 100, membership.StateReady), born("b", 100, membership.StateDraining), endpoint("c", membership.StateReady), endpoint("d", membership.StateReady)}, start)
+	list.Put(endpoint("d", membership.StateInvalid))
+	list.StoreUnavailable()
+	list.Remove("c", start)
+	for incarnation, want := range map[string]membership.Presence{
+		"a@100": membership.PresenceListed, "a@200": membership.PresenceGone, "a": membership.PresenceGone,
+		"b@100": membership.PresenceLeaving, "c": membership.PresenceLeaving, "d": membership.PresenceLeaving, "e": membership.PresenceGone,
+	} {
+		assert.Equal(t, want, list.Presence(incarnation), incarnation)
+	}
+}
