quarantine: a crash is in the store before its caller learns of it; where it is known from

The verdict now waits for an attempt to write it, together with the report to other instances and 60 ms at most, and concurrent crashes share a write. An instance that starts waits for the table for 0.5 s at most. A lost connection whose address accepts others counts as a crash if the entry lapses within 5 s: another endpoint may have taken the address. Lines and the state dump tell for each endpoint its state and whether this instance, another one or the store told it.

--- a/discovery/crashes.go
+++ b/discovery/crashes.go
@@ -20,8 +20,6 @@
 	// crashWatchWait is how long the store holds a watch of the table open. Instances
 	// tell each other of crashes; the table serves those that start or were cut off.
 	crashWatchWait = 30 * time.Second
-	// crashGatherDelay is the delay by which crashes are written together.
-	crashGatherDelay = 20 * time.Millisecond
 	// maxRowCrashes bounds the crashes of a row, the latest of all.
 	maxRowCrashes = 200
 	// maxIncarnationName bounds the length of an incarnation's name in bytes.
@@ -94,6 +92,7 @@
 
 // NewCrashes returns Crashes of guard, whose row is that of the named instance.
 func NewCrashes(guard *quarantine.Guard, s store.Store, instance string, clk clock.Clock, log *slog.Logger) *Crashes {
+	guard.UseStore()
 	return &Crashes{guard: guard, store: s, key: store.Key{Table: crashTable, Name: store.Name(instance)}, clock: clk, log: log}
 }
 
@@ -108,12 +107,13 @@
 			crashes.log.Error("crashes of another instance cannot be decoded; ignoring them", "row", row.Key.Name, "err", err)
 			return
 		}
-		crashes.guard.Receive(reports)
+		crashes.guard.Load(reports)
 	}
 	return Source{Table: crashTable, WatchTimeout: crashWatchWait, MaxBackoff: maxCrashBackoff, OnUnavailable: func() {}, OnAvailable: func() {}, Apply: apply, ReplaceAll: func(rows []store.Row) {
 		for _, row := range rows {
 			apply(row)
 		}
+		crashes.guard.Load(nil) // there may be no rows
 	}}
 }
 
@@ -128,11 +128,8 @@
 			return
 		case <-crashes.guard.Changed():
 		}
-		if !clock.Sleep(ctx, crashGatherDelay) {
-			return
-		}
 		for {
-			err := crashes.write(ctx)
+			err := crashes.keep(ctx)
 			if err == nil {
 				backoff = retry.Backoff{Initial: initialCrashBackoff, Max: maxCrashBackoff}
 				break
@@ -145,6 +142,17 @@
 	}
 }
 
+// keep writes the row, twice if its version was not known.
+func (crashes *Crashes) keep(ctx context.Context) error {
+	end := crashes.guard.StartKeeping()
+	defer end()
+	err := crashes.write(ctx)
+	if store.Is(err, store.FailureConflict) {
+		err = crashes.write(ctx)
+	}
+	return err
+}
+
 // write writes the row. A write without a response may be applied later, so each one is
 // made conditional on the version that it replaces.
 func (crashes *Crashes) write(ctx context.Context) error {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -108,8 +108,10 @@
 	liveness := e.Upstream.Probe(ctx, endpoint.Address)
 	isListed := e.Endpoints.Presence(endpoint.Incarnation()) == membership.PresenceListed
 	switch {
-	case liveness == upstream.LivenessConnected || !isListed && liveness == upstream.LivenessRefused:
+	case !isListed && liveness == upstream.LivenessRefused:
 		e.Crashes.Survived(ctx, send)
+	case liveness == upstream.LivenessConnected:
+		e.Crashes.Connected(ctx, send)
 	case liveness == upstream.LivenessRefused:
 		e.Crashes.Crashed(ctx, send, liveness.String())
 	default:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -156,6 +156,7 @@
 	origins := resumption.NewRegistry(resumption.NewRecords(clk), &b.peers, i.versions, tally.NoopScope)
 	b.peers.add(origins)
 	i.crashes = quarantine.NewGuard(quarantine.NewRecords(clk), &crashPeers{instance: i}, list.Presence, clk, log, tally.NoopScope)
+	i.crashes.Load(nil)
 	b.addGuard(i.crashes)
 	loads := overload.NewMeter(clk)
 	programs := overload.NewAdmitter(overload.NewController(loads, singleInstance{}, i.accounts, clk, rand.Float64), loads, singleInstance{}, tally.NoopScope)
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -34,10 +34,17 @@
 func (e *exchange) isShared() bool { return e.call.Program == "" }
 
 // identityAttrs returns the attributes of a log line by which attempts at the same
-// request are recognised, none unless an endpoint failed under it.
+// request are recognised, none unless an endpoint failed under one of them.
 func (e *exchange) identityAttrs() []slog.Attr {
 	if e.lastError == nil && e.identityKey == nil {
 		return nil
 	}
-	return []slog.Attr{slog.String("identity", e.key().String())}
+	crashes := e.Crashes.Describe(e.key())
+	switch {
+	case len(crashes) > 0:
+		return []slog.Attr{slog.String("identity", e.key().String()), slog.Any("crashes", crashes)}
+	case e.lastError != nil:
+		return []slog.Attr{slog.String("identity", e.key().String())}
+	}
+	return nil
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -258,10 +258,10 @@
 	return e.readBody()
 }
 
-// awaitStartup waits until the configuration and the list of endpoints were read,
-// for at most startupWait.
+// awaitStartup waits until the configuration, the list of endpoints and the crashes under
+// requests were read, for at most startupWait.
 func (e *exchange) awaitStartup() {
-	for !e.isLoaded() && e.Clock.Now().Sub(e.arrived) < startupWait {
+	for (!e.isLoaded() || e.Crashes.IsLoading()) && e.Clock.Now().Sub(e.arrived) < startupWait {
 		if !clock.Sleep(e.r.Context(), startupPollInterval) {
 			return
 		}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -24,6 +25,9 @@
 	// one, or until it has received what was sent while it was suspended. Until then it
 	// asks for reports.
 	introductionTime = 2 * time.Second
+	// loadTimeout bounds how long after its start an instance waits for the reports in
+	// the store.
+	loadTimeout = 500 * time.Millisecond
 	// TickInterval is the interval at which Tick is to be called. One that is delayed by
 	// more than maxTickDelay tells of a suspension.
 	TickInterval = 500 * time.Millisecond
@@ -113,9 +117,14 @@
 	presence func(incarnation string) membership.Presence
 	clock    clock.Clock
 	log      *slog.Logger
+	// startedAt is when the guard was created; isLoaded is set once the reports in the
+	// store were read.
+	startedAt time.Time
+	isLoaded  atomic.Bool
 	// changed receives a value when an endpoint crashed under a request of this
 	// instance.
 	changed chan struct{}
+	keeper  keeper
 
 	crashes, received, published, dropped tally.Counter
 
@@ -132,7 +141,7 @@
 // It reports the metrics endpoint_crashes (under requests of this instance),
 // crash_reports_received, crash_reports_published and crash_reports_dropped to scope.
 func NewGuard(records *Records, peers Peers, presence func(incarnation string) membership.Presence, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
-	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, changed: make(chan struct{}, 1),
+	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: clk.Now(), changed: make(chan struct{}, 1),
 		crashes: scope.Counter("endpoint_crashes"), received: scope.Counter("crash_reports_received"), published: scope.Counter("crash_reports_published"), dropped: scope.Counter("crash_reports_dropped")}
 }
 
@@ -208,14 +217,15 @@
 	if assessment := guard.Assess(key, isShared); assessment.Crashed+assessment.Unresolved > 0 {
 		send.isAnnounced = true
 		report := send.report(StateTrying, send.sentAt)
-		guard.Add(report, true)
+		guard.Add(report, SourceOwn)
 		guard.publish(ctx, report)
 	}
 	return send
 }
 
 // Crashed records that the endpoint crashed, how tells how it was recognised. It returns
-// when the other instances know, so that the caller's next attempt finds them informed.
+// when the other instances know and the store has been told, or publishTimeout later, so
+// that the caller's next attempt finds the instances informed, also if all restart.
 func (guard *Guard) Crashed(ctx context.Context, send *Send, how string) {
 	guard.report(ctx, how, send.report(StateCrashed, guard.clock.Now()))
 }
@@ -223,24 +233,41 @@
 // report records and publishes crashes under requests of this instance.
 func (guard *Guard) report(ctx context.Context, how string, reports ...Report) {
 	for _, report := range reports {
-		guard.Add(report, true)
+		guard.Add(report, SourceOwn)
 		guard.crashes.Inc(1)
 		assessment := guard.Assess(report.Key, false)
 		guard.log.Info("endpoint crashed under a request", "identity", report.Key, "incarnation", report.Incarnation, "recognised", how, "crashes", assessment.Crashed, "unresolved", assessment.Unresolved, "after", report.At.Sub(report.SentAt))
 	}
-	guard.publish(ctx, reports...)
+	kept := guard.keeper.recorded()
 	select {
 	case guard.changed <- struct{}{}:
 	default: // a notification is pending
 	}
+	published := guard.startPublishing(ctx, reports...)
+	timer := time.NewTimer(publishTimeout)
+	defer timer.Stop()
+	for _, done := range []<-chan struct{}{published, kept} {
+		select {
+		case <-done:
+		case <-timer.C:
+			return
+		}
+	}
 }
 
+// UseStore has later crashes wait for attempts to keep them in the store.
+func (guard *Guard) UseStore() { guard.keeper.useStore() }
+
+// StartKeeping begins an attempt to keep all crashes known so far in the store. The
+// returned function is called when the attempt has ended, whether or not it succeeded.
+func (guard *Guard) StartKeeping() (end func()) { return guard.keeper.start() }
+
 // Unresolved records that the connection to the endpoint failed and that the endpoint
 // may have crashed. The other instances are told if isBroken is set: an endpoint that
 // does not respond is far more often slow.
 func (guard *Guard) Unresolved(ctx context.Context, send *Send, isBroken bool) {
 	report := send.report(StateUnresolved, guard.clock.Now())
-	if guard.Add(report, true) && (isBroken || send.isAnnounced) {
+	if guard.Add(report, SourceOwn) && (isBroken || send.isAnnounced) {
 		guard.publish(ctx, report)
 	}
 }
@@ -251,7 +278,7 @@
 		return
 	}
 	report := send.report(StateSurvived, guard.clock.Now())
-	guard.Add(report, true)
+	guard.Add(report, SourceOwn)
 	guard.startPublishing(ctx, report)
 }
 
@@ -259,19 +286,43 @@
 // were not its doing.
 func (guard *Guard) Served(ctx context.Context, send *Send) {
 	report := send.report(StateServed, guard.clock.Now())
-	if guard.Any() && guard.Add(report, true) {
+	if guard.Any() && guard.Add(report, SourceOwn) {
+		guard.startPublishing(ctx, report)
+	}
+}
+
+// Connected records that the connection to the endpoint failed, and that its address
+// accepts others.
+func (guard *Guard) Connected(ctx context.Context, send *Send) {
+	report := send.report(StateConnected, guard.clock.Now())
+	if guard.Add(report, SourceOwn) && send.isAnnounced {
 		guard.startPublishing(ctx, report)
 	}
 }
 
 // Receive records the reports of another instance.
-func (guard *Guard) Receive(reports []Report) {
+func (guard *Guard) Receive(reports []Report) { guard.receive(reports, SourcePeer) }
+
+// Load records reports read from the store, and that they were read.
+func (guard *Guard) Load(reports []Report) {
+	guard.receive(reports, SourceStore)
+	guard.isLoaded.Store(true)
+}
+
+// receive records reports.
+func (guard *Guard) receive(reports []Report, source Source) {
 	guard.received.Inc(int64(len(reports)))
 	for _, report := range reports {
-		guard.Add(report, false)
+		guard.Add(report, source)
 	}
 }
 
+// IsLoading reports whether this instance has just started and has not read the reports
+// in the store yet.
+func (guard *Guard) IsLoading() bool {
+	return !guard.isLoaded.Load() && guard.clock.Now().Sub(guard.startedAt) < loadTimeout
+}
+
 // ResolveByList decides on endpoints that may have crashed by whether they are listed,
 // and reports those that have.
 func (guard *Guard) ResolveByList(ctx context.Context) {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -70,14 +70,14 @@
 	return membership.PresenceListed
 }
 
-// others returns the instances that m reaches.
-func (m *member) others() []*member {
+// others returns the guards of the instances that m reaches.
+func (m *member) others() []*quarantine.Guard {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
-	var others []*member
+	var others []*quarantine.Guard
 	for _, other := range m.fleet.guards {
 		if other != m && !other.isCut && !m.isCut {
-			others = append(others, other)
+			others = append(others, other.Guard)
 		}
 	}
 	return others
@@ -118,10 +118,46 @@
 		return false
 	}
 	m.Crashed(ctx, m.Begin(ctx, key, false, incarnation), "Refused")
-	m.fleet.table = append(m.fleet.table, m.Crashes(100)...)
 	return true
 }
 
+// Guards against a caller that learns of a crash before the store has it, and against one that waits for a store that does not respond.
+func TestCrashIsKeptBeforeTheCallerLearnsOfIt(t *testing.T) {
+	f := newFleet(2)
+	guard := f.guards[0]
+	guard.UseStore()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-guard.Changed()
+		end := guard.StartKeeping()
+		assert.Len(t, guard.Crashes(10), 1, "the attempt includes the crash")
+		time.Sleep(5 * time.Millisecond)
+		f.mu.Lock()
+		f.table = guard.Crashes(10)
+		f.mu.Unlock()
+		end()
+	}()
+	guard.crash(keyOf(1), "e1")
+	f.mu.Lock()
+	assert.Len(t, f.table, 1)
+	f.mu.Unlock()
+	<-ended
+	began := time.Now()
+	guard.crash(keyOf(2), "e2")
+	assert.Less(t, time.Since(began), time.Second, "nobody keeps it")
+}
+
+// Guards against a request that is sent before an instance that has just started has read the store, and against one that waits for it for ever.
+func TestLoadingEnds(t *testing.T) {
+	f := newFleet(2)
+	assert.True(t, f.guards[0].IsLoading())
+	f.guards[0].Load(nil)
+	assert.False(t, f.guards[0].IsLoading())
+	f.clock.Advance(time.Second)
+	assert.False(t, f.guards[1].IsLoading(), "the store does not respond")
+}
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // Guards against a count that holds at one instance only.
@@ -238,12 +274,13 @@
 		ctx := context.Background()
 		crashed, unseen := 0, 0
 		for n := range 40 {
+			f.keep()
 			f.clock.Advance(time.Duration(rng.IntN(400)) * time.Millisecond)
 			m := f.guards[rng.IntN(len(f.guards))]
 			for _, other := range f.guards {
 				other.Tick(ctx)
-				f.table = append(f.table, other.Crashes(100)...)
 			}
+			f.keep()
 			incarnation := fmt.Sprintf("e%d", n)
 			switch rng.IntN(6) {
 			case 0: // the instance is killed while the endpoint crashes
@@ -275,7 +312,25 @@
 // restart replaces the guard of an instance by that of one that has just started and has
 // read the table.
 func (f *fleet) restart(m *member) {
-	m.Guard = quarantine.NewGuard(quarantine.NewRecords(f.clock), m, f.presence, f.clock, slog.New(slog.DiscardHandler), tally.NoopScope)
-	m.Receive(f.table)
-	m.knownFor = 0
+	guard := quarantine.NewGuard(quarantine.NewRecords(f.clock), m, f.presence, f.clock, slog.New(slog.DiscardHandler), tally.NoopScope)
+	guard.Load(f.table)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.Guard, m.knownFor = guard, 0
+}
+
+// keep adds what the instances know of crashes to the table.
+func (f *fleet) keep() {
+	kept := map[string]bool{}
+	for _, report := range f.table {
+		kept[report.Key.String()+report.Incarnation] = true
+	}
+	for _, m := range f.guards {
+		for _, report := range m.Crashes(100) {
+			if name := report.Key.String() + report.Incarnation; !kept[name] {
+				kept[name] = true
+				f.table = append(f.table, report)
+			}
+		}
+	}
 }
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -35,8 +35,7 @@
 	incarnation string
 	state       State
 	sentAt, at  time.Time
-	// isOwn is set if this instance sent the request.
-	isOwn bool
+	source      Source
 	// isLeaving is set once the endpoint was seen to drain.
 	isLeaving bool
 }
@@ -92,9 +91,8 @@
 // Len returns the number of requests of which something is known.
 func (records *Records) Len() int { return int(records.count.Load()) }
 
-// Add records a report. isOwn tells whether this instance sent the request. It returns
-// whether the report changed what is known.
-func (records *Records) Add(report Report, isOwn bool) bool {
+// Add records a report and returns whether it changed what is known.
+func (records *Records) Add(report Report, source Source) bool {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	now := records.clock.Now()
@@ -113,7 +111,7 @@
 		known = &request{}
 		records.requests.Add(report.Key, known)
 	}
-	if !known.add(report, isOwn) {
+	if !known.add(report, source) {
 		records.updateCount()
 		return false
 	}
@@ -132,7 +130,7 @@
 		records.trying[report.Incarnation][report.Key] = report.At
 		return
 	}
-	if report.State == StateUnresolved {
+	if report.State == StateUnresolved || report.State == StateConnected {
 		records.unresolved[report.Incarnation] = report.At
 	}
 	delete(records.trying[report.Incarnation], report.Key)
@@ -176,7 +174,7 @@
 func (records *Records) updateCount() { records.count.Store(int64(records.requests.Len())) }
 
 // add updates the request by a report and returns whether that changed it.
-func (known *request) add(report Report, isOwn bool) bool {
+func (known *request) add(report Report, source Source) bool {
 	if report.State == StateServed {
 		if !report.At.After(known.servedAt) {
 			return false
@@ -193,7 +191,7 @@
 		if len(known.attempts) >= maxAttempts && !known.makeRoom() {
 			return false
 		}
-		known.attempts = append(known.attempts, newAttempt(report, isOwn))
+		known.attempts = append(known.attempts, newAttempt(report, source))
 		return true
 	}
 	previous := &known.attempts[i]
@@ -205,7 +203,7 @@
 		return false
 	}
 	isLeaving := previous.isLeaving
-	*previous = newAttempt(report, isOwn)
+	*previous = newAttempt(report, source)
 	previous.isLeaving = isLeaving
 	return true
 }
@@ -225,8 +223,8 @@
 }
 
 // newAttempt returns the attempt that a report tells of.
-func newAttempt(report Report, isOwn bool) attempt {
-	return attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, isOwn: isOwn}
+func newAttempt(report Report, source Source) attempt {
+	return attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, source: source}
 }
 
 // report returns the report of the attempt's state.
@@ -299,7 +297,7 @@
 	delete(records.unresolved, incarnation)
 	for _, known := range records.requests.Values() {
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.state == StateUnresolved {
+			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && (attempt.state == StateUnresolved || attempt.state == StateConnected) {
 				attempt.state = StateSurvived
 			}
 		}
@@ -329,7 +327,7 @@
 				attempt.state = StateSurvived
 				continue
 			}
-			if attempt.isOwn {
+			if attempt.source == SourceOwn {
 				reports = append(reports, report)
 			}
 		}
@@ -345,7 +343,7 @@
 // resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
 // true if the endpoint has crashed. An endpoint that drained before it left has not.
 func (attempt *attempt) resolve(presence func(incarnation string) membership.Presence, now time.Time) bool {
-	if attempt.state != StateUnresolved && attempt.state != StateTrying {
+	if attempt.state == StateCrashed || attempt.state == StateSurvived {
 		return false
 	}
 	isDue := now.Sub(attempt.at) >= unresolvedTimeout
@@ -354,12 +352,12 @@
 		attempt.isLeaving = true
 	case membership.PresenceGone:
 		// The instance that sent the request reports how it ended, if it lives.
-		if !attempt.isLeaving && (attempt.state == StateUnresolved || isDue) {
+		if !attempt.isLeaving && (attempt.state != StateTrying || isDue) {
 			attempt.state = StateCrashed
 			return true
 		}
 	}
-	if isDue && attempt.state == StateUnresolved {
+	if isDue && attempt.state != StateTrying {
 		attempt.state = StateSurvived
 	}
 	return false
@@ -369,7 +367,7 @@
 // earlier report about it has to be ignored.
 func (known *request) isHarmless(now time.Time) bool {
 	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
-		return attempt.state != StateSurvived && (attempt.state == StateCrashed || attempt.isUnresolved(now) || attempt.state == StateUnresolved)
+		return attempt.state != StateSurvived && (attempt.state != StateTrying || attempt.isUnresolved(now))
 	})
 }
 
@@ -435,11 +433,32 @@
 	return n
 }
 
-// View describes a request in a state dump.
+// String returns the incarnation, the state and the source.
+func (attempt *attempt) String() string {
+	return attempt.incarnation + " " + attempt.state.String() + " " + attempt.source.String()
+}
+
+// Describe returns a description of each endpoint under a request.
+func (records *Records) Describe(key Key) []string {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	known, ok := records.requests.Peek(key)
+	if !ok {
+		return nil
+	}
+	var descriptions []string
+	for _, attempt := range known.attempts {
+		descriptions = append(descriptions, attempt.String())
+	}
+	return descriptions
+}
+
+// View describes a request in a state dump. Each endpoint is described by its
+// incarnation, its state under the request, and the source of that.
 type View struct {
-	Identity string   `json:"identity"`
-	Crashed  []string `json:"crashed"`
-	Other    []string `json:"other"`
+	Identity  string   `json:"identity"`
+	Crashes   int      `json:"crashes"`
+	Endpoints []string `json:"endpoints"`
 }
 
 // Views returns what is known of the requests, at most limit of them, those under which
@@ -450,16 +469,12 @@
 	views := make([]View, 0, records.requests.Len())
 	for _, key := range records.requests.Keys() {
 		known, _ := records.requests.Peek(key)
-		view := View{Identity: key.String()}
+		view := View{Identity: key.String(), Crashes: known.crashed()}
 		for _, attempt := range known.attempts {
-			if attempt.state == StateCrashed {
-				view.Crashed = append(view.Crashed, attempt.incarnation)
-			} else {
-				view.Other = append(view.Other, attempt.incarnation+" "+attempt.state.String())
-			}
+			view.Endpoints = append(view.Endpoints, attempt.String())
 		}
 		views = append(views, view)
 	}
-	slices.SortStableFunc(views, func(a, b View) int { return len(b.Crashed) - len(a.Crashed) })
+	slices.SortStableFunc(views, func(a, b View) int { return b.Crashes - a.Crashes })
 	return views[:min(len(views), limit)]
 }
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -39,7 +39,7 @@
 func (f *fixture) add(key quarantine.Key, incarnation string, state quarantine.State) {
 	f.attempts++
 	now := f.clock.Now()
-	f.Add(quarantine.Report{Key: key, Attempt: f.attempts, Incarnation: incarnation, State: state, SentAt: now.Add(-10 * time.Millisecond), At: now}, true)
+	f.Add(quarantine.Report{Key: key, Attempt: f.attempts, Incarnation: incarnation, State: state, SentAt: now.Add(-10 * time.Millisecond), At: now}, quarantine.SourceOwn)
 }
 
 // counts returns the numbers of endpoints that crashed and may have.
@@ -75,14 +75,14 @@
 	report := func(state quarantine.State) quarantine.Report {
 		return quarantine.Report{Key: keyOf(1), Attempt: 7, Incarnation: "e1", State: state, SentAt: now, At: now}
 	}
-	f.Add(report(quarantine.StateCrashed), false)
-	f.Add(report(quarantine.StateTrying), false)
-	f.Add(report(quarantine.StateUnresolved), false)
-	f.Add(report(quarantine.StateSurvived), false)
+	f.Add(report(quarantine.StateCrashed), quarantine.SourcePeer)
+	f.Add(report(quarantine.StateTrying), quarantine.SourcePeer)
+	f.Add(report(quarantine.StateUnresolved), quarantine.SourcePeer)
+	f.Add(report(quarantine.StateSurvived), quarantine.SourcePeer)
 	assert.Equal(t, [2]int{1, 0}, f.counts(keyOf(1)))
 	f.add(keyOf(1), "e2", quarantine.StateCrashed)
-	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 8, Incarnation: "e3", State: quarantine.StateSurvived, SentAt: now, At: now}, false)
-	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 8, Incarnation: "e3", State: quarantine.StateTrying, SentAt: now, At: now}, false)
+	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 8, Incarnation: "e3", State: quarantine.StateSurvived, SentAt: now, At: now}, quarantine.SourcePeer)
+	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 8, Incarnation: "e3", State: quarantine.StateTrying, SentAt: now, At: now}, quarantine.SourcePeer)
 	assert.Equal(t, [2]int{2, 0}, f.counts(keyOf(1)), "an announcement that is overtaken by the result")
 }
 
@@ -95,7 +95,7 @@
 	f.add(keyOf(1), "e2", quarantine.StateServed)
 	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)))
 	for _, report := range old {
-		f.Add(report, false)
+		f.Add(report, quarantine.SourcePeer)
 	}
 	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)))
 	f.clock.Advance(time.Second)
@@ -159,11 +159,34 @@
 	}
 }
 
+// Guards against an endpoint that has crashed and counts as alive because another one took its address, and against endpoints that live and count as crashed.
+func TestEndpointThatAcceptsConnectionsCountsOnceItsEntryLapses(t *testing.T) {
+	for name, test := range map[string]struct {
+		observe func(f *fixture)
+		want    int
+	}{
+		"its entry lapses": {func(*fixture) {}, 1},
+		"it responds":      {func(f *fixture) { f.Responded("e1") }, 0},
+		"it drains":        {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 0},
+		"its entry lapses late": {func(f *fixture) {
+			f.clock.Advance(6 * time.Second)
+			f.Resolve(presence(membership.PresenceListed))
+		}, 0},
+	} {
+		f := newFixture()
+		f.add(keyOf(1), "e1", quarantine.StateConnected)
+		assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)), name)
+		test.observe(f)
+		f.Resolve(presence(membership.PresenceGone))
+		assert.Equal(t, [2]int{test.want, 0}, f.counts(keyOf(1)), name)
+	}
+}
+
 // Guards against a request whose instance died while an endpoint processed it, and that nobody counts.
 func TestEndpointOfDeadInstanceIsResolvedByTheList(t *testing.T) {
 	f := newFixture()
 	now := f.clock.Now()
-	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 1, Incarnation: "e1", State: quarantine.StateTrying, SentAt: now, At: now}, false)
+	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 1, Incarnation: "e1", State: quarantine.StateTrying, SentAt: now, At: now}, quarantine.SourcePeer)
 	assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)))
 	f.clock.Advance(6 * time.Second)
 	assert.Empty(t, f.Resolve(presence(membership.PresenceGone)), "each instance finds out for itself")
@@ -183,7 +206,7 @@
 	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)))
 	f.Resolve(presence(membership.PresenceListed))
 	assert.False(t, f.Any())
-	f.Add(quarantine.Report{Key: keyOf(1), Incarnation: "e1", State: quarantine.StateCrashed, SentAt: start, At: start}, false)
+	f.Add(quarantine.Report{Key: keyOf(1), Incarnation: "e1", State: quarantine.StateCrashed, SentAt: start, At: start}, quarantine.SourcePeer)
 	assert.False(t, f.Any(), "an old report")
 }
 
@@ -198,11 +221,20 @@
 	}
 	assert.Equal(t, [2]int{4, 0}, f.counts(keyOf(0)))
 	for n := range 10_000 {
+		if n == 9_000 { // the newest are kept
+			for m := range 4 {
+				f.add(keyOf(0), fmt.Sprint("c", 5*m), quarantine.StateCrashed)
+			}
+		}
 		f.add(keyOf(n+1), fmt.Sprint("x", n), quarantine.StateCrashed)
 	}
 	assert.LessOrEqual(t, f.Len(), 4096)
 	assert.Len(t, f.Reports(1000), 1000)
-	assert.Len(t, f.Views(100), 100)
+	views := f.Views(100)
+	assert.Len(t, views, 100)
+	assert.Equal(t, 4, views[0].Crashes)
+	assert.Contains(t, views[0].Endpoints, "c0 Crashed Own")
+	assert.Equal(t, views[0].Endpoints, f.Describe(keyOf(0)))
 }
 
 // Guards against requests at fault that are tried at one endpoint together, so that all of them count its crash.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -12,6 +12,10 @@
 	// StateTrying means that the endpoint processes the request. It is reported only
 	// for requests under which an endpoint failed before.
 	StateTrying State = iota
+	// StateConnected means that the connection failed, and that the endpoint's address
+	// accepts others. The endpoint has survived unless its entry lapses soon: another one
+	// may have taken its address.
+	StateConnected
 	// StateUnresolved means that the connection failed, or that the endpoint did not
 	// respond, and that the endpoint may have crashed.
 	StateUnresolved
@@ -25,6 +29,21 @@
 	StateServed
 )
 
+// Source is where a report comes from.
+type Source int
+
+//go:generate stringer -type=Source -trimprefix=Source
+
+// Sources of reports.
+const (
+	// SourceOwn means that this instance sent the request.
+	SourceOwn Source = iota
+	// SourcePeer means that another instance reported it.
+	SourcePeer
+	// SourceStore means that it was read from the store.
+	SourceStore
+)
+
 // Report tells the state of an endpoint under a request.
 type Report struct {
 	Key Key
--- a/quarantine/state_string.go
+++ b/quarantine/state_string.go
@@ -9,15 +9,16 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[StateTrying-0]
-	_ = x[StateUnresolved-1]
-	_ = x[StateCrashed-2]
-	_ = x[StateSurvived-3]
-	_ = x[StateServed-4]
+	_ = x[StateConnected-1]
+	_ = x[StateUnresolved-2]
+	_ = x[StateCrashed-3]
+	_ = x[StateSurvived-4]
+	_ = x[StateServed-5]
 }
 
-const _State_name = "TryingUnresolvedCrashedSurvivedServed"
+const _State_name = "TryingConnectedUnresolvedCrashedSurvivedServed"
 
-var _State_index = [...]uint8{0, 6, 16, 23, 31, 37}
+var _State_index = [...]uint8{0, 6, 15, 25, 32, 40, 46}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -161,13 +161,18 @@
 	return all
 }
 
-// unseen returns the number of attempts that ended without a response: the instance may
-// not have lived to see an endpoint end under them.
-func unseen(attempts []*attempt) int {
+// unseen returns the number of attempts whose instance was killed or suspended meanwhile:
+// it may not have lived to see an endpoint end under them, or to tell anybody.
+func (s *site) unseen(attempts []*attempt) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := 0
 	for _, a := range attempts {
-		if a.status == 0 && !a.refused {
-			n++
+		for _, at := range s.interrupted[a.front] {
+			if at.After(a.sent) && at.Before(a.done) {
+				n++
+				break
+			}
 		}
 	}
 	return n
@@ -306,10 +311,10 @@
 			for round := n * 1000; ctx.Err() == nil; round++ {
 				attempts := crasher.attempts(ctx, newCaller(s, b, seed, uint64(round)), round)
 				crashes, sentAfter := s.crashesOf(crasher.name(round))
-				allowed := maxCrashes + unseen(attempts)
+				allowed := maxCrashes + s.unseen(attempts)
 				assert.LessOrEqual(t, len(crashes), allowed, "%s: %v", crasher.name(round), crashes)
 				if len(crashes) >= maxCrashes {
-					t.Logf("%s: %d ended, sent %d times after, %d attempts without response", crasher.name(round), len(crashes), sentAfter, unseen(attempts))
+					t.Logf("%s: %d ended, sent %d times after, %d attempts unseen", crasher.name(round), len(crashes), sentAfter, s.unseen(attempts))
 				}
 			}
 		})
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -40,8 +40,10 @@
 	// is done once the entries of all crashed endpoints have lapsed.
 	crashes map[string][]crash
 	lapses  sync.WaitGroup
-	version int
-	named   int
+	// interrupted holds when each front was killed or suspended.
+	interrupted map[string][]time.Time
+	version     int
+	named       int
 	siteOptions
 	// rotation counts the changes of an organisation's key, quota is the rate and
 	// burst of the one that has a quota.
@@ -97,7 +99,7 @@
 // newSiteOf returns a site with the given options.
 func newSiteOf(t *testing.T, seed uint64, options siteOptions) *site {
 	t.Helper()
-	s := &site{t: t, crashes: map[string][]crash{}, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), siteOptions: options, quota: usualQuota}
+	s := &site{t: t, crashes: map[string][]crash{}, interrupted: map[string][]time.Time{}, memory: storetest.New(), rng: rand.New(rand.NewPCG(seed, 1)), siteOptions: options, quota: usualQuota}
 	s.configure()
 	models, tools := modelCount, toolCount
 	if options.perService > 0 {
@@ -257,6 +259,7 @@
 			s.t.Errorf("%s ended by SIGTERM with code %d: %v", f.Name, code, err)
 		}
 	}
+	s.interrupt(f)
 	f.Kill()
 	f.stopped = false
 	time.Sleep(pause)
@@ -268,6 +271,7 @@
 // freeze stops the process for a while, as a machine that stands still.
 func (s *site) freeze(f *front, d time.Duration) {
 	f.life.Lock()
+	s.interrupt(f)
 	s.check(f.Signal(syscall.SIGSTOP))
 	f.stopped = true
 	f.life.Unlock()
@@ -280,6 +284,13 @@
 	}
 }
 
+// interrupt notes that the process is about to be killed or suspended.
+func (s *site) interrupt(f *front) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interrupted[f.Name] = append(s.interrupted[f.Name], time.Now())
+}
+
 func (s *site) hangup(f *front) {
 	f.life.Lock()
 	defer f.life.Unlock()
