--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -106,7 +106,7 @@
 	ctx = context.WithoutCancel(ctx)
 	send := e.sendTo(endpoint, sentAt)
 	liveness := e.Upstream.Probe(ctx, endpoint.Address)
-	isListed := e.Endpoints.Presence(endpoint.Incarnation()) == membership.PresenceListed
+	isListed := e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) == membership.PresenceListed
 	switch {
 	case !isListed && liveness == upstream.LivenessRefused:
 		e.Crashes.Survived(ctx, send)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -64,7 +64,7 @@
 func (e *exchange) logFailure(endpoint *membership.Endpoint, liveness upstream.Liveness) {
 	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "connection lost under a request",
 		slog.String("request", e.call.ID), slog.String("identity", e.key().String()), slog.String("endpoint", endpoint.ID), slog.String("incarnation", endpoint.Incarnation()),
-		slog.String("presence", e.Endpoints.Presence(endpoint.Incarnation()).String()), slog.String("probe", liveness.String()), slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", e.lastError))
+		slog.String("presence", e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt).String()), slog.String("probe", liveness.String()), slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", e.lastError))
 }
 
 // abbreviate returns the beginning of a caller's value for a log line.
--- a/membership/list.go
+++ b/membership/list.go
@@ -43,6 +43,8 @@
 	PresenceLeaving
 	// PresenceGone means that the incarnation is not listed.
 	PresenceGone
+	// PresenceUnknown means that the list may be outdated.
+	PresenceUnknown
 )
 
 // takesWork reports whether an endpoint in the state may be given work.
@@ -294,13 +296,17 @@
 	return ok && endpoint.Incarnation() == incarnation
 }
 
-// Presence returns whether the named incarnation of an endpoint is listed.
-func (list *List) Presence(incarnation string) Presence {
+// Presence returns whether the named incarnation of an endpoint, which was listed at
+// since, is listed now. It returns PresenceUnknown if it is not in this list, which was not
+// current after since.
+func (list *List) Presence(incarnation string, since time.Time) Presence {
 	id, _, _ := strings.Cut(incarnation, "@")
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	endpoint, ok := list.endpoints[id]
 	switch {
+	case (!ok || endpoint.Incarnation() != incarnation) && !list.confirmedAt.After(since):
+		return PresenceUnknown
 	case !ok || endpoint.Incarnation() != incarnation:
 		return PresenceGone
 	case endpoint.State == StateReady:
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -142,10 +142,13 @@
 	list.Put(endpoint("d", membership.StateInvalid))
 	list.StoreUnavailable()
 	list.Remove("c", start)
+	assert.Equal(t, membership.PresenceUnknown, list.Presence("e", start), "the list was never current")
+	list.Confirm(start.Add(time.Second))
+	assert.Equal(t, membership.PresenceUnknown, list.Presence("e", start.Add(2*time.Second)), "the list was current before that")
 	for incarnation, want := range map[string]membership.Presence{
 		"a@100": membership.PresenceListed, "a@200": membership.PresenceGone, "a": membership.PresenceGone,
 		"b@100": membership.PresenceLeaving, "c": membership.PresenceLeaving, "d": membership.PresenceLeaving, "e": membership.PresenceGone,
 	} {
-		assert.Equal(t, want, list.Presence(incarnation), incarnation)
+		assert.Equal(t, want, list.Presence(incarnation, start), incarnation)
 	}
 }
--- a/membership/presence_string.go
+++ b/membership/presence_string.go
@@ -11,11 +11,12 @@
 	_ = x[PresenceListed-0]
 	_ = x[PresenceLeaving-1]
 	_ = x[PresenceGone-2]
+	_ = x[PresenceUnknown-3]
 }
 
-const _Presence_name = "ListedLeavingGone"
+const _Presence_name = "ListedLeavingGoneUnknown"
 
-var _Presence_index = [...]uint8{0, 6, 13, 17}
+var _Presence_index = [...]uint8{0, 6, 13, 17, 24}
 
 func (i Presence) String() string {
 	idx := int(i) - 0
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -12,7 +12,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
-	"github.com/wagtaildrum/wagtaildrum/membership"
 )
 
 const (
@@ -114,7 +113,7 @@
 type Guard struct {
 	*Records
 	peers    Peers
-	presence func(incarnation string) membership.Presence
+	presence PresenceFunc
 	clock    clock.Clock
 	log      *slog.Logger
 	// startedAt is when the guard was created; isLoaded is set once the reports in the
@@ -140,7 +139,7 @@
 // NewGuard returns a Guard on records. presence tells whether an incarnation is listed.
 // It reports the metrics endpoint_crashes (under requests of this instance),
 // crash_reports_received, crash_reports_published and crash_reports_dropped to scope.
-func NewGuard(records *Records, peers Peers, presence func(incarnation string) membership.Presence, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
+func NewGuard(records *Records, peers Peers, presence PresenceFunc, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
 	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: clk.Now(), changed: make(chan struct{}, 1),
 		crashes: scope.Counter("endpoint_crashes"), received: scope.Counter("crash_reports_received"), published: scope.Counter("crash_reports_published"), dropped: scope.Counter("crash_reports_dropped")}
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -25,8 +25,8 @@
 
 	mu     sync.Mutex
 	guards []*member
-	// gone holds the incarnations that left the list.
-	gone map[string]bool
+	// gone holds when incarnations leave the list.
+	gone map[string]time.Time
 	// table holds the crashes that are kept in the store.
 	table []quarantine.Report
 }
@@ -44,7 +44,7 @@
 }
 
 func newFleet(instances int) *fleet {
-	f := &fleet{clock: clock.NewFake(start), gone: map[string]bool{}}
+	f := &fleet{clock: clock.NewFake(start), gone: map[string]time.Time{}}
 	for range instances {
 		f.add()
 	}
@@ -61,10 +61,17 @@
 	return m
 }
 
-func (f *fleet) presence(incarnation string) membership.Presence {
+// lapse has the entry of an incarnation leave the list after a delay.
+func (f *fleet) lapse(incarnation string, delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.gone[incarnation] {
+	f.gone[incarnation] = f.clock.Now().Add(delay)
+}
+
+func (f *fleet) presence(incarnation string, _ time.Time) membership.Presence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at, ok := f.gone[incarnation]; ok && !f.clock.Now().Before(at) {
 		return membership.PresenceGone
 	}
 	return membership.PresenceListed
@@ -183,7 +190,8 @@
 	var unresolvedErr *quarantine.UnresolvedError
 	require.ErrorAs(t, f.guards[2].Check(ctx, keyOf(1), false), &unresolvedErr)
 	assert.Positive(t, unresolvedErr.RetryAfter())
-	f.gone["e2"] = true
+	f.guards[2].Tick(ctx)
+	f.lapse("e2", time.Second)
 	f.clock.Advance(6 * time.Second)
 	var crashedErr *quarantine.CrashedError
 	f.guards[2].Tick(ctx)
@@ -198,7 +206,7 @@
 		m := f.guards[n]
 		require.NoError(t, m.Check(ctx, keyOf(1), false))
 		m.Unresolved(ctx, m.Begin(ctx, keyOf(1), false, fmt.Sprint("e", n)), false)
-		f.gone[fmt.Sprint("e", n)] = true
+		f.lapse(fmt.Sprint("e", n), 0)
 		m.Tick(ctx)
 	}
 	assert.Equal(t, 2, f.guards[2].Assess(keyOf(1), false).Crashed)
@@ -290,7 +298,7 @@
 						unseen++
 					}
 					m.Begin(ctx, keyOf(1), false, incarnation)
-					f.gone[incarnation] = true
+					f.lapse(incarnation, 1500*time.Millisecond)
 				}
 				f.restart(m)
 			case 1: // a bystander whose endpoint is killed for another reason
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -304,10 +304,14 @@
 	}
 }
 
+// PresenceFunc returns whether an incarnation is listed, by a list that was current after
+// since.
+type PresenceFunc func(incarnation string, since time.Time) membership.Presence
+
 // Resolve decides on unresolved attempts by whether their endpoints are listed, and
 // forgets requests that have expired. It returns the reports on attempts of this
 // instance that turned out to have ended their endpoints.
-func (records *Records) Resolve(presence func(incarnation string) membership.Presence) []Report {
+func (records *Records) Resolve(presence PresenceFunc) []Report {
 	if !records.Any() {
 		return nil
 	}
@@ -342,12 +346,12 @@
 
 // resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
 // true if the endpoint has crashed. An endpoint that drained before it left has not.
-func (attempt *attempt) resolve(presence func(incarnation string) membership.Presence, now time.Time) bool {
+func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
 	if attempt.state == StateCrashed || attempt.state == StateSurvived {
 		return false
 	}
 	isDue := now.Sub(attempt.at) >= unresolvedTimeout
-	switch presence(attempt.incarnation) {
+	switch presence(attempt.incarnation, attempt.at) {
 	case membership.PresenceLeaving:
 		attempt.isLeaving = true
 	case membership.PresenceGone:
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -49,8 +49,8 @@
 }
 
 // presence returns a function that reports the same presence for every incarnation.
-func presence(p membership.Presence) func(string) membership.Presence {
-	return func(string) membership.Presence { return p }
+func presence(p membership.Presence) quarantine.PresenceFunc {
+	return func(string, time.Time) membership.Presence { return p }
 }
 
 // Guards against an endpoint that counts twice, under several requests in one count, or not at all.
@@ -193,6 +193,20 @@
 	assert.Equal(t, [2]int{1, 0}, f.counts(keyOf(1)))
 }
 
+// Guards against endpoints taken for crashed by an instance whose list is outdated.
+func TestEndpointOfOutdatedListHasNotLeft(t *testing.T) {
+	for _, state := range []quarantine.State{quarantine.StateTrying, quarantine.StateUnresolved} {
+		f := newFixture()
+		now := f.clock.Now()
+		f.Add(quarantine.Report{Key: keyOf(1), Attempt: 1, Incarnation: "e1", State: state, SentAt: now, At: now}, quarantine.SourcePeer)
+		f.Resolve(presence(membership.PresenceUnknown))
+		assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)), state)
+		f.clock.Advance(6 * time.Second)
+		f.Resolve(presence(membership.PresenceUnknown))
+		assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)), state)
+	}
+}
+
 // Guards against requests that are refused for ever.
 func TestRequestsAreForgotten(t *testing.T) {
 	f := newFixture()
