quarantine: a first crash does not wait for the store

Change: only from the second crash under a request on the verdict waits for the store. A first one is lost if all instances lose power within some 30 ms of it.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -223,21 +223,27 @@
 }
 
 // Crashed records that the endpoint crashed, how tells how it was recognised. It returns
-// when the other instances know and the store has been told, or publishTimeout later, so
-// that the caller's next attempt finds the instances informed, also if all restart.
+// when the other instances know, or publishTimeout later, so that the caller's next attempt
+// finds them informed. From the second crash on it also waits until the store was told, so
+// that they know if all of them restart.
 func (guard *Guard) Crashed(ctx context.Context, send *Send, how string) {
 	guard.report(ctx, how, send.report(StateCrashed, guard.clock.Now()))
 }
 
 // report records and publishes crashes under requests of this instance.
 func (guard *Guard) report(ctx context.Context, how string, reports ...Report) {
+	kept := closed
 	for _, report := range reports {
 		guard.Add(report, SourceOwn)
 		guard.crashes.Inc(1)
 		assessment := guard.Assess(report.Key, false)
+		if assessment.Crashed > 1 {
+			// Many requests lose their endpoint when it ends, and few of them their
+			// next one, too.
+			kept = guard.keeper.recorded()
+		}
 		guard.log.Info("endpoint crashed under a request", "identity", report.Key, "incarnation", report.Incarnation, "recognised", how, "crashes", assessment.Crashed, "unresolved", assessment.Unresolved, "after", report.At.Sub(report.SentAt))
 	}
-	kept := guard.keeper.recorded()
 	select {
 	case guard.changed <- struct{}{}:
 	default: // a notification is pending
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -12,7 +12,7 @@
 }
 
 // closed is a channel that is closed.
-var closed = func() chan struct{} {
+var closed = func() <-chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
