quarantine: notice a suspension before the first tick

The creation of the guard counts as one now.

Measured: go test ./quarantine; the new case of TestInstanceThatIsBehindAsksTheOthers failed before.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -128,7 +128,8 @@
 	crashes, received, published, dropped tally.Counter
 
 	mu sync.Mutex
-	// tickedAt is when Tick was last called, and resumedAt when a suspension was noticed.
+	// tickedAt is when Tick was last called, or the guard created, and resumedAt when a
+	// suspension was noticed.
 	tickedAt, resumedAt time.Time
 	// pending is published next, and publishing is the number of goroutines that
 	// publish.
@@ -140,7 +141,8 @@
 // It reports the metrics endpoint_crashes (under requests of this instance),
 // crash_reports_received, crash_reports_published and crash_reports_dropped to scope.
 func NewGuard(records *Records, peers Peers, presence PresenceFunc, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
-	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: clk.Now(), changed: make(chan struct{}, 1),
+	now := clk.Now()
+	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: now, tickedAt: now, changed: make(chan struct{}, 1),
 		crashes: scope.Counter("endpoint_crashes"), received: scope.Counter("crash_reports_received"), published: scope.Counter("crash_reports_published"), dropped: scope.Counter("crash_reports_dropped")}
 }
 
@@ -172,7 +174,7 @@
 // measures durations may not count a suspension. The caller must hold mu.
 func (guard *Guard) observeTick(now time.Time, isTick bool) {
 	elapsed := max(now.Sub(guard.tickedAt), now.Round(0).Sub(guard.tickedAt.Round(0)))
-	if !guard.tickedAt.IsZero() && elapsed > TickInterval+maxTickDelay {
+	if elapsed > TickInterval+maxTickDelay {
 		guard.resumedAt, guard.tickedAt = now, now
 	}
 	if isTick {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -247,12 +247,14 @@
 
 // Guards against an instance that has just started, or was suspended, and does not know what the others were told meanwhile.
 func TestInstanceThatIsBehindAsksTheOthers(t *testing.T) {
-	for name, isSuspended := range map[string]bool{"started": false, "suspended": true} {
+	for name, isSuspended := range map[string]bool{"started": false, "suspended": true, "suspended at its start": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(3)
 			ctx := context.Background()
 			behind := f.guards[2]
-			behind.Tick(ctx)
+			if name != "suspended at its start" {
+				behind.Tick(ctx)
+			}
 			behind.isCut = true
 			for n := range quarantine.MaxCrashes {
 				require.True(t, f.guards[n%2].crash(keyOf(1), fmt.Sprint("e", n)))
