--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -101,13 +101,6 @@
 	return Report{Key: send.Key, Attempt: send.attempt, Incarnation: send.Incarnation, State: state, SentAt: send.sentAt, At: now}
 }
 
-// publication is a set of reports that are published together.
-type publication struct {
-	reports []Report
-	// done is closed once the reports are published.
-	done chan struct{}
-}
-
 // Guard decides which requests are sent, by what this and the other instances report.
 // It is safe for concurrent use. Use NewGuard.
 type Guard struct {
@@ -150,48 +143,6 @@
 // request of this instance.
 func (guard *Guard) Changed() <-chan struct{} { return guard.changed }
 
-// IsBehind reports whether this instance may have missed reports: the other instances may
-// not know of it yet, or it was suspended a short time ago.
-func (guard *Guard) IsBehind() bool {
-	now := guard.clock.Now()
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	guard.observeTick(now, false)
-	return now.Sub(guard.resumedAt) < introductionTime || guard.peers.KnownFor() < introductionTime
-}
-
-// Tick is called at each TickInterval: a tick that is late tells that the instance was
-// suspended.
-func (guard *Guard) Tick(ctx context.Context) {
-	guard.mu.Lock()
-	guard.observeTick(guard.clock.Now(), true)
-	guard.mu.Unlock()
-	guard.refresh(ctx)
-	guard.ResolveByList(ctx)
-}
-
-// observeTick records a suspension if the last tick was too long ago. The clock that
-// measures durations may not count a suspension. The caller must hold mu.
-func (guard *Guard) observeTick(now time.Time, isTick bool) {
-	elapsed := max(now.Sub(guard.tickedAt), now.Round(0).Sub(guard.tickedAt.Round(0)))
-	if elapsed > TickInterval+maxTickDelay {
-		guard.resumedAt, guard.tickedAt = now, now
-	}
-	if isTick {
-		guard.tickedAt = now
-	}
-}
-
-// refresh records what other instances know if this one may have missed reports.
-func (guard *Guard) refresh(ctx context.Context) {
-	if !guard.IsBehind() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	guard.Receive(guard.peers.FetchReports(ctx))
-}
-
 // Check returns nil if the request may be sent to an endpoint, a *CrashedError if too
 // many endpoints crashed under it, and an *UnresolvedError if too many may have.
 func (guard *Guard) Check(ctx context.Context, key Key, isShared bool) error {
@@ -310,12 +261,6 @@
 // Receive records the reports of another instance.
 func (guard *Guard) Receive(reports []Report) { guard.receive(reports, SourcePeer) }
 
-// Load records reports read from the store, and that they were read.
-func (guard *Guard) Load(reports []Report) {
-	guard.receive(reports, SourceStore)
-	guard.isLoaded.Store(true)
-}
-
 // receive records reports.
 func (guard *Guard) receive(reports []Report, source Source) {
 	guard.received.Inc(int64(len(reports)))
@@ -324,12 +269,6 @@
 	}
 }
 
-// IsLoading reports whether this instance has just started and has not read the reports
-// in the store yet.
-func (guard *Guard) IsLoading() bool {
-	return !guard.isLoaded.Load() && guard.clock.Now().Sub(guard.startedAt) < loadTimeout
-}
-
 // ResolveByList decides on endpoints that may have crashed by whether they are listed,
 // and reports those that have.
 func (guard *Guard) ResolveByList(ctx context.Context) {
@@ -337,55 +276,3 @@
 		guard.report(ctx, "Unlisted", reports...)
 	}
 }
-
-// publish has reports published and returns when that is done, or publishTimeout later.
-func (guard *Guard) publish(ctx context.Context, reports ...Report) {
-	done := guard.startPublishing(ctx, reports...)
-	timer := time.NewTimer(publishTimeout)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-}
-
-// startPublishing has reports published and returns a channel that is closed when that is
-// done. It goes on if ctx ends: the caller may leave because the endpoint crashed.
-func (guard *Guard) startPublishing(ctx context.Context, reports ...Report) <-chan struct{} {
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
-	if guard.pending == nil {
-		guard.pending = &publication{done: make(chan struct{})}
-	}
-	batch := guard.pending
-	if len(batch.reports)+len(reports) > maxPending {
-		guard.dropped.Inc(int64(len(reports)))
-		return batch.done
-	}
-	batch.reports = append(batch.reports, reports...)
-	if guard.publishing < maxPublications {
-		guard.publishing++
-		go guard.publishPending(context.WithoutCancel(ctx))
-	}
-	return batch.done
-}
-
-// publishPending publishes what is pending until nothing is.
-func (guard *Guard) publishPending(ctx context.Context) {
-	for {
-		guard.mu.Lock()
-		batch := guard.pending
-		guard.pending = nil
-		if batch == nil {
-			guard.publishing--
-			guard.mu.Unlock()
-			return
-		}
-		guard.mu.Unlock()
-		if received, instances := guard.peers.PublishReports(ctx, batch.reports); received < instances {
-			guard.log.Info("crash reports not received by all instances", "reports", len(batch.reports), "received", received, "instances", instances)
-		}
-		guard.published.Inc(int64(len(batch.reports)))
-		close(batch.done)
-	}
-}
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,27 +28,6 @@
 	maxAttempts = 8
 )
 
-// attempt is the state of an endpoint under a request.
-type attempt struct {
-	id          uint64
-	incarnation string
-	state       State
-	sentAt, at  time.Time
-	source      Source
-	// isLeaving is set once the endpoint was seen to drain.
-	isLeaving bool
-}
-
-// request is what is known of one request.
-type request struct {
-	attempts []attempt
-	// servedAt is when the request was served last; reports about earlier attempts
-	// are ignored.
-	servedAt time.Time
-	// expires is when the request is forgotten.
-	expires time.Time
-}
-
 // Assessment is the number of endpoints that ended under a request.
 type Assessment struct {
 	// Crashed endpoints have ended; Unresolved ones may have, or process the request.
@@ -162,76 +140,9 @@
 	return true
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // updateCount publishes the number of requests.
 func (records *Records) updateCount() { records.count.Store(int64(records.requests.Len())) }
 
-// add updates the request by a report and returns whether that changed it.
-func (known *request) add(report Report, source Source) bool {
-	if report.State == StateServed {
-		if !report.At.After(known.servedAt) {
-			return false
-		}
-		known.servedAt = report.At
-		known.attempts = slices.DeleteFunc(known.attempts, func(attempt attempt) bool { return !attempt.sentAt.After(report.At) })
-		return true
-	}
-	if !report.SentAt.After(known.servedAt) && !known.servedAt.IsZero() {
-		return false
-	}
-	i := slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.incarnation == report.Incarnation })
-	if i < 0 {
-		if len(known.attempts) >= maxAttempts && !known.makeRoom() {
-			return false
-		}
-		known.attempts = append(known.attempts, newAttempt(report, source))
-		return true
-	}
-	previous := &known.attempts[i]
-	isOutdated := previous.sentAt.After(report.SentAt)
-	if previous.id == report.Attempt {
-		isOutdated = previous.state >= report.State
-	}
-	if previous.state == StateCrashed || isOutdated && report.State != StateCrashed {
-		return false
-	}
-	isLeaving := previous.isLeaving
-	*previous = newAttempt(report, source)
-	previous.isLeaving = isLeaving
-	return true
-}
-
-// makeRoom drops an attempt whose endpoint has not crashed, preferably one whose endpoint
-// survived. It returns false if there is none.
-func (known *request) makeRoom() bool {
-	i := slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.state == StateSurvived })
-	if i < 0 {
-		i = slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.state != StateCrashed })
-	}
-	if i < 0 {
-		return false
-	}
-	known.attempts = slices.Delete(known.attempts, i, i+1)
-	return true
-}
-
-// newAttempt returns the attempt that a report tells of.
-func newAttempt(report Report, source Source) attempt {
-	return attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, source: source}
-}
-
-// report returns the report of the attempt's state.
-func (attempt *attempt) report(key Key) Report {
-	return Report{Key: key, Attempt: attempt.id, Incarnation: attempt.incarnation, State: attempt.state, SentAt: attempt.sentAt, At: attempt.at}
-}
-
 // Assess returns what is known of a request. Of a request that several callers may send
 // at the same time, only attempts are counted that one caller can have made, one after
 // the other.
@@ -261,28 +172,6 @@
 	return assessment
 }
 
-// counted returns the attempts that count: all, or for a shared request those that do
-// not overlap.
-func (known *request) counted(isShared bool) []attempt {
-	if !isShared {
-		return known.attempts
-	}
-	ordered := slices.SortedFunc(slices.Values(known.attempts), func(a, b attempt) int { return a.at.Compare(b.at) })
-	var chain []attempt
-	var end time.Time
-	for _, attempt := range ordered {
-		if attempt.state != StateSurvived && !attempt.sentAt.Before(end) {
-			chain, end = append(chain, attempt), attempt.at
-		}
-	}
-	return chain
-}
-
-// isUnresolved reports whether the endpoint may have crashed, or still crash.
-func (attempt *attempt) isUnresolved(now time.Time) bool {
-	return (attempt.state == StateUnresolved || attempt.state == StateTrying) && now.Sub(attempt.at) < unresolvedTimeout
-}
-
 // Responded records that an incarnation has responded to some request now, so that it
 // had not crashed under those before.
 func (records *Records) Responded(incarnation string) {
@@ -344,67 +233,6 @@
 	return reports
 }
 
-// resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
-// true if the endpoint has crashed. An endpoint that drained before it left has not.
-func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
-	if attempt.state == StateCrashed || attempt.state == StateSurvived {
-		return false
-	}
-	isDue := now.Sub(attempt.at) >= unresolvedTimeout
-	switch presence(attempt.incarnation, attempt.at) {
-	case membership.PresenceLeaving:
-		attempt.isLeaving = true
-	case membership.PresenceGone:
-		// The instance that sent the request reports how it ended, if it lives.
-		if !attempt.isLeaving && (attempt.state != StateTrying || isDue) {
-			attempt.state = StateCrashed
-			return true
-		}
-	}
-	if isDue && attempt.state != StateTrying {
-		attempt.state = StateSurvived
-	}
-	return false
-}
-
-// isHarmless reports whether no endpoint crashed under the request or still may, and no
-// earlier report about it has to be ignored.
-func (known *request) isHarmless(now time.Time) bool {
-	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
-		return attempt.state != StateSurvived && (attempt.state != StateTrying || attempt.isUnresolved(now))
-	})
-}
-
-// Crashes returns the reports of all crashes that are remembered, the latest first, at
-// most limit of them.
-func (records *Records) Crashes(limit int) []Report {
-	return records.reports(limit, func(attempt attempt) bool { return attempt.state == StateCrashed })
-}
-
-// Reports returns the reports of all that is remembered, the latest first, at most limit
-// of them.
-func (records *Records) Reports(limit int) []Report {
-	return records.reports(limit, func(attempt attempt) bool { return true })
-}
-
-// reports returns the reports of the attempts that filter selects, the latest first.
-func (records *Records) reports(limit int, filter func(attempt) bool) []Report {
-	records.mu.Lock()
-	defer records.mu.Unlock()
-	now := records.clock.Now()
-	var reports []Report
-	for _, key := range records.requests.Keys() {
-		known, _ := records.requests.Peek(key)
-		for _, attempt := range known.attempts {
-			if filter(attempt) && now.Sub(attempt.at) < Lifetime {
-				reports = append(reports, attempt.report(key))
-			}
-		}
-	}
-	slices.SortFunc(reports, func(a, b Report) int { return b.At.Compare(a.At) })
-	return reports[:min(len(reports), limit)]
-}
-
 // Trying returns the incarnations that process other requests under which at least
 // crashes endpoints have crashed; nil if there are none.
 func (records *Records) Trying(key Key, crashes int) map[string]bool {
@@ -425,60 +253,3 @@
 	}
 	return incarnations
 }
-
-// crashed returns the number of endpoints that crashed under the request.
-func (known *request) crashed() int {
-	n := 0
-	for _, attempt := range known.attempts {
-		if attempt.state == StateCrashed {
-			n++
-		}
-	}
-	return n
-}
-
-// String returns the incarnation, the state and the source.
-func (attempt *attempt) String() string {
-	return attempt.incarnation + " " + attempt.state.String() + " " + attempt.source.String()
-}
-
-// Describe returns a description of each endpoint under a request.
-func (records *Records) Describe(key Key) []string {
-	records.mu.Lock()
-	defer records.mu.Unlock()
-	known, ok := records.requests.Peek(key)
-	if !ok {
-		return nil
-	}
-	var descriptions []string
-	for _, attempt := range known.attempts {
-		descriptions = append(descriptions, attempt.String())
-	}
-	return descriptions
-}
-
-// View describes a request in a state dump. Each endpoint is described by its
-// incarnation, its state under the request, and the source of that.
-type View struct {
-	Identity  string   `json:"identity"`
-	Crashes   int      `json:"crashes"`
-	Endpoints []string `json:"endpoints"`
-}
-
-// Views returns what is known of the requests, at most limit of them, those under which
-// most endpoints crashed first.
-func (records *Records) Views(limit int) []View {
-	records.mu.Lock()
-	defer records.mu.Unlock()
-	views := make([]View, 0, records.requests.Len())
-	for _, key := range records.requests.Keys() {
-		known, _ := records.requests.Peek(key)
-		view := View{Identity: key.String(), Crashes: known.crashed()}
-		for _, attempt := range known.attempts {
-			view.Endpoints = append(view.Endpoints, attempt.String())
-		}
-		views = append(views, view)
-	}
-	slices.SortStableFunc(views, func(a, b View) int { return b.Crashes - a.Crashes })
-	return views[:min(len(views), limit)]
-}
--- /dev/null
+++ b/quarantine/request.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/membership"
+)
+
+// attempt is the state of an endpoint under a request.
+type attempt struct {
+	id          uint64
+	incarnation string
+	state       State
+	sentAt, at  time.Time
+	source      Source
+	// isLeaving is set once the endpoint was seen to drain.
+	isLeaving bool
+}
+
+// request is what is known of one request.
+type request struct {
+	attempts []attempt
+	// servedAt is when the request was served last; reports about earlier attempts
+	// are ignored.
+	servedAt time.Time
+	// expires is when the request is forgotten.
+	expires time.Time
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// add updates the request by a report and returns whether that changed it.
+func (known *request) add(report Report, source Source) bool {
+	if report.State == StateServed {
+		if !report.At.After(known.servedAt) {
+			return false
+		}
+		known.servedAt = report.At
+		known.attempts = slices.DeleteFunc(known.attempts, func(attempt attempt) bool { return !attempt.sentAt.After(report.At) })
+		return true
+	}
+	if !report.SentAt.After(known.servedAt) && !known.servedAt.IsZero() {
+		return false
+	}
+	i := slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.incarnation == report.Incarnation })
+	if i < 0 {
+		if len(known.attempts) >= maxAttempts && !known.makeRoom() {
+			return false
+		}
+		known.attempts = append(known.attempts, newAttempt(report, source))
+		return true
+	}
+	previous := &known.attempts[i]
+	isOutdated := previous.sentAt.After(report.SentAt)
+	if previous.id == report.Attempt {
+		isOutdated = previous.state >= report.State
+	}
+	if previous.state == StateCrashed || isOutdated && report.State != StateCrashed {
+		return false
+	}
+	isLeaving := previous.isLeaving
+	*previous = newAttempt(report, source)
+	previous.isLeaving = isLeaving
+	return true
+}
+
+// makeRoom drops an attempt whose endpoint has not crashed, preferably one whose endpoint
+// survived. It returns false if there is none.
+func (known *request) makeRoom() bool {
+	i := slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.state == StateSurvived })
+	if i < 0 {
+		i = slices.IndexFunc(known.attempts, func(attempt attempt) bool { return attempt.state != StateCrashed })
+	}
+	if i < 0 {
+		return false
+	}
+	known.attempts = slices.Delete(known.attempts, i, i+1)
+	return true
+}
+
+// newAttempt returns the attempt that a report tells of.
+func newAttempt(report Report, source Source) attempt {
+	return attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, source: source}
+}
+
+// report returns the report of the attempt's state.
+func (attempt *attempt) report(key Key) Report {
+	return Report{Key: key, Attempt: attempt.id, Incarnation: attempt.incarnation, State: attempt.state, SentAt: attempt.sentAt, At: attempt.at}
+}
+
+// counted returns the attempts that count: all, or for a shared request those that do
+// not overlap.
+func (known *request) counted(isShared bool) []attempt {
+	if !isShared {
+		return known.attempts
+	}
+	ordered := slices.SortedFunc(slices.Values(known.attempts), func(a, b attempt) int { return a.at.Compare(b.at) })
+	var chain []attempt
+	var end time.Time
+	for _, attempt := range ordered {
+		if attempt.state != StateSurvived && !attempt.sentAt.Before(end) {
+			chain, end = append(chain, attempt), attempt.at
+		}
+	}
+	return chain
+}
+
+// isUnresolved reports whether the endpoint may have crashed, or still crash.
+func (attempt *attempt) isUnresolved(now time.Time) bool {
+	return (attempt.state == StateUnresolved || attempt.state == StateTrying) && now.Sub(attempt.at) < unresolvedTimeout
+}
+
+// resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
+// true if the endpoint has crashed. An endpoint that drained before it left has not.
+func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
+	if attempt.state == StateCrashed || attempt.state == StateSurvived {
+		return false
+	}
+	isDue := now.Sub(attempt.at) >= unresolvedTimeout
+	switch presence(attempt.incarnation, attempt.at) {
+	case membership.PresenceLeaving:
+		attempt.isLeaving = true
+	case membership.PresenceGone:
+		// The instance that sent the request reports how it ended, if it lives.
+		if !attempt.isLeaving && (attempt.state != StateTrying || isDue) {
+			attempt.state = StateCrashed
+			return true
+		}
+	}
+	if isDue && attempt.state != StateTrying {
+		attempt.state = StateSurvived
+	}
+	return false
+}
+
+// isHarmless reports whether no endpoint crashed under the request or still may, and no
+// earlier report about it has to be ignored.
+func (known *request) isHarmless(now time.Time) bool {
+	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
+		return attempt.state != StateSurvived && (attempt.state != StateTrying || attempt.isUnresolved(now))
+	})
+}
+
+// crashed returns the number of endpoints that crashed under the request.
+func (known *request) crashed() int {
+	n := 0
+	for _, attempt := range known.attempts {
+		if attempt.state == StateCrashed {
+			n++
+		}
+	}
+	return n
+}
+
+// String returns the incarnation, the state and the source.
+func (attempt *attempt) String() string {
+	return attempt.incarnation + " " + attempt.state.String() + " " + attempt.source.String()
+}
