quarantine: introduction waits for the store; suspects' probes wait longer

Change: while the store is unavailable the 2 s do not pass. Where an endpoint has crashed under the request before, the probed connection has to stay open for 100 ms; else 10 ms, since most lost connections are of endpoints that live.

Measured: go test -race ./upstream ./entrypeer; TestIntroductionWaitsForTheStore and the case 'ending late' are new.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -121,7 +121,12 @@
 	p.goroutine(workCtx, f.crashTable.Run)
 	p.goroutine(workCtx, f.crashes.Run)
 	p.goroutine(workCtx, func(ctx context.Context, done chan<- error) {
-		clock.Every(ctx, quarantine.TickInterval, func(time.Time) { f.guard.Tick(ctx) }, done)
+		clock.Every(ctx, quarantine.TickInterval, func(time.Time) {
+			if f.store.AllUnavailable() {
+				f.directory.PostponeIntroduction()
+			}
+			f.guard.Tick(ctx)
+		}, done)
 	})
 	p.goroutine(workCtx, f.versions.Run(checkpointInterval, f.writesCheckpoints))
 	p.goroutine(workCtx, f.directStore.Run)
--- a/entrypeer/crash.go
+++ b/entrypeer/crash.go
@@ -205,6 +205,17 @@
 	return directory.clock.Now().Sub(directory.writtenAt)
 }
 
+// PostponeIntroduction records that the store is unavailable, from which the other
+// instances learn of this one.
+func (directory *Directory) PostponeIntroduction() {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	now := directory.clock.Now()
+	if !directory.writtenAt.IsZero() && now.Sub(directory.writtenAt) < quarantine.IntroductionTime {
+		directory.writtenAt = now
+	}
+}
+
 // spread sends reports to the instances, directly if they are few, and returns the names
 // of those that did not respond.
 func (client *Client) spread(ctx context.Context, reports []crashReport, instances []Instance) []string {
--- a/entrypeer/crash_test.go
+++ b/entrypeer/crash_test.go
@@ -154,6 +154,29 @@
 	require.NoError(t, <-done)
 }
 
+// Guards against an instance that takes itself for known although the others could not read its entry.
+func TestIntroductionWaitsForTheStore(t *testing.T) {
+	fake := clock.NewFake(time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC))
+	directory := entrypeer.NewDirectory(entrypeer.Instance{Name: "a", Owner: "a-1-1"}, fake)
+	client := entrypeer.NewClient(directory, tally.NoopScope)
+	directory.PostponeIntroduction()
+	assert.Zero(t, client.KnownFor(), "the entry is not written")
+	memory := storetest.New()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go directory.Join(memory, memory, slog.New(slog.DiscardHandler))(ctx, done)
+	require.Eventually(t, func() bool { return memory.Commits() > 0 }, time.Second, time.Millisecond)
+	stop()
+	require.NoError(t, <-done)
+	fake.Advance(time.Second)
+	assert.Equal(t, time.Second, client.KnownFor())
+	directory.PostponeIntroduction()
+	assert.Zero(t, client.KnownFor())
+	fake.Advance(quarantine.IntroductionTime)
+	directory.PostponeIntroduction()
+	assert.Equal(t, quarantine.IntroductionTime, client.KnownFor(), "the others know it by now")
+}
+
 func FuzzCrashReportsMessage(f *testing.F) {
 	key := quarantine.Key{1}
 	for _, value := range []any{
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -99,7 +99,8 @@
 	// instance that last served one.
 	noStoreUntil map[string]time.Time
 	lastRelay    string
-	// writtenAt is when the entry of this instance was first written.
+	// writtenAt is when the entry of this instance was first written, or later if the
+	// store became unavailable before the other instances can have read it.
 	writtenAt time.Time
 	// changedAt is when an instance last joined, left or restarted.
 	changedAt time.Time
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -105,7 +105,11 @@
 func (e *exchange) judgeLostConnection(ctx context.Context, endpoint *membership.Endpoint, sentAt time.Time) {
 	ctx = context.WithoutCancel(ctx)
 	send := e.sendTo(endpoint, sentAt)
-	liveness := e.Upstream.Probe(ctx, endpoint.Address)
+	settle := upstream.ShortSettleTime
+	if e.Crashes.Assess(e.key(), false).Crashed > 0 {
+		settle = upstream.LongSettleTime // few requests, and each mistake counts
+	}
+	liveness := e.Upstream.Probe(ctx, endpoint.Address, settle)
 	isListed := e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) == membership.PresenceListed
 	switch {
 	case !isListed && liveness == upstream.LivenessRefused:
--- a/quarantine/behind.go
+++ b/quarantine/behind.go
@@ -12,7 +12,7 @@
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	guard.observeTick(now, false)
-	return now.Sub(guard.resumedAt) < introductionTime || guard.peers.KnownFor() < introductionTime
+	return now.Sub(guard.resumedAt) < IntroductionTime || guard.peers.KnownFor() < IntroductionTime
 }
 
 // Tick is called at each TickInterval: a tick that is late tells that the instance was
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -20,10 +20,10 @@
 	// publishTimeout bounds how long a request waits until the other instances have a
 	// report.
 	publishTimeout = 60 * time.Millisecond
-	// introductionTime is how long it may take until all other instances know of this
+	// IntroductionTime is how long it may take until all other instances know of this
 	// one, or until it has received what was sent while it was suspended. Until then it
 	// asks for reports.
-	introductionTime = 2 * time.Second
+	IntroductionTime = 2 * time.Second
 	// loadTimeout bounds how long after its start an instance waits for the reports in
 	// the store.
 	loadTimeout = 500 * time.Millisecond
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -15,9 +15,11 @@
 	// probeTimeout bounds the wait for a connection that tells whether an endpoint
 	// lives. A running one accepts within a few milliseconds.
 	probeTimeout = 100 * time.Millisecond
-	// settleTime is how long the connection has to stay open. A process that is being
-	// terminated may still accept connections after it has reset others.
-	settleTime = 10 * time.Millisecond
+	// ShortSettleTime and LongSettleTime are how long the connection may have to stay
+	// open. A process that is being terminated may still accept connections after it has
+	// reset others.
+	ShortSettleTime = 10 * time.Millisecond
+	LongSettleTime  = 100 * time.Millisecond
 )
 
 // Liveness is what a probe found out about an endpoint.
@@ -35,22 +37,29 @@
 	LivenessConnected
 )
 
+// probeKey identifies probes that share a connection.
+type probeKey struct {
+	address string
+	settle  time.Duration
+}
+
 // probe is a probe in progress that several callers wait for.
 type probe struct {
 	done   chan struct{}
 	result Liveness
 }
 
-// Probe opens a connection to address and returns what that tells about the endpoint.
-// Concurrent probes of an address share one connection, which is kept for reuse if it
-// stays open. It returns LivenessUnknown if ctx ends.
-func (client *Client) Probe(ctx context.Context, address string) Liveness {
+// Probe opens a connection to address, which has to stay open for settle, and returns what
+// that tells about the endpoint. Concurrent probes of an address share one connection,
+// which is kept for reuse if it stays open. It returns LivenessUnknown if ctx ends.
+func (client *Client) Probe(ctx context.Context, address string, settle time.Duration) Liveness {
+	key := probeKey{address: address, settle: settle}
 	client.mu.Lock()
-	running, ok := client.probes[address]
+	running, ok := client.probes[key]
 	if !ok {
 		running = &probe{done: make(chan struct{})}
-		client.probes[address] = running
-		go client.runProbe(context.WithoutCancel(ctx), address, running)
+		client.probes[key] = running
+		go client.runProbe(context.WithoutCancel(ctx), key, running)
 	}
 	client.mu.Unlock()
 	select {
@@ -61,26 +70,26 @@
 	}
 }
 
-// runProbe probes address and closes running.done.
-func (client *Client) runProbe(ctx context.Context, address string, running *probe) {
-	result, isClosed := client.probeOnce(ctx, address)
+// runProbe probes the address and closes running.done.
+func (client *Client) runProbe(ctx context.Context, key probeKey, running *probe) {
+	result, isClosed := client.probeOnce(ctx, key)
 	if isClosed {
 		// The process may just be terminating.
-		result, _ = client.probeOnce(ctx, address)
+		result, _ = client.probeOnce(ctx, key)
 	}
 	running.result = result
 	client.mu.Lock()
-	delete(client.probes, address)
+	delete(client.probes, key)
 	client.mu.Unlock()
 	close(running.done)
 }
 
-// probeOnce opens one connection and waits settleTime. isClosed is set if the other end
-// closed the connection.
-func (client *Client) probeOnce(ctx context.Context, address string) (result Liveness, isClosed bool) {
+// probeOnce opens one connection and waits for the settle time. isClosed is set if the
+// other end closed the connection.
+func (client *Client) probeOnce(ctx context.Context, key probeKey) (result Liveness, isClosed bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	raw, err := client.dialer.DialContext(ctx, "tcp", address)
+	raw, err := client.dialer.DialContext(ctx, "tcp", key.address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return LivenessRefused, false
@@ -88,18 +97,18 @@
 		return LivenessUnknown, false
 	}
 	client.opened.Add(1)
-	if !staysOpen(raw) {
+	if !staysOpen(raw, key.settle) {
 		_ = raw.Close() // closed by the other end
 		return LivenessUnknown, true
 	}
-	client.putIdle(&conn{Conn: raw, address: address, reader: bufio.NewReader(raw)}, maxIdleTime)
+	client.putIdle(&conn{Conn: raw, address: key.address, reader: bufio.NewReader(raw)}, maxIdleTime)
 	return LivenessConnected, false
 }
 
-// staysOpen reports whether nothing arrives on a new connection for settleTime, not even
-// its end.
-func staysOpen(raw net.Conn) bool {
-	if err := raw.SetReadDeadline(time.Now().Add(settleTime)); err != nil {
+// staysOpen reports whether nothing arrives on a new connection for the settle time, not
+// even its end.
+func staysOpen(raw net.Conn, settle time.Duration) bool {
+	if err := raw.SetReadDeadline(time.Now().Add(settle)); err != nil {
 		return false
 	}
 	_, err := io.ReadFull(raw, make([]byte, 1))
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -43,28 +43,34 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, closed.Close())
-	ending, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go func() { // a process that ends: it accepts one more connection, and closes it
-		conn, err := ending.Accept()
-		_ = ending.Close()
-		if err == nil {
-			time.Sleep(2 * time.Millisecond)
-			_ = conn.Close()
-		}
-	}()
+	ending := func(delay time.Duration) string { // a process that ends: it accepts one more connection
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			_ = listener.Close()
+			if err == nil {
+				time.Sleep(delay)
+				_ = conn.Close()
+			}
+		}()
+		return listener.Addr().String()
+	}
+	short, long := upstream.ShortSettleTime, upstream.LongSettleTime
 	for name, test := range map[string]struct {
 		address string
+		settle  time.Duration
 		want    upstream.Liveness
 	}{
-		"nobody listens":   {closed.Addr().String(), upstream.LivenessRefused},
-		"ending":           {ending.Addr().String(), upstream.LivenessRefused},
-		"accepts":          {serve(t, func(_ int, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }), upstream.LivenessConnected},
-		"closes each":      {serve(t, func(int, net.Conn, *bufio.Reader) {}), upstream.LivenessUnknown},
-		"does not respond": {silentAddress(t), upstream.LivenessUnknown},
+		"nobody listens":   {closed.Addr().String(), short, upstream.LivenessRefused},
+		"ending":           {ending(2 * time.Millisecond), short, upstream.LivenessRefused},
+		"ending late":      {ending(40 * time.Millisecond), long, upstream.LivenessRefused},
+		"accepts":          {serve(t, func(_ int, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }), short, upstream.LivenessConnected},
+		"closes each":      {serve(t, func(int, net.Conn, *bufio.Reader) {}), short, upstream.LivenessUnknown},
+		"does not respond": {silentAddress(t), long, upstream.LivenessUnknown},
 	} {
 		began := time.Now()
-		assert.Equal(t, test.want, upstream.NewClient().Probe(context.Background(), test.address), name)
+		assert.Equal(t, test.want, upstream.NewClient().Probe(context.Background(), test.address, test.settle), name)
 		assert.Less(t, time.Since(began), time.Second, name)
 	}
 }
@@ -86,7 +92,7 @@
 	var probes sync.WaitGroup
 	for range 20 {
 		probes.Go(func() {
-			assert.Equal(t, upstream.LivenessConnected, client.Probe(context.Background(), address))
+			assert.Equal(t, upstream.LivenessConnected, client.Probe(context.Background(), address, upstream.ShortSettleTime))
 		})
 	}
 	probes.Wait()
