--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -15,11 +15,15 @@
 	// probeTimeout bounds the wait for a connection that tells whether an endpoint
 	// lives. A running one accepts within a few milliseconds.
 	probeTimeout = 100 * time.Millisecond
-	// ShortSettleTime and LongSettleTime are how long the connection may have to stay
-	// open. A process that is being terminated may still accept connections after it has
-	// reset others.
+)
+
+// The time for which the connection of a probe has to stay open. A process that is being
+// terminated may still accept connections after it has reset others.
+const (
+	// ShortSettleTime is for probes that many requests wait for.
 	ShortSettleTime = 10 * time.Millisecond
-	LongSettleTime  = 100 * time.Millisecond
+	// LongSettleTime is for those where a mistake costs more than the wait.
+	LongSettleTime = 100 * time.Millisecond
 )
 
 // Liveness is what a probe found out about an endpoint.
