--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -263,7 +263,7 @@
 	second := b.startInstance()
 	b.store = b.memory
 	late.isLate.Store(true)
-	time.Sleep(lateWatch) // the watch in progress still returns changes
+	require.Eventually(t, func() bool { return late.current.Load() == 0 }, 2*time.Second, time.Millisecond, "the watches in progress still return changes")
 	b.add("i-2", "v2")
 	b.breakStreams()
 	b.endpoints[0].Unregister(b.memory)
@@ -288,13 +288,19 @@
 type lateStore struct {
 	*storetest.Memory
 	isLate atomic.Bool
+	// current is the number of watches in progress that return changes.
+	current atomic.Int64
 }
 
 // Watch implements store.Store.
 func (late *lateStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
+	late.current.Add(1)
+	defer late.current.Add(-1)
 	if wait == 0 || !late.isLate.Load() {
 		return late.Memory.Watch(ctx, table, after, min(wait, lateWatch))
 	}
+	late.current.Add(-1)
+	defer late.current.Add(1)
 	clock.Sleep(ctx, lateWatch)
 	return store.Page{Version: after}, nil
 }
