--- a/review/standin/heldbudget.go
+++ b/review/standin/heldbudget.go
@@ -38,7 +38,10 @@
 	lostTries = 5
 )
 
-func init() { cases["held-budget"] = heldBudget }
+func init() {
+	cases["held-budget"] = heldBudget
+	cases["spent-budget"] = spentBudget
+}
 
 // budgetRuns counts the turns that engines run.
 type budgetRuns struct {
@@ -53,8 +56,32 @@
 // turns that were sent at least lostTries times within their program's aim and reached no
 // engine, although the program's budget holds them.
 func heldBudget(s *site, trouble bool) (int, error) {
+	lost, _, err := playLoss(s, trouble, func(entries []*entry) error {
+		replacement, err := s.addEntry("front-ist-a-3", "ist-a")
+		entries[0] = replacement
+		return err
+	})
+	return lost, err
+}
+
+// spentBudget kills one of three instances and starts it again, and plays the same
+// programs. It returns the number of turns that were answered 402 although the program's
+// budget holds them. It is no case of the review, but a variant of the first.
+func spentBudget(s *site, trouble bool) (int, error) {
+	_, denied, err := playLoss(s, trouble, func(entries []*entry) error {
+		if err := entries[0].start(); err != nil {
+			return err
+		}
+		return entries[0].awaitReady()
+	})
+	return denied, err
+}
+
+// playLoss starts three instances and, unless trouble is unset, kills the first of them and
+// calls restore 2 s later. Then it plays the programs.
+func playLoss(s *site, trouble bool, restore func(entries []*entry) error) (lost, denied int, err error) {
 	if err := s.configure(streamRoute(4000, true, false)); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	runs := &budgetRuns{reached: map[string]bool{}}
 	for i, zone := range []string{"ist-a", "ist-b", "ist-c"} {
@@ -71,14 +98,14 @@
 			s.record.printf("engine %s: request %s ended after %d events, to its end %v", engine, request, written, isWhole)
 		}
 		if _, err := s.addServer(e.id, "taslak", zone, 64, e.ServeHTTP); err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 	}
 	var entries []*entry
 	for _, zone := range []string{"ist-a", "ist-b", "ist-c"} {
 		e, err := s.addEntry("front-"+zone+"-1", zone)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		entries = append(entries, e)
 	}
@@ -86,26 +113,26 @@
 	if trouble {
 		entries[0].signal(syscall.SIGKILL)
 		time.Sleep(2 * time.Second)
-		replacement, err := s.addEntry("front-ist-a-3", "ist-a")
-		if err != nil {
-			return 0, err
+		if err := restore(entries); err != nil {
+			return 0, 0, err
 		}
-		entries[0] = replacement
 	}
 	time.Sleep(settledAfter)
 	return playPrograms(s, runs, entries)
 }
 
-// playPrograms plays the programs and returns the number of lost turns.
-func playPrograms(s *site, runs *budgetRuns, entries []*entry) (int, error) {
-	var lost, finished, firstTurns, firstServed atomic.Int64
+// playPrograms plays the programs and returns the numbers of turns that were lost, and of
+// those that were told that the budget is spent although it is not.
+func playPrograms(s *site, runs *budgetRuns, entries []*entry) (lostTurns, deniedTurns int, err error) {
+	var lost, denied, finished, firstTurns, firstServed atomic.Int64
 	var running sync.WaitGroup
 	for n := range programs {
 		running.Go(func() {
 			time.Sleep(time.Duration(n) * 50 * time.Millisecond)
 			p := &budgetProgram{site: s, runs: runs, entries: entries, id: fmt.Sprintf("%08x", rand.Uint32()), began: time.Now()}
 			for turn := 1; turn <= programTurns; turn++ {
-				tries, served := p.take(turn)
+				tries, status := p.take(turn)
+				served := status == http.StatusOK
 				if turn == 1 {
 					firstTurns.Add(1)
 				}
@@ -115,6 +142,9 @@
 					}
 					continue
 				}
+				if status == http.StatusPaymentRequired && p.spent+turnMost <= programBudget {
+					denied.Add(1)
+				}
 				if turn > 1 && tries >= lostTries && p.spent+turnMost <= programBudget {
 					lost.Add(1)
 					s.record.printf("program %s: turn %d reached no engine in %d tries within the program's aim; it names a turn that was answered whole; %d of %d tokens are spent and it generates %d at most", p.id, turn, tries, p.spent, programBudget, turnMost)
@@ -125,11 +155,11 @@
 		})
 	}
 	running.Wait()
-	s.record.printf("programs: %d finished, %d lost a turn; first turns served %d of %d; most requests at the engines at a time: %d of %d slots", finished.Load(), lost.Load(), firstServed.Load(), firstTurns.Load(), runs.busiest.Load(), 3*64)
+	s.record.printf("programs: %d finished, %d lost a turn, %d were told that their budget is spent although it holds the turn; first turns served %d of %d; most requests at the engines at a time: %d of %d slots", finished.Load(), lost.Load(), denied.Load(), firstServed.Load(), firstTurns.Load(), runs.busiest.Load(), 3*64)
 	if firstServed.Load()*10 < firstTurns.Load()*9 || runs.busiest.Load() >= 3*64/2 {
-		return 0, fmt.Errorf("first turns were not served, or engines were half full")
+		return 0, 0, fmt.Errorf("first turns were not served, or engines were half full")
 	}
-	return int(lost.Load()), nil
+	return int(lost.Load()), int(denied.Load()), nil
 }
 
 // budgetProgram is a program with one line of turns. spent is the number of tokens handed
@@ -145,8 +175,8 @@
 }
 
 // take sends a turn until it is answered whole, as often as a program does, and returns
-// the number of tries within the program's aim that reached no engine.
-func (p *budgetProgram) take(turn int) (tries int, served bool) {
+// the number of tries within the program's aim that reached no engine and the last status.
+func (p *budgetProgram) take(turn int) (tries, status int) {
 	for send := range turnSends {
 		if send > 0 {
 			time.Sleep(100*time.Millisecond + rand.N(300*time.Millisecond))
@@ -154,10 +184,12 @@
 		until := time.Now().Add(turnDeadline)
 		for attempt := range turnAttempts {
 			request := fmt.Sprintf("%s%02d%02d%04x", p.id, turn, send*turnAttempts+attempt, rand.Uint32()&0xffff)
-			status, retryAfter, err := p.attempt(request, turn, until)
+			var retryAfter time.Duration
+			var err error
+			status, retryAfter, err = p.attempt(request, turn, until)
 			if err == nil && status == http.StatusOK {
 				p.previous = request
-				return 0, true
+				return 0, status
 			}
 			p.runs.mu.Lock()
 			reached := p.runs.reached[request]
@@ -166,12 +198,12 @@
 				tries++
 			}
 			if status == http.StatusPaymentRequired || status == http.StatusNotFound {
-				return tries, false
+				return tries, status
 			}
 			time.Sleep(min(retryAfter, time.Until(until)/3))
 		}
 	}
-	return tries, false
+	return tries, status
 }
 
 // attempt sends one attempt at a turn to an instance at random, on a new connection.
