review: two instances act as the home of a quota

Cause: a refused connection counts as the end of the other process, and an instance that is left out after a failed call is replaced as home without a second opinion (quota, entrypeer); the known red entry TestExcludedHomeIsNotReplacedWithoutConfirmation.

Change: the variant quota-near of the stand-in, with gates between instances; it is no case of its own. Nothing is fixed.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -91,21 +91,38 @@
 	site                          *site
 }
 
-// addEntry starts an entry instance in a zone with a store of its own to reach, and waits
-// until it is ready. The settings are those of a small deployment.
+// addEntry starts an entry instance in a zone, and waits until it is ready.
 func (s *site) addEntry(name, zone string) (*entry, error) {
+	e, _, err := s.prepareEntry(name, zone)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.start(); err != nil {
+		return nil, err
+	}
+	return e, e.awaitReady()
+}
+
+// prepareEntry returns an entry instance that is not started, with a view of its own of the
+// store. The settings are those of a small deployment.
+func (s *site) prepareEntry(name, zone string) (*entry, *view, error) {
 	server := platformtest.NewStoreServer(s.memory)
 	s.stops = append(s.stops, server.Close)
+	v, err := newView(server.Address())
+	if err != nil {
+		return nil, nil, err
+	}
+	s.stops = append(s.stops, v.server.Close)
 	e := &entry{name: name, site: s, settings: filepath.Join(s.dir, name+".toml"), log: filepath.Join(s.dir, name+".log")}
 	for _, address := range []*string{&e.callers, &e.ready, &e.peer, &e.metrics} {
 		var err error
 		if *address, err = platformtest.FreeAddress(); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	_, port, err := net.SplitHostPort(e.peer)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	text := fmt.Sprintf(`node = %q
 role = "entry"
@@ -146,6 +163,9 @@
 again-s = 0
 deadline-s = 10
 settle-ms = 1000
+quota-window-s = 5
+quota-overage = 0.1
+quota-slack = 20
 [provider]
 addr = %q
 form = "table"
@@ -156,15 +176,12 @@
 row-bytes = 65536
 across = true
 history-s = 20
-`, name, zone, port, port, e.callers, e.ready, server.Address())
+`, name, zone, port, port, e.callers, e.ready, v.gate.address)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s.entries = append(s.entries, e)
-	if err := e.start(); err != nil {
-		return nil, err
-	}
-	return e, e.awaitReady()
+	return e, v, nil
 }
 
 // start starts the process.
