gateway: one set of limits for a stop, and a line for each request that it cuts

Callers saw streams break off as an instance stopped, and its log told nothing of them: the process ended before the handlers of these requests did. The limits of a stop were worked out in two places (the server and the release of state) from two readings of the clock.

Package shutdown holds the limits, which all follow from the moment of the signal: accept, respond, release, leave.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -32,6 +32,7 @@
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
@@ -50,14 +51,9 @@
 	// maintenanceInterval is the interval at which endpoints that did not
 	// register again are dropped and idle connections are closed.
 	maintenanceInterval = 500 * time.Millisecond
-	// shutdownTimeout is the part of the grace period that is reserved for
-	// releasing the state of a stopping instance.
-	shutdownTimeout = 700 * time.Millisecond
-	// releaseRetryInterval is the delay between attempts to release that state
-	// while the store is unavailable. deregisterTimeout is the part of
-	// shutdownTimeout that is reserved for removing the instance's entry.
+	// releaseRetryInterval is the delay between attempts to release the state of a
+	// stopping instance while the store is unavailable.
 	releaseRetryInterval = 150 * time.Millisecond
-	deregisterTimeout    = 300 * time.Millisecond
 	// settingsPollInterval is the interval at which the settings file is checked
 	// for changes, since it may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -179,6 +175,7 @@
 	guard      *quarantine.Guard
 	crashes    *discovery.Crashes
 	crashTable *discovery.Follower
+	shutdown   *shutdown.Shutdown
 }
 
 func newFront(p *process, s *platform.Settings) *front {
@@ -201,7 +198,7 @@
 			list.StoreAvailable(clk.Now())
 		}
 	})
-	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard, unhedgedStore: connection}
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard, unhedgedStore: connection, shutdown: shutdown.New(s.Grace, clk)}
 	f.picker.PreferOpenConnections(f.client.HasIdleConn)
 	f.writesCheckpoints = func() bool {
 		ranked := peers.Homes(checkpointRanking, false)
@@ -232,7 +229,7 @@
 		Programs:    overload.NewAdmitter(controller, loads, peers.ProgramPeers(loads, rejected, p.log), scope),
 		Loads:       loads,
 		StoreStatus: storeStatus{store: guard, directory: directory}, MaxBodyBytes: int64(bodyMemoryShare * float64(s.Memory)),
-		Clock: clk, Log: p.log, Metrics: scope,
+		Shutdown: f.shutdown, Clock: clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(tables, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(tables, directory.Source(p.log), clk, p.log, scope)
@@ -304,22 +301,13 @@
 	p.goroutine(workCtx, serveUntil(peers, f.peers.Handler(), p.log))
 	server := gateway.NewServer(f.gateway, p.log)
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
-		drainStarted := make(chan time.Time, 1)
-		go func() {
-			<-ctx.Done()
-			drainStarted <- time.Now()
-			p.log.Info("draining", "in_flight", f.gateway.InFlight())
+		defer context.AfterFunc(ctx, func() {
 			f.gateway.Drain()
-		}()
+			p.log.Info("draining", "in_flight", f.gateway.InFlight(), "accept_until", f.shutdown.AcceptUntil(), "respond_until", f.shutdown.RespondUntil())
+		})()
 		served := make(chan error, 1)
-		server.Serve(ctx, callers, s.Grace-shutdownTimeout, served)
-		deadline := time.Now().Add(shutdownTimeout - deregisterTimeout)
-		if ctx.Err() != nil {
-			if end := (<-drainStarted).Add(s.Grace - shutdownTimeout); end.After(deadline) {
-				deadline = end
-			}
-		}
-		f.releaseState(deadline)
+		server.Serve(ctx, callers, f.shutdown, served)
+		f.releaseState()
 		end()
 		done <- <-served
 	})
@@ -328,10 +316,11 @@
 
 // releaseState releases the quotas and budgets that this instance holds and
 // removes its entry, so that other instances take over its programs. While the
-// store is unavailable it retries until deadline. Tokens that are not released
-// count as spent, for the instance's programs and for new ones.
-func (f *front) releaseState(deadline time.Time) {
-	releaseCtx, cancelRelease := context.WithDeadline(context.Background(), deadline)
+// store is unavailable it retries within the limits of the shutdown. Tokens that are
+// not released count as spent, for the instance's programs and for new ones.
+func (f *front) releaseState() {
+	f.shutdown.Begin() // the listener may have failed
+	releaseCtx, cancelRelease := context.WithDeadline(context.Background(), f.shutdown.ReleaseUntil())
 	defer cancelRelease()
 	f.quotas.Stop(releaseCtx)
 	for {
@@ -344,7 +333,7 @@
 			break
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), f.shutdown.LeaveUntil())
 	defer cancel()
 	if err := f.directory.Leave(ctx, f.store); err != nil {
 		f.process.log.Warn("own entry not removed: other instances detect the stop when their requests fail", "err", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
@@ -47,9 +48,11 @@
 	// MaxBodyBytes bounds the memory for the bodies and prompts of all requests in
 	// flight, in bytes; 0 means no limit.
 	MaxBodyBytes int64
-	Clock        clock.Clock
-	Log          *slog.Logger
-	Metrics      tally.Scope
+	// Shutdown is the planned end of the process.
+	Shutdown *shutdown.Shutdown
+	Clock    clock.Clock
+	Log      *slog.Logger
+	Metrics  tally.Scope
 }
 
 // StoreStatus reports the state of the connection to the durable store.
@@ -71,7 +74,6 @@
 	metrics       metrics
 	serviceQueues *serviceQueues
 	usage         *overload.Usage
-	draining      atomic.Bool
 	inFlight      atomic.Int64
 	// bodyMemory is the number of bytes reserved for the bodies, prompts and
 	// responses of the requests in flight.
@@ -81,7 +83,7 @@
 // metrics holds the metrics of a Gateway; refused is indexed by Reason.
 type metrics struct {
 	requests, served, failed, sends, resumed                      tally.Counter
-	refused                                                       [ReasonCrashUnresolved + 1]tally.Counter
+	refused                                                       [ReasonShuttingDown + 1]tally.Counter
 	latency, firstEvent, reserve, extend, storeTurn, queue, quota tally.Histogram
 }
 
@@ -106,7 +108,7 @@
 // false while the instance drains, before the configuration and the list of
 // endpoints are loaded, and while the instance is partitioned.
 func (gateway *Gateway) Ready() bool {
-	return !gateway.draining.Load() && gateway.isLoaded() && !gateway.partitioned()
+	return !gateway.Shutdown.HasBegun() && gateway.isLoaded() && !gateway.partitioned()
 }
 
 // isLoaded reports whether the configuration and the list of endpoints were read.
@@ -120,9 +122,9 @@
 	return gateway.StoreStatus.Unavailable() && gateway.StoreStatus.Isolated()
 }
 
-// Drain makes Ready return false and makes every further response close its
-// connection.
-func (gateway *Gateway) Drain() { gateway.draining.Store(true) }
+// Drain begins the shutdown: Ready returns false, and every further response closes
+// its connection.
+func (gateway *Gateway) Drain() { gateway.Shutdown.Begin() }
 
 // InFlight returns the number of requests being served.
 func (gateway *Gateway) InFlight() int64 { return gateway.inFlight.Load() }
@@ -175,7 +177,7 @@
 
 // State returns the gateway's section of a state dump, of type State.
 func (gateway *Gateway) State() any {
-	state := State{Ready: gateway.Ready(), Draining: gateway.draining.Load(), Endpoints: gateway.Endpoints.Len(),
+	state := State{Ready: gateway.Ready(), Draining: gateway.Shutdown.HasBegun(), Endpoints: gateway.Endpoints.Len(),
 		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state(gateway.Loads), Utilisations: gateway.Loads.Utilisations(), Crashes: gateway.Crashes.Views(maxCrashViews)}
 	if table := gateway.Routes.Load(); table != nil {
 		state.Configuration, state.Routes = table.Version(), table.Routes()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,6 +34,7 @@
 	"github.com/wagtaildrum/wagtaildrum/quota"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
 	"github.com/wagtaildrum/wagtaildrum/route"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 	"github.com/wagtaildrum/wagtaildrum/store"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
@@ -55,7 +56,9 @@
 	// followedFor is how long instances have followed the list of endpoints when
 	// they start.
 	followedFor time.Duration
-	ids         atomic.Int64
+	// grace is the grace period of a stop.
+	grace time.Duration
+	ids   atomic.Int64
 
 	mu sync.Mutex
 	// guards holds what instances know of crashes; a dead or cut instance is removed.
@@ -71,6 +74,7 @@
 	accounts         *account.Manager
 	crashes          *quarantine.Guard
 	versions         *discovery.Versions
+	shutdown         *shutdown.Shutdown
 	address          string
 	stop             context.CancelFunc
 	done             chan error
@@ -128,7 +132,7 @@
 // newFixture returns a fixture with a configuration and both endpoints registered.
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	b := &fixture{t: t, logs: io.Discard, memory: storetest.New(), model: platformtest.NewEndpoint("i-model", "model", true), tool: platformtest.NewEndpoint("i-tool", "tool", false)}
+	b := &fixture{t: t, logs: io.Discard, grace: 5 * time.Second, memory: storetest.New(), model: platformtest.NewEndpoint("i-model", "model", true), tool: platformtest.NewEndpoint("i-tool", "tool", false)}
 	t.Cleanup(b.model.Close)
 	t.Cleanup(b.tool.Close)
 	platformtest.PutConfiguration(b.memory, platformtest.Configuration(3))
@@ -149,7 +153,7 @@
 		list.Confirm(at)
 	}
 	guard := store.NewGuard(b.store, func(string, bool, error) {})
-	i := &instance{fixture: b, client: upstream.NewClient(), guard: guard, done: make(chan error, 5)}
+	i := &instance{fixture: b, client: upstream.NewClient(), guard: guard, shutdown: shutdown.New(b.grace, clk), done: make(chan error, 5)}
 	i.accounts = account.NewManager(guard, fmt.Sprintf("i%d", b.ids.Add(1)), singleInstance{}, singleInstance{}, clk, log, tally.NoopScope)
 	endpoints := discovery.NewFollower(guard, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, func(endpoint *membership.Endpoint) { i.client.CloseIdle(endpoint.Address) }, clk, log), clk, log, tally.NoopScope)
 	i.versions = discovery.NewVersions(list, endpoints, guard, platform.DecodeEndpoint, clk, log)
@@ -161,7 +165,7 @@
 	loads := overload.NewMeter(clk)
 	programs := overload.NewAdmitter(overload.NewController(loads, singleInstance{}, i.accounts, clk, rand.Float64), loads, singleInstance{}, tally.NoopScope)
 	i.Gateway = gateway.New(gateway.Config{DataCentre: "a", Programs: programs, Loads: loads, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: balance.NewPicker(clk), Upstream: i.client,
-		Accounts: i.accounts, Origins: origins, Crashes: i.crashes, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Clock: clk, Log: log, Metrics: tally.NoopScope})
+		Accounts: i.accounts, Origins: origins, Crashes: i.crashes, Quotas: quota.NewLimiter(singleInstance{}, quota.Tolerance{Window: 5 * time.Second}, clk, log, tally.NoopScope), Archive: archive.New(guard, singleInstance{}, 64<<10, 1<<20, log, tally.NoopScope), StoreStatus: i, Shutdown: i.shutdown, Clock: clk, Log: log, Metrics: tally.NoopScope})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
 	go guard.Run(ctx, i.done)
@@ -171,7 +175,7 @@
 	i.address = listener.Addr().String()
 	go discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, log), clk, log, tally.NoopScope).Run(ctx, i.done)
 	go endpoints.Run(ctx, i.done)
-	go gateway.NewServer(i.Gateway, log).Serve(ctx, listener, 5*time.Second, i.done)
+	go gateway.NewServer(i.Gateway, log).Serve(ctx, listener, i.shutdown, i.done)
 	b.t.Cleanup(cancel)
 	require.Eventually(b.t, i.Ready, 2*time.Second, 5*time.Millisecond)
 	return i
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -10,13 +10,10 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/logging"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 )
 
 const (
-	// balancerDelay is how long a stopping instance still accepts connections.
-	// The load balancer polls readiness every second and takes two failures to
-	// redirect callers.
-	balancerDelay = 3 * time.Second
 	// minIdleTime is how long a connection must be without traffic before a
 	// stopping instance closes it, since a caller that has just connected or
 	// received a response may have sent a request that has not arrived yet. It
@@ -27,9 +24,9 @@
 	// sent before the caller received the close arrives within a round trip of
 	// twice 50 ms; the same again allows for busy machines.
 	lingerTimeout = 200 * time.Millisecond
-	// stopMargin is how long before the process is killed the server abandons
-	// requests in flight.
-	stopMargin = 500 * time.Millisecond
+	// abortWait is how long a stopping server waits for handlers whose requests it
+	// aborted.
+	abortWait = 200 * time.Millisecond
 	// stopPoll is the interval at which a stopping server checks whether all
 	// connections are closed, and the time to write notRunResponse.
 	stopPoll = 50 * time.Millisecond
@@ -91,11 +88,12 @@
 	return conn, nil
 }
 
-// Serve serves connections from listener until ctx ends, then stops within
-// grace. It accepts connections for balancerDelay more, then closes idle ones
-// and waits for the remaining responses. It sends its result on done: nil after
-// a stop, otherwise the error of the listener.
-func (server *Server) Serve(ctx context.Context, listener net.Listener, grace time.Duration, done chan<- error) {
+// Serve serves connections from listener until ctx ends, which begins the shutdown.
+// It goes on accepting connections while callers are redirected, then closes idle
+// ones and waits for the remaining responses, and aborts those that are not complete
+// in time. It sends its result on done: nil after a stop, otherwise the error of the
+// listener.
+func (server *Server) Serve(ctx context.Context, listener net.Listener, stop *shutdown.Shutdown, done chan<- error) {
 	srv := &http.Server{Handler: trackRequests(server.handler), ConnContext: withConn, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(server.log.Handler(), slog.LevelWarn),
 		ConnState: func(conn net.Conn, state http.ConnState) {
@@ -112,21 +110,21 @@
 	case <-ctx.Done():
 	}
 	began := time.Now()
+	stop.Begin()
 	server.mu.Lock()
-	server.closing = began.Add(balancerDelay)
+	server.closing = stop.AcceptUntil()
 	server.mu.Unlock()
-	time.Sleep(balancerDelay)
+	time.Sleep(time.Until(stop.AcceptUntil()))
 	_ = listener.Close()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
 		server.log.Warn("accepting connections failed; waiting for open connections to finish", "err", err)
 	}
 	openConns := server.openConns()
-	for time.Since(began) < grace-stopMargin && server.closeIdle() > 0 {
-		time.Sleep(stopPoll)
-	}
-	remaining := server.closeIdle()
+	remaining := server.awaitClosed(stop.RespondUntil())
 	if remaining > 0 {
-		server.log.Warn("stop deadline reached; stopping with connections still open", "connections", remaining)
+		server.log.Warn("stop deadline reached; aborting the requests in flight", "connections", remaining)
+		stop.Expire()
+		server.awaitClosed(time.Now().Add(abortWait))
 	}
 	server.mu.Lock()
 	closed, late, lateBytes := server.closed, server.late, server.lateBytes
@@ -137,6 +135,18 @@
 	done <- nil
 }
 
+// awaitClosed closes idle connections until none is open or the given time has come,
+// and returns the number still open.
+func (server *Server) awaitClosed(until time.Time) int {
+	for server.closeIdle() > 0 {
+		if !time.Now().Before(until) {
+			return server.openConns()
+		}
+		time.Sleep(stopPoll)
+	}
+	return 0
+}
+
 // connOpened records an accepted connection.
 func (server *Server) connOpened(conn *callerConn) {
 	server.mu.Lock()
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -18,7 +18,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 )
 
 // pipeListener accepts in-process connections.
@@ -94,7 +96,7 @@
 				handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 				listener, done := newPipeListener(), make(chan error, 1)
 				ctx, cancel := context.WithCancel(t.Context())
-				go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+				go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 				idle := listener.dial()
 				cancel()
 				time.Sleep(3*time.Second - 5*time.Millisecond)
@@ -129,7 +131,7 @@
 		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 		listener, done := newPipeListener(), make(chan error, 1)
 		ctx, cancel := context.WithCancel(t.Context())
-		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, 8*time.Second, done)
+		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 		idle, busy := listener.dialWithLatency(20*time.Millisecond), listener.dialWithLatency(20*time.Millisecond)
 		cancel()
 		time.Sleep(idleCloseDelay - 10*time.Millisecond)
@@ -153,7 +155,7 @@
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 		listener, done := newPipeListener(), make(chan error, 1)
 		ctx, cancel := context.WithCancel(t.Context())
-		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, 8*time.Second, done)
+		go gateway.NewServer(handler, slog.New(slog.NewTextHandler(&out, nil))).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 		cancel()
 		time.Sleep(idleCloseDelay - 1100*time.Millisecond)
 		early := listener.dial()
@@ -179,7 +181,7 @@
 				handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { ran.Add(1); w.WriteHeader(http.StatusOK) })
 				listener, done := newPipeListener(), make(chan error, 1)
 				ctx, cancel := context.WithCancel(t.Context())
-				go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+				go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 				kept := listener.dialWithLatency(latency)
 				status, err := roundTrip(kept)
 				require.NoError(t, err)
@@ -207,7 +209,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		listener, done := newPipeListener(), make(chan error, 1)
 		ctx, cancel := context.WithCancel(t.Context())
-		go gateway.NewServer(http.NotFoundHandler(), slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+		go gateway.NewServer(http.NotFoundHandler(), slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 		idle := listener.dialWithLatency(20 * time.Millisecond)
 		cancel()
 		began := time.Now()
@@ -231,7 +233,7 @@
 		})
 		listener, done := newPipeListener(), make(chan error, 1)
 		ctx, cancel := context.WithCancel(t.Context())
-		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 		conn := listener.dialWithLatency(time.Millisecond)
 		cancel()
 		time.Sleep(idleCloseDelay - 100*time.Millisecond)
--- a/gateway/panic_test.go
+++ b/gateway/panic_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
+	"github.com/wagtaildrum/wagtaildrum/shutdown"
 )
 
 // Guards against a stop that waits, or breaks off other requests, because the
@@ -27,7 +29,7 @@
 		})
 		listener, done := newPipeListener(), make(chan error, 1)
 		ctx, cancel := context.WithCancel(t.Context())
-		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, 8*time.Second, done)
+		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
 		failing, other := listener.dial(), listener.dial()
 		cancel()
 		time.Sleep(3*time.Second - 50*time.Millisecond)
--- a/gateway/reason_string.go
+++ b/gateway/reason_string.go
@@ -32,11 +32,12 @@
 	_ = x[ReasonOverloaded-21]
 	_ = x[ReasonQuarantined-22]
 	_ = x[ReasonCrashUnresolved-23]
+	_ = x[ReasonShuttingDown-24]
 }
 
-const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaQuotaUnknownNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemoryUnknownOriginNoVersionOverloadedQuarantinedCrashUnresolved"
+const _Reason_name = "NoneBadRequestTooLargeNoRouteUnknownKeyQuotaQuotaUnknownNoConfigurationNoEndpointEndpointsFullSpentBudgetHeldUnknownTurnStoreAwayEndpointFailedTimeoutCallerGoneNotKeptNoMemoryUnknownOriginNoVersionOverloadedQuarantinedCrashUnresolvedShuttingDown"
 
-var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 56, 71, 81, 94, 99, 109, 120, 129, 143, 150, 160, 167, 175, 188, 197, 207, 218, 233}
+var _Reason_index = [...]uint8{0, 4, 14, 22, 29, 39, 44, 56, 71, 81, 94, 99, 109, 120, 129, 143, 150, 160, 167, 175, 188, 197, 207, 218, 233, 245}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -75,6 +75,8 @@
 	// ReasonCrashUnresolved means that too many endpoints may have crashed under this
 	// request or earlier attempts at it.
 	ReasonCrashUnresolved
+	// ReasonShuttingDown means that the instance stops before the request's deadline.
+	ReasonShuttingDown
 )
 
 // refusal is an error that the gateway itself reports to the caller, as opposed
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,6 +53,9 @@
 	latencyBuckets = 15
 )
 
+// errShuttingDown is the cause if a request cannot end before the process does.
+var errShuttingDown = errors.New("the instance is shutting down")
+
 // exchange holds the state of one request and its response.
 type exchange struct {
 	*Gateway
@@ -162,7 +165,9 @@
 	if err := e.accept(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
+	ctx, abort := context.WithCancelCause(e.r.Context())
+	defer context.AfterFunc(e.Shutdown.Expired(), func() { abort(errShuttingDown) })()
+	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	if err := e.run(ctx); err != nil {
 		return err
@@ -323,6 +328,10 @@
 	switch {
 	case e.r.Context().Err() != nil:
 		return refuse(ReasonCallerGone, http.StatusBadGateway, 0, e.r.Context().Err())
+	case context.Cause(ctx) == errShuttingDown && e.runs > 0:
+		return refuse(ReasonShuttingDown, http.StatusBadGateway, 0, errShuttingDown)
+	case context.Cause(ctx) == errShuttingDown:
+		return refuse(ReasonShuttingDown, http.StatusServiceUnavailable, otherInstanceRetryAfter, errShuttingDown)
 	case ctx.Err() != nil && e.runs > 0:
 		return refuse(ReasonTimeout, http.StatusGatewayTimeout, 0, ctx.Err())
 	case ctx.Err() != nil:
@@ -365,7 +374,7 @@
 // drains or is partitioned, so that the caller's next request reaches another
 // instance.
 func (e *exchange) setConnectionClose() {
-	if e.draining.Load() || e.partitioned() {
+	if e.Shutdown.HasBegun() || e.partitioned() {
 		e.w.Header().Set("Connection", "close")
 	}
 }
--- a/gateway/startup_test.go
+++ b/gateway/startup_test.go
@@ -29,7 +29,7 @@
 	running := b.startInstance()
 	current, list := &route.Current{}, membership.NewList()
 	starting := gateway.New(gateway.Config{DataCentre: "a", Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Programs: running.Programs, Loads: running.Loads, Crashes: running.crashes, Picker: balance.NewPicker(clock.Real{}), Upstream: upstream.NewClient(),
-		StoreStatus: running, Clock: clock.Real{}, Log: running.Log, Metrics: tally.NoopScope})
+		StoreStatus: running, Shutdown: running.shutdown, Clock: clock.Real{}, Log: running.Log, Metrics: tally.NoopScope})
 	send := func() (int, time.Duration) {
 		r := httptest.NewRequest(http.MethodGet, "/look/x", nil)
 		r.Host = "desk.example"
