gateway: a stopping instance refuses requests that outlast it

Cause: nothing that accepts or sends a request knew when the process ends. A request with 4 s left was accepted and sent to an endpoint 3.6 s before responses are aborted.

A request whose deadline lies after the limit of the shutdown is now refused as not run (503, Connection: close, Retry-After) as it arrives, while it waits (admission, quota, budget, history, as the signal comes), and before it is sent to an endpoint. One that may have run is answered 502 instead of being sent to a second endpoint; a response of which the caller has a part goes on. The time for a body ends with the deadline or the shutdown. A request that fits is served as before, so what is accepted ends before responses are aborted.

The tests Stopping..., Waiting... and Incomplete... fail on the code before (the last hung there, so it has a time limit now).

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -183,10 +183,10 @@
 	return max(remaining-reserved, 0)
 }
 
-// admit waits in the service's queue until the request may be sent, and returns
-// the function that releases its slot. It returns a *refusal if the queue
-// rejects the request or its time ends first.
-func (e *exchange) admit(ctx context.Context) (release func(), err error) {
+// admit waits in the service's queue until the request may be sent, and sets
+// releaseSlot. It returns a *refusal if the queue rejects the request or its time
+// ends first.
+func (e *exchange) admit(ctx context.Context) error {
 	e.serviceQueue = e.serviceQueues.entry(e.service)
 	now := e.Clock.Now()
 	maxWait := e.serviceQueue.maxWait(e.deadline.Sub(now))
@@ -197,12 +197,13 @@
 	ticket.Urgency = admission.EarliestFinish{}.Class(ticket.Urgency, &ticket)
 	waiting, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	release, err = e.serviceQueue.gate.Acquire(waiting, ticket)
+	release, err := e.serviceQueue.gate.Acquire(waiting, ticket)
 	e.queueTime = e.Clock.Now().Sub(now)
 	e.metrics.queue.RecordDuration(e.queueTime)
 	var refused *admission.Error
 	if errors.As(err, &refused) {
-		return nil, e.orEnded(ctx, refuse(ReasonEndpointsFull, http.StatusServiceUnavailable, max(refused.RetryAfter(), busyRetryAfter), err))
+		return e.orEnded(ctx, refuse(ReasonEndpointsFull, http.StatusServiceUnavailable, max(refused.RetryAfter(), busyRetryAfter), err))
 	}
-	return release, nil
+	e.releaseSlot = release
+	return nil
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -35,8 +36,29 @@
 }
 
 // readBody reads the request's body. It returns a *refusal if the body exceeds
-// the size limit, the memory for bodies is exhausted, or reading fails.
+// the size limit, the memory for bodies is exhausted, reading fails, or the body is not
+// complete by the deadline or the end of a shutdown.
 func (e *exchange) readBody() error {
+	if e.r.ContentLength == 0 {
+		e.body = []byte{}
+		return nil
+	}
+	stop := e.limitBodyTime()
+	err := e.receiveBody()
+	stop()
+	e.bodyTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case !e.bodyTimedOut:
+		_ = http.NewResponseController(e.w).SetReadDeadline(time.Time{}) // not supported by test recorders
+		return err
+	case !e.Shutdown.Admits(e.deadline):
+		return e.refuseForShutdown()
+	}
+	return refuse(ReasonTimeout, http.StatusServiceUnavailable, busyRetryAfter, err)
+}
+
+// receiveBody reads the body without a limit of time.
+func (e *exchange) receiveBody() error {
 	limit := e.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -88,8 +110,13 @@
 
 // discardBody reads the remaining request body, up to defaultMaxBody. Closing a
 // connection with unread bytes resets it; a caller that is still sending might
-// never read the refusal and would have to assume that the request ran.
+// never read the refusal and would have to assume that the request ran. It does not
+// wait for a body that has timed out, whose connection is closed after the response.
 func (e *exchange) discardBody() {
+	if e.bodyTimedOut {
+		e.w.Header().Set("Connection", "close")
+		return
+	}
 	_ = http.NewResponseController(e.w).SetReadDeadline(e.Clock.Now().Add(discardTimeout)) // not supported by test recorders
 	_, _ = io.Copy(io.Discard, io.LimitReader(e.r.Body, defaultMaxBody))                   // the caller may be gone
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,6 +45,9 @@
 func (e *exchange) dispatch(ctx context.Context) error {
 	request := e.balanceRequest()
 	for len(e.tried) < maxEndpointsTried {
+		if err := e.checkShutdown(); err != nil {
+			return err
+		}
 		if err := e.checkCrashes(ctx); err != nil {
 			return err
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -53,9 +53,6 @@
 	latencyBuckets = 15
 )
 
-// errShuttingDown is the cause if a request cannot end before the process does.
-var errShuttingDown = errors.New("the instance is shutting down")
-
 // exchange holds the state of one request and its response.
 type exchange struct {
 	*Gateway
@@ -77,6 +74,8 @@
 	// preceded by the conversation if the route keeps history.
 	body   []byte
 	prompt []byte
+	// bodyTimedOut is set if the body was not complete in time.
+	bodyTimedOut bool
 
 	// memoryUsed is the number of bytes reserved for the body, the prompt and
 	// what is kept of the response.
@@ -91,8 +90,10 @@
 	// quota.
 	quotaCharged bool
 	// serviceQueue is the service's admission queue, and queueTime the time the
-	// request waited in it.
+	// request waited in it. releaseSlot leaves the slot that the queue gave it; nil
+	// before that.
 	serviceQueue *serviceQueue
+	releaseSlot  func()
 	// priority is the rank of the program's turns; 0 is the highest.
 	priority int
 	// admission is the decision on the program, and programBegun is set if the
@@ -188,10 +189,40 @@
 	}
 }
 
-// run charges the quota, waits for admission and has an endpoint serve the
-// request. It calls the store only after admission, so that a rejected request
-// costs no store call.
+// run prepares the request and has an endpoint serve it.
 func (e *exchange) run(ctx context.Context) error {
+	defer func() {
+		if e.releaseSlot != nil {
+			e.releaseSlot()
+		}
+	}()
+	if err := e.prepare(ctx); err != nil {
+		return err
+	}
+	if err := e.dispatch(ctx); err != nil {
+		return err
+	}
+	if e.spendsBudget() {
+		e.recordServed()
+	}
+	return nil
+}
+
+// prepare charges the quota, waits for admission, reserves budget and rebuilds the
+// prompt, unless a shutdown begins that may abort the request.
+func (e *exchange) prepare(ctx context.Context) error {
+	ctx, cancel := e.untilShutdown(ctx)
+	defer cancel()
+	err := e.awaitTurn(ctx)
+	if err != nil && context.Cause(ctx) == errShuttingDown && e.r.Context().Err() == nil {
+		return e.refuseForShutdown()
+	}
+	return err
+}
+
+// awaitTurn waits for all that the request needs before an endpoint may run it. It calls
+// the store only after admission, so that a rejected request costs no store call.
+func (e *exchange) awaitTurn(ctx context.Context) error {
 	if e.spendsBudget() && e.Accounts.RecentlySpent(e.program, e.call.MaxTokens, e.call.Budget) {
 		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
 	}
@@ -207,27 +238,16 @@
 	if err := e.admitProgram(ctx); err != nil {
 		return err
 	}
-	release, err := e.admit(ctx)
-	if err != nil {
+	if err := e.admit(ctx); err != nil {
 		return err
 	}
-	defer release()
 	// Reserve budget before reading the history. The budget refuses a looping
 	// program many times, mostly from memory, whereas reading the conversation
 	// takes one call per turn.
 	if err := e.reserve(ctx); err != nil {
 		return err
 	}
-	if err := e.rebuild(ctx); err != nil {
-		return err
-	}
-	if err := e.dispatch(ctx); err != nil {
-		return err
-	}
-	if e.spendsBudget() {
-		e.recordServed()
-	}
-	return nil
+	return e.rebuild(ctx)
 }
 
 // accept decodes the headers, matches the route, authenticates the caller and
@@ -257,6 +277,9 @@
 		wait = min(wait, call.Deadline)
 	}
 	e.deadline = e.arrived.Add(wait)
+	if err := e.checkShutdown(); err != nil {
+		return err
+	}
 	// A caller that does not read must not hold the request forever.
 	// Connections without write deadlines end when the caller closes them.
 	_ = http.NewResponseController(e.w).SetWriteDeadline(e.deadline.Add(writeGrace))
@@ -328,10 +351,8 @@
 	switch {
 	case e.r.Context().Err() != nil:
 		return refuse(ReasonCallerGone, http.StatusBadGateway, 0, e.r.Context().Err())
-	case context.Cause(ctx) == errShuttingDown && e.runs > 0:
-		return refuse(ReasonShuttingDown, http.StatusBadGateway, 0, errShuttingDown)
 	case context.Cause(ctx) == errShuttingDown:
-		return refuse(ReasonShuttingDown, http.StatusServiceUnavailable, otherInstanceRetryAfter, errShuttingDown)
+		return e.refuseForShutdown()
 	case ctx.Err() != nil && e.runs > 0:
 		return refuse(ReasonTimeout, http.StatusGatewayTimeout, 0, ctx.Err())
 	case ctx.Err() != nil:
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -1,11 +1,16 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 )
@@ -28,3 +33,106 @@
 	assert.Less(t, time.Since(began), b.grace)
 	assert.Regexp(t, `msg=request .*reason=ShuttingDown .*request=r .*runs=1`, logs.String())
 }
+
+// Guards against a request that a stopping instance accepts though it exits before the
+// request's deadline, and then cuts off.
+func TestStoppingInstanceRefusesRequestsThatOutlastIt(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 2 * time.Second
+	i := b.startInstance()
+	i.Drain()
+	for _, path := range []string{"/post/x", "/look/x", "/chat/x"} {
+		response, body := i.mustSend(callerRequest{path: path, id: "late", body: "x", header: map[string]string{"X-Deadline-Ms": "1100"}})
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, path)
+		assert.Contains(t, body, "ShuttingDown")
+		assert.True(t, response.Close)
+		assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		response, _ = i.mustSend(callerRequest{path: path, id: "fits", body: "x", header: map[string]string{"X-Deadline-Ms": "500"}})
+		assert.Equal(t, http.StatusOK, response.StatusCode, path)
+	}
+	for _, endpoint := range []*platformtest.Endpoint{b.tool, b.model} {
+		for _, run := range endpoint.ReceivedRequests() {
+			assert.Equal(t, "fits", run.ID)
+		}
+	}
+}
+
+// Guards against a request that waits for its admission as a stop begins and is sent to
+// an endpoint although the instance exits before its deadline.
+func TestWaitingRequestIsRefusedAsStopBegins(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 3 * time.Second
+	hanging := &hangingStore{Store: b.memory}
+	b.store = hanging
+	i := b.startInstance()
+	hanging.hanging.Store(true)
+	time.AfterFunc(200*time.Millisecond, i.Drain)
+	began := time.Now()
+	response, body := i.mustSend(callerRequest{path: "/chat/x", id: "r", body: "x", header: turnHeaders("p", nil)})
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Contains(t, body, "ShuttingDown")
+	assert.Less(t, time.Since(began), time.Second)
+	assert.Empty(t, b.model.ReceivedRequests())
+}
+
+// Guards against a second attempt at an endpoint that a stopping instance begins and
+// cannot complete before it exits.
+func TestStoppingInstanceDoesNotRetryRequestsThatOutlastIt(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 2 * time.Second
+	other := platformtest.NewEndpoint("i-other", "tool", false)
+	t.Cleanup(other.Close)
+	other.Register(b.memory, "a", "ready")
+	i := b.startInstance()
+	for _, endpoint := range []*platformtest.Endpoint{b.tool, other} {
+		endpoint.EventDelay = 200 * time.Millisecond
+		endpoint.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+			return platformtest.Behaviour{ResponseSize: 100, CutAfter: 10}
+		})
+	}
+	time.AfterFunc(100*time.Millisecond, i.Drain)
+	response, body := i.mustSend(callerRequest{path: "/look/x", id: "r"})
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+	assert.Contains(t, body, "ShuttingDown")
+	assert.Len(t, append(b.tool.ReceivedRequests(), other.ReceivedRequests()...), 1)
+}
+
+// Guards against a body that a stopping instance waits for beyond its last moment to
+// answer, and against one that is awaited beyond the request's deadline.
+func TestIncompleteBodyIsRefusedInTime(t *testing.T) {
+	for _, stops := range []bool{true, false} {
+		b := newFixture(t)
+		b.grace = 2 * time.Second
+		i := b.startInstance()
+		if stops {
+			time.AfterFunc(100*time.Millisecond, i.Drain)
+		}
+		conn, err := net.Dial("tcp", i.address)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		began := time.Now()
+		_, err = io.WriteString(conn, "POST /post/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r\r\nX-Deadline-Ms: 1500\r\nContent-Length: 9\r\n\r\nhalf")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		assert.Equal(t, stops, strings.Contains(string(body), "ShuttingDown"), string(body))
+		assert.Less(t, time.Since(began), 3*time.Second)
+		assert.Empty(t, b.tool.ReceivedRequests())
+	}
+}
+
+// Guards against a request that is aborted because a limit on reading its body remains
+// in force after the body has arrived.
+func TestRequestOutlivesLimitOfItsBody(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 3 * time.Second
+	i := b.startInstance()
+	b.tool.EventDelay = 600 * time.Millisecond
+	time.AfterFunc(100*time.Millisecond, i.Drain)
+	response, _ := i.mustSend(callerRequest{path: "/post/x", id: "r", body: "x"})
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+}
