--- a/account/escrow.go
+++ b/account/escrow.go
@@ -60,7 +60,8 @@
 }
 
 // Acquire returns a function that keeps acquiring the escrows of the shards
-// whose home is this instance, until ctx ends, and then sends nil on done.
+// whose home is this instance, and releasing those of lost instances whose witness it
+// is, until ctx ends, and then sends nil on done.
 // With an escrow, programs start without a write each.
 func (manager *Manager) Acquire(members Members) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
@@ -69,6 +70,7 @@
 		started := manager.clock.Now()
 		for {
 			delay := acquireInterval
+			manager.TakeOverLost(ctx)
 			if err := manager.AcquireOnce(ctx, members, manager.clock.Now().Sub(started) < acquireDelay); err != nil {
 				manager.log.Info("shards not acquired: programs that start here take a write each until the next attempt", "err", err)
 				delay = initialAcquireBackoff/2 + backoff.Next()
@@ -108,7 +110,8 @@
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	self, names := members.Members()
-	toTransfer, toAcquire := manager.escrows.plan(self, names, manager.clock.Now())
+	manager.announce(ctx)
+	toTransfer, toAcquire := manager.escrows.plan(self, names, manager.clock.Now(), manager.needsWitness)
 	if err := manager.transferShards(ctx, toTransfer); err != nil {
 		return err
 	}
@@ -124,6 +127,7 @@
 		return err
 	}
 	manager.escrows.enable(acquired, rows)
+	manager.announce(ctx)
 	if len(acquired) < len(toAcquire) {
 		manager.escrows.postponeRetry(manager.clock.Now())
 	}
@@ -140,12 +144,36 @@
 func (manager *Manager) acquireShards(ctx context.Context, self string, shards []int) ([]int, error) {
 	manager.mu.Lock()
 	manager.accounts++
-	escrow := budget.Escrow{Account: fmt.Sprintf("%s.%d", manager.owner, manager.accounts), Instance: self}
+	account := fmt.Sprintf("%s.%d", manager.owner, manager.accounts)
 	manager.mu.Unlock()
 	if err := manager.refreshShards(ctx, shards); err != nil {
 		return nil, err
 	}
+	escrow := budget.Escrow{Account: account, Instance: self, Witness: manager.nextWitness()}
 	manager.escrows.setMaybeAcquired(shards, true)
+	acquired, err := manager.writeFreeShards(ctx, shards, escrow)
+	if err != nil {
+		return nil, err
+	}
+	if released := manager.takeOverTerminated(ctx, without(shards, acquired)); len(released) > 0 {
+		more, err := manager.writeFreeShards(ctx, released, escrow)
+		if err != nil {
+			return nil, err
+		}
+		acquired = append(acquired, more...)
+	}
+	manager.escrows.setMaybeAcquired(without(shards, acquired), false)
+	return acquired, nil
+}
+
+// without returns those of shards that are not in others.
+func without(shards, others []int) []int {
+	return slices.DeleteFunc(slices.Clone(shards), func(index int) bool { return slices.Contains(others, index) })
+}
+
+// writeFreeShards writes their escrows to those of shards that have none, and returns the
+// shards that now have one of this incarnation.
+func (manager *Manager) writeFreeShards(ctx context.Context, shards []int, escrow budget.Escrow) ([]int, error) {
 	var acquired []int
 	for chunk := range slices.Chunk(shards, maxShardsPerTransaction) {
 		written, err := manager.writeShards(ctx, chunk, escrow, func(current budget.Escrow) bool { return !current.Acquired() })
@@ -154,8 +182,6 @@
 		}
 		acquired = append(acquired, written...)
 	}
-	foreign := slices.DeleteFunc(slices.Clone(shards), func(index int) bool { return slices.Contains(acquired, index) })
-	manager.escrows.setMaybeAcquired(foreign, false)
 	return acquired, nil
 }
 
@@ -171,7 +197,12 @@
 			stale[shardKeys[index].Partition] = true
 		}
 	}
-	return forEachPartition(stale, func(partition string) error {
+	return manager.readPartitions(ctx, stale)
+}
+
+// readPartitions reads and records the rows of all shards in partitions.
+func (manager *Manager) readPartitions(ctx context.Context, partitions map[string]bool) error {
+	return forEachPartition(partitions, func(partition string) error {
 		page, err := manager.store.Read(ctx, store.Range{Table: escrowsTable, Partition: partition})
 		if err != nil {
 			return err
--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -33,6 +33,8 @@
 	owner string
 	up    bool
 	peers []string
+	// isFrozen is set while the instance neither runs nor responds.
+	isFrozen bool
 	// callFails returns whether a call between instances fails. It is called
 	// before the call is executed and again before its response is returned.
 	callFails func() bool
@@ -48,6 +50,38 @@
 	// detectsReplacement is whether instances detect which incarnations were
 	// replaced by later ones.
 	detectsReplacement bool
+	// hasWitnesses is whether escrows have witnesses.
+	hasWitnesses bool
+	// interfere, unless nil, is called between the record of a grant and the grant. late
+	// holds calls that are delivered later.
+	interfere func()
+	late      []func()
+}
+
+// deliverLate delivers some of the late calls.
+func (cluster *testCluster) deliverLate(rng *rand.Rand) {
+	for len(cluster.late) > 0 && rng.IntN(4) == 0 {
+		cluster.late[0]()
+		cluster.late = cluster.late[1:]
+	}
+}
+
+// shardKey returns the key of a shard's row.
+func shardKey(shard int) store.Key {
+	return store.Key{Table: "escrows", Partition: fmt.Sprintf("program-%02d", shard%48), Name: fmt.Sprintf("shard-%03d", shard)}
+}
+
+// takeOverHeld has this instance release the escrow of a shard if it is the witness.
+func (m *instance) takeOverHeld(ctx context.Context, s store.Store, shard int) error {
+	row, err := store.Get(ctx, s, shardKey(shard))
+	if err != nil {
+		return err
+	}
+	escrow, err := budget.DecodeEscrow(row.Value)
+	if err != nil {
+		return err
+	}
+	return m.Manager.TakeOver(ctx, escrow.Witness, escrow.Account, []int{shard})
 }
 
 // afterDepartureGrace exceeds the time for which an instance that left still
@@ -61,6 +95,9 @@
 	m := &instance{name: name, owner: fmt.Sprintf("%s-%d", name, cluster.incarnations), up: true, peers: peers, cluster: cluster, callFails: neverFails}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	m.Manager = account.NewManager(cluster.store, m.owner, m, m, cluster.clock, log, tally.NoopScope)
+	if cluster.hasWitnesses {
+		m.UseWitnesses(m)
+	}
 	cluster.all = append(cluster.all, m)
 	return m
 }
@@ -99,17 +136,106 @@
 	return false
 }
 
-func (m *instance) ReleaseUnused(ctx context.Context, program string, _ []string) {
-	for _, other := range m.cluster.all {
-		if other.up && other != m && !m.callFails() {
-			_ = other.Manager.ReleaseUnused(ctx, program) // the row shows what was not released
+func (m *instance) ReleaseUnused(ctx context.Context, program string, accounts []string) (unanswered []string) {
+	for _, account := range accounts {
+		other := m.cluster.incarnation(account[:strings.LastIndexByte(account, '.')])
+		if other == m {
+			continue
 		}
+		if other == nil || m.callFails() {
+			unanswered = append(unanswered, account)
+			continue
+		}
+		_ = other.Manager.ReleaseUnused(ctx, program) // the row shows what was not released
+	}
+	return unanswered
+}
+
+// incarnation returns the incarnation of the given owner name if it responds, or nil.
+func (cluster *testCluster) incarnation(owner string) *instance {
+	for _, m := range cluster.all {
+		if m.up && !m.isFrozen && m.owner == owner {
+			return m
+		}
+	}
+	return nil
+}
+
+// Witness implements account.Witnesses. The witness is the present incarnation of the
+// first other instance by rendezvous hashing.
+func (m *instance) Witness(avoid func(owner string) bool) string {
+	owner, best := "", uint64(0)
+	for _, name := range m.peers {
+		other := m.cluster.running(name)
+		if score := budget.Score(budget.Shard(m.name), name); other != nil && other != m && !avoid(other.owner) && score > best {
+			owner, best = other.owner, score
+		}
+	}
+	return owner
+}
+
+func (m *instance) IsCurrent(owner string) bool {
+	for _, name := range m.peers {
+		if other := m.cluster.running(name); other != nil && other.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *instance) RecordGrant(_ context.Context, witness string, grant account.WitnessedGrant) error {
+	other := m.cluster.incarnation(witness)
+	if other == nil || m.callFails() {
+		m.cluster.late = append(m.cluster.late, func() {
+			for _, other := range m.cluster.all {
+				if other.up && !other.isFrozen {
+					_ = other.Manager.RecordGrant(witness, grant)
+				}
+			}
+		})
+		return errUnreachable
+	}
+	err := other.Manager.RecordGrant(witness, grant)
+	if m.cluster.interfere != nil {
+		m.cluster.interfere()
 	}
+	if m.callFails() {
+		return errUnreachable
+	}
+	return err
+}
+
+func (m *instance) Announce(_ context.Context, witness, holder string, shards []account.WitnessedShard) error {
+	other := m.cluster.incarnation(witness)
+	if other == nil || m.callFails() {
+		return errUnreachable
+	}
+	return other.Manager.Announce(witness, holder, shards)
+}
+
+func (m *instance) DropGrants(_ context.Context, witness string, grants []account.WitnessedGrant) error {
+	other := m.cluster.incarnation(witness)
+	if other == nil || m.callFails() {
+		return errUnreachable
+	}
+	return other.Manager.DropGrants(witness, grants)
+}
+
+func (m *instance) TakeOver(ctx context.Context, witness, holder string, shards []int) error {
+	other := m.cluster.incarnation(witness)
+	if other == nil || m.callFails() {
+		return errUnreachable
+	}
+	err := other.Manager.TakeOver(ctx, witness, holder, shards)
+	if m.callFails() {
+		return errUnreachable
+	}
+	return err
 }
 
 func (m *instance) Borrow(ctx context.Context, name, program string, borrowing account.Borrowing) (account.Loan, error) {
 	home := m.cluster.running(name)
-	if home == nil || m.callFails() {
+	if home == nil || home.isFrozen || m.callFails() {
 		return account.Loan{}, errUnreachable
 	}
 	loan, err := home.Lend(ctx, program, borrowing)
@@ -796,7 +922,21 @@
 		seeds = 50
 	}
 	for seed := range seeds {
-		runEscrowSchedule(t, seed)
+		runEscrowSchedule(t, seed, false)
+	}
+}
+
+// TestWitnessedEscrowsNeverExceedBudget is like TestEscrowsNeverExceedBudget for escrows
+// with witnesses. Instances are also frozen and wake, or are replaced by ones of other
+// names; grants reach their witness late, and takeovers happen between the record of a
+// grant and the grant.
+func TestWitnessedEscrowsNeverExceedBudget(t *testing.T) {
+	seeds := uint64(150)
+	if testing.Short() {
+		seeds = 50
+	}
+	for seed := range seeds {
+		runEscrowSchedule(t, seed, true)
 	}
 }
 
@@ -806,17 +946,26 @@
 	program  int
 }
 
-func runEscrowSchedule(t *testing.T, seed uint64) {
+func runEscrowSchedule(t *testing.T, seed uint64, hasWitnesses bool) {
 	ctx := context.Background()
 	rng := rand.New(rand.NewPCG(seed, 7))
 	memory := storetest.New()
 	clk := clock.NewFake(time.Unix(1000, 0))
-	cluster := &testCluster{store: memory, clock: clk}
+	cluster := &testCluster{store: memory, clock: clk, hasWitnesses: hasWitnesses, detectsReplacement: hasWitnesses && rng.IntN(2) == 0}
 	names := []string{"a", "b", "c"}
-	const programs = 3
-	var totals, generated [programs]int64
+	const steps = 400
+	programs := 3
+	pickProgram := func(int) int { return rng.IntN(programs) }
+	if hasWitnesses {
+		programs = 25 // which begin one after the other
+		pickProgram = func(step int) int { return max(0, step*programs/steps-rng.IntN(4)) }
+	}
+	totals, generated := make([]int64, programs), make([]int64, programs)
 	for i := range totals {
 		totals[i] = int64(400 + rng.IntN(4000))
+		if hasWitnesses {
+			totals[i] = int64(200 + rng.IntN(1000))
+		}
 	}
 	storeFaultShare := rng.Float64() * 0.4
 	flaky := storetest.RandomFaults(rng, storeFaultShare, storetest.Refuse, storetest.LoseResponse, storetest.LoseRequest)
@@ -833,12 +982,27 @@
 	for _, name := range names {
 		start(name)
 	}
+	current := 0
+	if hasWitnesses {
+		cluster.interfere = func() {
+			if rng.IntN(5) > 0 {
+				return
+			}
+			shard := budget.Shard(fmt.Sprint("p", pickProgram(current)))
+			for _, m := range cluster.all {
+				if m.up && !m.isFrozen {
+					_ = m.takeOverHeld(ctx, memory, shard)
+				}
+			}
+		}
+	}
 	var inFlight []inFlightTurn
 	finish := func(i int, spent int64) {
 		generated[inFlight[i].program] += spent
 		inFlight = slices.Delete(inFlight, i, i+1)
 	}
-	for step := range 400 {
+	for step := range steps {
+		current = step
 		name := names[rng.IntN(len(names))]
 		m := cluster.running(name)
 		if m == nil && rng.IntN(3) == 0 {
@@ -846,12 +1010,27 @@
 			m = cluster.running(name)
 			_ = m.AcquireOnce(ctx, m, false) // the store may be unavailable
 		}
+		if hasWitnesses {
+			cluster.deliverLate(rng)
+			switch {
+			case m != nil && rng.IntN(25) == 0:
+				m.isFrozen = !m.isFrozen
+			case m != nil && m.isFrozen && rng.IntN(5) == 0:
+				m.isFrozen = false
+			case rng.IntN(60) == 0 && len(names) < 6:
+				names = append(names, string(rune('a'+len(names)))) // starts later, like any other that is not up
+			}
+			clk.Advance(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		}
+		if m != nil && m.isFrozen {
+			continue
+		}
 		switch draw := rng.IntN(20); {
 		case draw < 8:
 			if m == nil {
 				break
 			}
-			program, maxTokens := rng.IntN(programs), int64(10+rng.IntN(200))
+			program, maxTokens := pickProgram(step), int64(10+rng.IntN(200))
 			turn, err := m.Reserve(ctx, fmt.Sprint("p", program), maxTokens, totals[program])
 			if err == nil {
 				inFlight = append(inFlight, inFlightTurn{turn, m, program})
@@ -869,6 +1048,7 @@
 			}
 		case draw < 15:
 			if m != nil {
+				m.TakeOverLost(ctx)
 				_ = m.AcquireOnce(ctx, m, rng.IntN(2) == 0)
 			}
 		case draw == 15: // killed: turns in flight may have spent their grants
@@ -906,7 +1086,7 @@
 			faults := []func(string, string) storetest.Fault{storeServes, storeServes, flaky, storeRefuses}
 			memory.SetFault(faults[rng.IntN(len(faults))])
 		}
-		promised := generated
+		promised := slices.Clone(generated)
 		for _, f := range inFlight {
 			promised[f.program] += f.turn.GrantedTokens()
 		}
--- a/account/grant.go
+++ b/account/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/budget"
@@ -27,6 +28,9 @@
 	// waits. A busy partition responds or rejects the write within 1.25
 	// seconds.
 	rowWriteTimeout = 1500 * time.Millisecond
+	// takeoverTimeout bounds a request to a witness to release an escrow: a read, and one
+	// write for some thirty programs.
+	takeoverTimeout = time.Second
 	// releaseRequestTimeout bounds a request to another instance to release
 	// tokens: a store write there and the round trip.
 	releaseRequestTimeout = 300 * time.Millisecond
@@ -39,6 +43,7 @@
 // requests: two instances that request a release from each other would
 // otherwise each wait for the other's lock.
 func (manager *Manager) grant(ctx context.Context, p *program, turn budget.Turn, total int64) (budget.Turn, error) {
+	manager.recordAtWitness(ctx, p, turn)
 	decision, err := manager.tryGrant(ctx, p, turn, total)
 	if err != nil || decision == budget.DecisionServe {
 		return turn, err
@@ -50,10 +55,13 @@
 	if err != nil {
 		return turn, err
 	}
-	terminated := manager.allHoldersTerminated(p)
-	if !terminated {
-		manager.requestRelease(ctx, p)
+	unanswered := manager.requestRelease(ctx, p)
+	takenOver, err := manager.requestTakeover(ctx, p, unanswered)
+	if err != nil {
+		return turn, err
 	}
+	removed = removed || takenOver
+	terminated := manager.allHoldersTerminated(p)
 	partial := decision == budget.DecisionWait && !turn.Rest && p.mayBeginPartially()
 	if partial {
 		turn = budget.InitialPart(turn.Most)
@@ -211,17 +219,96 @@
 }
 
 // requestRelease requests the other instances that hold tokens of p's budget
-// to release those that they do not use.
-func (manager *Manager) requestRelease(ctx context.Context, p *program) {
+// to release those that they do not use. It returns the accounts of instances that have
+// terminated or did not respond. It requests nothing if all have terminated.
+func (manager *Manager) requestRelease(ctx context.Context, p *program) (unanswered []string) {
 	p.mu.Lock()
 	accounts := p.usage.Holders()
 	p.mu.Unlock()
-	if len(accounts) == 0 {
-		return
+	if len(accounts) == 0 || manager.allHoldersTerminated(p) {
+		return accounts
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseRequestTimeout)
 	defer cancel()
-	manager.holders.ReleaseUnused(ctx, p.id, accounts)
+	return manager.holders.ReleaseUnused(ctx, p.id, accounts)
+}
+
+// requestTakeover requests the witness of the escrow of p's shard to release it, if its
+// owner is among the unanswered accounts, and reports whether it did. A takeover is safe
+// even if the owner still runs; it only costs the owner its escrow.
+func (manager *Manager) requestTakeover(ctx context.Context, p *program, unanswered []string) (bool, error) {
+	if manager.witnesses == nil {
+		return false, nil
+	}
+	accounts, version := p.unusedAccounts()
+	index := budget.Shard(p.id)
+	for _, account := range accounts {
+		isLocal := manager.isLocal(budget.Escrow{Account: account})
+		if isLocal || !slices.Contains(unanswered, account) || !manager.escrows.mayTakeOver(index, manager.clock.Now()) {
+			continue
+		}
+		if err := manager.readShard(ctx, index); err != nil {
+			return false, err
+		}
+		if escrow, _ := manager.escrows.get(index); escrow.Account == account && manager.takeOver(ctx, escrow, []int{index}) != nil {
+			continue
+		}
+		p.removeEscrow(account, version)
+		return true, nil
+	}
+	return false, nil
+}
+
+// takeOver has the witness of an escrow of another instance release it in shards. It
+// returns the error of the call, which it logs.
+func (manager *Manager) takeOver(ctx context.Context, escrow budget.Escrow, shards []int) error {
+	if escrow.Witness == "" {
+		return NewWitnessRefusedError("the escrow has none")
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	var err error
+	if escrow.Witness == manager.owner {
+		err = manager.TakeOver(ctx, escrow.Witness, escrow.Account, shards)
+	} else {
+		err = manager.witnesses.TakeOver(ctx, escrow.Witness, escrow.Account, shards)
+	}
+	if err != nil {
+		manager.log.Info("escrow not released by its witness", "account", escrow.Account, "witness", escrow.Witness, "shards", len(shards), "err", err)
+	}
+	return err
+}
+
+// takeOverTerminated has witnesses release those of shards that are held by incarnations
+// known to have terminated, and returns these shards.
+func (manager *Manager) takeOverTerminated(ctx context.Context, shards []int) []int {
+	if manager.witnesses == nil {
+		return nil
+	}
+	held := map[budget.Escrow][]int{}
+	for _, index := range shards {
+		escrow, _ := manager.escrows.get(index)
+		if escrow.Acquired() && !manager.isLocal(escrow) && manager.holders.OwnerTerminated(escrow.Account) && manager.escrows.mayTakeOver(index, manager.clock.Now()) {
+			held[escrow] = append(held[escrow], index)
+		}
+	}
+	results := make(chan []int, len(held))
+	for escrow, shards := range held {
+		go func() {
+			if manager.takeOver(ctx, escrow, shards) != nil {
+				shards = nil
+			} else if err := manager.readShards(ctx, shards); err != nil {
+				manager.log.Info("released shards not read: they are acquired later", "shards", len(shards), "err", err)
+				shards = nil
+			}
+			results <- shards
+		}()
+	}
+	var released []int
+	for range held {
+		released = append(released, <-results...)
+	}
+	return released
 }
 
 // RecentlySpent reports whether Reserve would return a *SpentError without a
--- a/account/manager.go
+++ b/account/manager.go
@@ -24,8 +24,8 @@
 type Owners interface {
 	// ReleaseUnused requests the owners of the named accounts of a program to
 	// release the tokens they do not use. It returns once each has done so or
-	// cannot be reached.
-	ReleaseUnused(ctx context.Context, program string, accounts []string)
+	// cannot be reached, with the accounts whose owners did not respond.
+	ReleaseUnused(ctx context.Context, program string, accounts []string) (unanswered []string)
 	// OwnerTerminated reports whether the incarnation that owns an account is known to
 	// have terminated for good.
 	OwnerTerminated(account string) bool
@@ -42,10 +42,19 @@
 	lenders Lenders
 	loans   *loans
 	escrows escrows
-	clock   clock.Clock
-	log     *slog.Logger
+	// witnesses is nil if escrows have no witnesses. unresponsive holds those that did
+	// not answer lately.
+	witnesses    Witnesses
+	unresponsive unresponsive
+	// witnessed holds the grants of which this instance is the witness. takingOver holds
+	// an element while it releases an escrow of another instance.
+	witnessed  witnessRecords
+	takingOver chan struct{}
+	clock      clock.Clock
+	log        *slog.Logger
 
 	granted, spent, held, released, failed, borrowed, lent tally.Counter
+	recorded, recordFailures, takenOver                    tally.Counter
 
 	mu       sync.Mutex
 	programs map[string]*program // by ID
@@ -57,6 +66,7 @@
 func NewManager(s store.Store, owner string, holders Owners, lenders Lenders, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Manager {
 	return &Manager{store: s, owner: owner, holders: holders, lenders: lenders, loans: newLoans(), clock: clk, log: log, programs: map[string]*program{},
 		borrowed: scope.Counter("budget_borrowed"), lent: scope.Counter("budget_lent"),
+		takingOver: make(chan struct{}, 1), recorded: scope.Counter("escrow_records"), recordFailures: scope.Counter("escrow_record_failures"), takenOver: scope.Counter("escrow_takeovers"),
 		granted: scope.Counter("budget_grants"), spent: scope.Counter("budget_spent"), held: scope.Counter("budget_held"),
 		released: scope.Counter("budget_releases"), failed: scope.Counter("budget_write_failures")}
 }
@@ -72,7 +82,7 @@
 	p := manager.program(id, total)
 	defer manager.unpin(p)
 	fullTurn := budget.FullTurn(turn)
-	if reservation := manager.reserveGranted(p, fullTurn, total, segments); reservation != nil {
+	if reservation := manager.reserveGranted(ctx, p, fullTurn, total, segments); reservation != nil {
 		return reservation, nil
 	}
 	if manager.foundSpentRecently(p, turn) {
@@ -88,7 +98,8 @@
 
 // reserveGranted reserves the turn if the local account already grants it,
 // without a write. It returns nil otherwise.
-func (manager *Manager) reserveGranted(p *program, turn budget.Turn, total int64, segments []string) *Reservation {
+func (manager *Manager) reserveGranted(ctx context.Context, p *program, turn budget.Turn, total int64, segments []string) *Reservation {
+	manager.recordAtWitness(ctx, p, turn)
 	if decision, _ := p.begin(turn, total); decision != budget.DecisionServe {
 		return nil
 	}
@@ -105,7 +116,7 @@
 
 // reserveLocally reserves the turn on the local account, without a loan.
 func (manager *Manager) reserveLocally(ctx context.Context, p *program, turn budget.Turn, total int64, segments []string) (*Reservation, error) {
-	if reservation := manager.reserveGranted(p, turn, total, segments); reservation != nil {
+	if reservation := manager.reserveGranted(ctx, p, turn, total, segments); reservation != nil {
 		return reservation, nil
 	}
 	if !turn.Rest && manager.foundSpentRecently(p, turn.Most) {
@@ -129,7 +140,7 @@
 // another turn by a row, and a stream would break off in the middle.
 func (manager *Manager) reserveFromEscrow(ctx context.Context, p *program, turn budget.Turn, total int64, segments []string) (*Reservation, error) {
 	if err := manager.writeGrant(ctx, p, turn, total); store.Unserved(err) {
-		if reservation := manager.reserveGranted(p, budget.InitialPart(turn.Most), total, segments); reservation != nil {
+		if reservation := manager.reserveGranted(ctx, p, budget.InitialPart(turn.Most), total, segments); reservation != nil {
 			return reservation, nil
 		}
 	}
@@ -147,7 +158,7 @@
 	defer manager.mu.Unlock()
 	p, ok := manager.programs[id]
 	if !ok {
-		account, escrowed := manager.escrows.account(id)
+		account, hasWitness, escrowed := manager.escrows.account(id)
 		if !escrowed {
 			// An account belongs to a single budget.Usage: one that is created
 			// later does not know what an earlier one granted.
@@ -156,6 +167,9 @@
 		}
 		implied, version := manager.implied(id, account, total)
 		p = newProgram(id, account, total, implied, version)
+		if hasWitness {
+			p.usage.RequireWitness()
+		}
 		manager.programs[id] = p
 	}
 	p.pins++
--- a/account/manager_test.go
+++ b/account/manager_test.go
@@ -30,13 +30,14 @@
 
 func (f *fleet) OwnerTerminated(string) bool { return false }
 
-func (f *fleet) ReleaseUnused(ctx context.Context, program string, _ []string) {
+func (f *fleet) ReleaseUnused(ctx context.Context, program string, _ []string) []string {
 	if f.unreachable.Load() {
-		return
+		return nil
 	}
 	for _, manager := range f.managers {
 		_ = manager.ReleaseUnused(ctx, program) // the row shows what was not released
 	}
+	return nil
 }
 
 // noLenders makes each instance the home of all programs, so that there are no
--- a/account/program.go
+++ b/account/program.go
@@ -124,6 +124,14 @@
 	return p.usage.UnusedEscrows(), version
 }
 
+// unusedAccounts returns the accounts of other escrows that the row counts as granted and
+// unused, and the row's version.
+func (p *program) unusedAccounts() ([]string, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.UnusedEscrows(), p.usage.Version()
+}
+
 // removeEscrow removes the account of an escrow that granted nothing, if the
 // row is still at the version at which that was found.
 func (p *program) removeEscrow(name string, version uint64) {
--- a/account/release.go
+++ b/account/release.go
@@ -117,9 +117,8 @@
 func (manager *Manager) SweepOnce(ctx context.Context) {
 	manager.settleExpiredLoans()
 	for _, programs := range splitIntoBatches(manager.idlePrograms()) {
-		for _, p := range manager.releaseBatch(ctx, programs) {
-			manager.evict(p)
-		}
+		released := manager.releaseBatch(ctx, programs)
+		manager.dropGrants(ctx, slices.DeleteFunc(slices.Clone(released), func(p *program) bool { return !manager.evict(p) }))
 	}
 }
 
@@ -144,14 +143,16 @@
 	return p.usage.Idle() && manager.clock.Now().Sub(p.lastUsed) >= idleTimeout
 }
 
-// evict removes the state of a program that is still idle.
-func (manager *Manager) evict(p *program) {
+// evict removes the state of a program that is still idle, and reports whether it was.
+func (manager *Manager) evict(p *program) bool {
 	manager.mu.Lock()
 	defer manager.mu.Unlock()
-	if p.pins == 0 && manager.isIdle(p) && manager.programs[p.id] == p {
-		manager.escrows.recordRow(p.id)
-		delete(manager.programs, p.id)
+	if p.pins > 0 || !manager.isIdle(p) || manager.programs[p.id] != p {
+		return false
 	}
+	manager.escrows.recordRow(p.id)
+	delete(manager.programs, p.id)
+	return true
 }
 
 // Stop releases the unused tokens of all programs until ctx ends, so that
@@ -162,6 +163,7 @@
 // something could not be released. It may be called again.
 func (manager *Manager) Stop(ctx context.Context) error {
 	manager.loans.stop()
+	manager.witnessed.stop()
 	loans, remaining := manager.loans.outstanding()
 	manager.log.Info("stopping: releasing unused budgets", "programs", manager.Len(), "loans", loans, "rest_tokens", remaining)
 	return manager.releaseProgramsAndShards(ctx, manager.escrows.stop(), func(string) bool { return true })
--- a/account/remainder_test.go
+++ b/account/remainder_test.go
@@ -221,9 +221,9 @@
 	duringRelease func()
 }
 
-func (h hookedHolders) ReleaseUnused(ctx context.Context, program string, accounts []string) {
+func (h hookedHolders) ReleaseUnused(ctx context.Context, program string, accounts []string) []string {
 	h.duringRelease()
-	h.instance.ReleaseUnused(ctx, program, accounts)
+	return h.instance.ReleaseUnused(ctx, program, accounts)
 }
 
 // Guards against tokens granted to a home after it stopped and released its
--- a/account/shards.go
+++ b/account/shards.go
@@ -64,6 +64,13 @@
 	// store, and all programs that had a row at acquisition are in
 	// escrows.rows.
 	maybeAcquired, usable bool
+	// takeoverAt is when a takeover of another instance's escrow was last requested.
+	takeoverAt time.Time
+	// announced is set once the witness knows that it is one.
+	announced bool
+	// refused is set once the witness of this incarnation's escrow records no more of its
+	// grants.
+	refused bool
 }
 
 // get returns the last recorded escrow of a shard and the version of its row.
@@ -73,25 +80,92 @@
 	return escrows.shards[index].escrow, escrows.shards[index].version
 }
 
-// update records the row of a shard unless a newer version is recorded.
+// update records the row of a shard unless a newer version is recorded. An escrow that
+// was taken over ends to be usable.
 func (escrows *escrows) update(index int, escrow budget.Escrow, version uint64) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
 	if shard := &escrows.shards[index]; version >= shard.version {
+		shard.usable = shard.usable && escrow.Account == shard.escrow.Account
+		shard.refused, shard.announced = shard.refused && version == shard.version, shard.announced && version == shard.version
 		shard.escrow, shard.version = escrow, version
 	}
 }
 
 // account returns the escrow account that may grant tokens of a program
-// without a row, and reports whether there is one.
-func (escrows *escrows) account(id string) (string, bool) {
+// without a row, whether it has a witness, and whether there is one.
+func (escrows *escrows) account(id string) (name string, hasWitness, ok bool) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
 	shard := &escrows.shards[budget.Shard(id)]
 	if _, hasRow := escrows.rows[rowNameHash(id)]; hasRow || !shard.usable {
-		return "", false
+		return "", false, false
+	}
+	return shard.escrow.Account, shard.escrow.Witness != "", true
+}
+
+// mayTakeOver reports whether no takeover of the shard was requested within
+// minShardReadInterval, and records the request.
+func (escrows *escrows) mayTakeOver(index int, now time.Time) bool {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	if now.Sub(escrows.shards[index].takeoverAt) < minShardReadInterval {
+		return false
+	}
+	escrows.shards[index].takeoverAt = now
+	return true
+}
+
+// unannounced returns the witnesses of usable escrows, each with the shards that it has
+// not been told of.
+func (escrows *escrows) unannounced() map[string][]WitnessedShard {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	unannounced := map[string][]WitnessedShard{}
+	for index := range escrows.shards {
+		shard := &escrows.shards[index]
+		if !shard.usable || shard.escrow.Witness == "" {
+			continue
+		}
+		shards := unannounced[shard.escrow.Witness]
+		if !shard.announced {
+			shards = append(shards, WitnessedShard{Shard: index, Version: shard.version, Account: shard.escrow.Account})
+		}
+		unannounced[shard.escrow.Witness] = shards
+	}
+	return unannounced
+}
+
+// setAnnounced records that the witness of shards was told of them.
+func (escrows *escrows) setAnnounced(shards []WitnessedShard) {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	for _, announced := range shards {
+		if shard := &escrows.shards[announced.Shard]; shard.version == announced.Version {
+			shard.announced = true
+		}
+	}
+}
+
+// refuseWitness ends the use of all escrows with a witness that no longer is one.
+func (escrows *escrows) refuseWitness(witness string) {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	for index := range escrows.shards {
+		if shard := &escrows.shards[index]; shard.usable && shard.escrow.Witness == witness {
+			shard.usable, shard.refused = false, true
+		}
+	}
+}
+
+// refuse ends the use of a shard's escrow, since its witness records no more of its
+// grants, if the shard's row is still at version.
+func (escrows *escrows) refuse(index int, version uint64) {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	if shard := &escrows.shards[index]; shard.version == version {
+		shard.usable, shard.refused = false, true
 	}
-	return shard.escrow.Account, true
 }
 
 // usableFor reports whether this incarnation holds a usable escrow of the
@@ -125,7 +199,7 @@
 		escrows.rows[hash] = struct{}{}
 	}
 	for _, index := range shards {
-		escrows.shards[index].usable = !escrows.stopped
+		escrows.shards[index].usable = !escrows.stopped && !escrows.shards[index].refused
 	}
 }
 
@@ -172,11 +246,11 @@
 	}
 }
 
-// plan returns the shards to transfer, whose home is now another instance, and
-// the shards to acquire, given the names of the known instances. It returns
-// none to acquire before nextRetry, after the remaining ones were found to be
-// held by other incarnations.
-func (escrows *escrows) plan(self string, names []string, now time.Time) (toTransfer, toAcquire []int) {
+// plan returns the shards to transfer, whose home is now another instance or whose
+// escrow needs another witness, and the shards to acquire, given the names of the known
+// instances. It returns only those with a new witness to acquire before nextRetry,
+// after the remaining ones were found to be held by other incarnations.
+func (escrows *escrows) plan(self string, names []string, now time.Time, needsWitness func(escrow budget.Escrow) bool) (toTransfer, toAcquire []int) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
 	if escrows.stopped {
@@ -184,19 +258,25 @@
 	}
 	escrows.updateHomeShards(self, names, now)
 	for _, index := range escrows.maybeAcquired() {
-		if _, isHome := slices.BinarySearch(escrows.homeShards, index); !isHome {
+		shard := &escrows.shards[index]
+		_, isHome := slices.BinarySearch(escrows.homeShards, index)
+		switch {
+		case !isHome:
 			toTransfer = append(toTransfer, index)
+		case shard.refused || needsWitness(shard.escrow):
+			toTransfer, toAcquire = append(toTransfer, index), append(toAcquire, index)
 		}
 	}
 	if now.Before(escrows.nextRetry) {
-		return toTransfer, nil
+		return toTransfer, toAcquire
 	}
 	for _, index := range escrows.homeShards {
 		if !escrows.shards[index].usable {
 			toAcquire = append(toAcquire, index)
 		}
 	}
-	return toTransfer, toAcquire
+	slices.Sort(toAcquire)
+	return toTransfer, slices.Compact(toAcquire)
 }
 
 // updateHomeShards recomputes homeShards if the members have changed. The
--- /dev/null
+++ b/account/witness.go
@@ -0,0 +1,275 @@
+package account
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/budget"
+)
+
+const (
+	// recordTimeout bounds the wait for a witness to record a grant. After it the turn
+	// is granted by a row.
+	recordTimeout = 100 * time.Millisecond
+	// announceTimeout bounds a call that tells a witness that its holder runs.
+	announceTimeout = 500 * time.Millisecond
+	// recordPause is how long no grant is sent to a witness after one that it did not
+	// answer, so that turns do not wait for an unresponsive witness.
+	recordPause = 300 * time.Millisecond
+	// witnessPatience is how long a witness may be unresponsive before its shards get
+	// another one, which takes a row for each of their programs.
+	witnessPatience = 2 * time.Second
+	// maxDroppedGrants bounds the grants of one call that drops their records.
+	maxDroppedGrants = 500
+	// maxWitnessed bounds the programs whose grants this instance records for others.
+	maxWitnessed = 1 << 16
+)
+
+// Witnesses reaches the instances that record what the escrows of others grant.
+type Witnesses interface {
+	// Witness returns the incarnation that is to be the witness of this instance's
+	// escrows, or "" if there is no other instance. It is none for which avoid returns
+	// true.
+	Witness(avoid func(owner string) bool) string
+	// IsCurrent reports whether the named incarnation is the present one of its
+	// instance, as far as known.
+	IsCurrent(owner string) bool
+	// RecordGrant calls Manager.RecordGrant at the named incarnation.
+	RecordGrant(ctx context.Context, witness string, grant WitnessedGrant) error
+	// Announce calls Manager.Announce at the named incarnation.
+	Announce(ctx context.Context, witness, holder string, shards []WitnessedShard) error
+	// DropGrants calls Manager.DropGrants at the named incarnation.
+	DropGrants(ctx context.Context, witness string, grants []WitnessedGrant) error
+	// TakeOver calls Manager.TakeOver at the named incarnation.
+	TakeOver(ctx context.Context, witness, account string, shards []int) error
+}
+
+// WitnessedGrant is a grant of an escrow to a program without a row.
+type WitnessedGrant struct {
+	Shard int
+	// Version is the version of the shard's row that holds the escrow.
+	Version uint64
+	Program string
+	// Tokens is the sum of all tokens granted to the program.
+	Tokens int64
+}
+
+// WitnessedShard is a shard whose escrow a witness is named for.
+type WitnessedShard struct {
+	Shard   int
+	Version uint64
+	Account string
+}
+
+// WitnessRefusedError is returned for a request to a witness that no longer is one.
+type WitnessRefusedError struct{ detail string }
+
+// NewWitnessRefusedError returns the refusal that another instance reported.
+func NewWitnessRefusedError(detail string) *WitnessRefusedError {
+	return &WitnessRefusedError{detail: detail}
+}
+
+// Error gives the reason.
+func (e *WitnessRefusedError) Error() string { return "witness refused: " + e.detail }
+
+// UseWitnesses makes the escrows of this instance have witnesses. It must be called
+// before the first shard is acquired.
+func (manager *Manager) UseWitnesses(witnesses Witnesses) { manager.witnesses = witnesses }
+
+// nextWitness returns the incarnation that is to be the witness of escrows acquired now.
+func (manager *Manager) nextWitness() string {
+	if manager.witnesses == nil {
+		return ""
+	}
+	now := manager.clock.Now()
+	return manager.witnesses.Witness(func(owner string) bool { return manager.unresponsive.isSuspect(owner, now) })
+}
+
+// dropGrants has witnesses drop the records of programs that have rows now. If that fails,
+// the records stay until the escrows end.
+func (manager *Manager) dropGrants(ctx context.Context, programs []*program) {
+	grants := map[string][]WitnessedGrant{}
+	for _, p := range programs {
+		shard := budget.Shard(p.id)
+		escrow, version := manager.escrows.get(shard)
+		if escrow.Witness != "" && escrow.Account == p.account() && p.isRecorded() {
+			grants[escrow.Witness] = append(grants[escrow.Witness], WitnessedGrant{Shard: shard, Version: version, Program: p.id})
+		}
+	}
+	var calls sync.WaitGroup
+	for witness, grants := range grants {
+		calls.Go(func() {
+			for batch := range slices.Chunk(grants, maxDroppedGrants) {
+				ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+				err := manager.witnesses.DropGrants(ctx, witness, batch)
+				cancel()
+				if err != nil {
+					manager.log.Info("records of grants not dropped by their witness", "witness", witness, "programs", len(batch), "err", err)
+				}
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// needsWitness reports whether a local escrow should get another witness.
+func (manager *Manager) needsWitness(escrow budget.Escrow) bool {
+	switch {
+	case manager.witnesses == nil:
+		return false
+	case escrow.Witness == "":
+		return manager.nextWitness() != ""
+	}
+	return !manager.witnesses.IsCurrent(escrow.Witness) || manager.unresponsive.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
+}
+
+// announce tells the witnesses of this incarnation's escrows that it runs, and which shards
+// they are named for.
+func (manager *Manager) announce(ctx context.Context) {
+	if manager.witnesses == nil {
+		return
+	}
+	for witness, shards := range manager.escrows.unannounced() {
+		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := manager.witnesses.Announce(callCtx, witness, manager.owner, shards)
+		cancel()
+		var refused *WitnessRefusedError
+		switch {
+		case err == nil:
+			manager.unresponsive.responded(witness)
+			manager.escrows.setAnnounced(shards)
+		case errors.As(err, &refused):
+			manager.escrows.refuseWitness(witness)
+		default:
+			manager.unresponsive.failed(witness, manager.clock.Now())
+		}
+		if err != nil {
+			manager.log.Info("witness of escrows not reached", "witness", witness, "err", err)
+		}
+	}
+}
+
+// recordAtWitness has the witness record what the escrow of p's shard is to grant, if the
+// turn needs that. If the witness does not confirm it, the turn is granted by a row.
+func (manager *Manager) recordAtWitness(ctx context.Context, p *program, turn budget.Turn) {
+	tokens, needed := p.toWitness(turn)
+	if !needed {
+		return
+	}
+	shard := budget.Shard(p.id)
+	escrow, version := manager.escrows.get(shard)
+	if escrow.Account != p.account() || manager.unresponsive.isPaused(escrow.Witness, manager.clock.Now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := manager.witnesses.RecordGrant(ctx, escrow.Witness, WitnessedGrant{Shard: shard, Version: version, Program: p.id, Tokens: tokens})
+	if err == nil {
+		manager.unresponsive.responded(escrow.Witness)
+		manager.recorded.Inc(1)
+		p.witnessed(tokens)
+		return
+	}
+	manager.recordFailures.Inc(1)
+	var refused *WitnessRefusedError
+	if errors.As(err, &refused) {
+		manager.escrows.refuse(shard, version)
+	} else {
+		manager.unresponsive.failed(escrow.Witness, manager.clock.Now())
+	}
+	manager.log.Info("grant of an escrow not recorded by its witness: the turn is granted by a row", "program", p.id, "shard", shard, "witness", escrow.Witness, "err", err)
+}
+
+// toWitness returns the tokens that the witness has to record for the turn, and whether
+// it has to.
+func (p *program) toWitness(turn budget.Turn) (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.ToWitness(turn)
+}
+
+// witnessed records what the witness has recorded.
+func (p *program) witnessed(tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usage.Witnessed(tokens)
+}
+
+// isRecorded reports whether a witness has recorded a grant of the program.
+func (p *program) isRecorded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.IsRecorded()
+}
+
+// account returns the name of the program's local account.
+func (p *program) account() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.Owner()
+}
+
+// unresponsive holds the witnesses that did not answer lately. Its zero value is ready
+// for use.
+type unresponsive struct {
+	mu       sync.Mutex
+	failures map[string]witnessFailure
+}
+
+// witnessFailure holds when a witness first and last failed to answer without an answer
+// in between.
+type witnessFailure struct{ first, last time.Time }
+
+// failed records that a witness did not answer.
+func (unresponsive *unresponsive) failed(witness string, now time.Time) {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	if unresponsive.failures == nil {
+		unresponsive.failures = map[string]witnessFailure{}
+	}
+	failure, ok := unresponsive.failures[witness]
+	if !ok {
+		failure.first = now
+	}
+	failure.last = now
+	unresponsive.failures[witness] = failure
+}
+
+// responded records that a witness answered.
+func (unresponsive *unresponsive) responded(witness string) {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	delete(unresponsive.failures, witness)
+}
+
+// isPaused reports whether a witness failed to answer within recordPause.
+func (unresponsive *unresponsive) isPaused(witness string, now time.Time) bool {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	failure, ok := unresponsive.failures[witness]
+	return ok && now.Sub(failure.last) < recordPause
+}
+
+// failedSince returns the time between the first and the last of the failures since the
+// witness last answered. Failures of long ago are forgotten.
+func (unresponsive *unresponsive) failedSince(witness string, now time.Time) time.Duration {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	failure, ok := unresponsive.failures[witness]
+	if !ok || now.Sub(failure.last) >= maxRetryDelay {
+		delete(unresponsive.failures, witness)
+		return 0
+	}
+	return failure.last.Sub(failure.first)
+}
+
+// isSuspect reports whether a witness has failed to answer and not answered since.
+func (unresponsive *unresponsive) isSuspect(witness string, now time.Time) bool {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	failure, ok := unresponsive.failures[witness]
+	return ok && now.Sub(failure.last) < maxRetryDelay
+}
--- /dev/null
+++ b/account/witness_test.go
@@ -0,0 +1,214 @@
+package account_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/budget"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/store"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// startWitnessed starts instances of the given names that all know each other, and whose
+// escrows have witnesses.
+func startWitnessed(t *testing.T, names ...string) (*testCluster, *storetest.Memory, *clock.Fake) {
+	t.Helper()
+	memory, clk := storetest.New(), clock.NewFake(time.Unix(1000, 0))
+	cluster := &testCluster{store: memory, clock: clk, hasWitnesses: true}
+	for _, name := range names {
+		cluster.start(name, names...)
+	}
+	for _, m := range cluster.all {
+		m.acquire(t)
+	}
+	return cluster, memory, clk
+}
+
+// Guards against programs that can't go on although their budget holds the turn: their
+// home is gone for good, and its escrow counts as granted to programs that begin later,
+// and in full to those that it granted little.
+func TestEscrowOfLostHomeIsReleased(t *testing.T) {
+	ctx := context.Background()
+	cluster, _, _ := startWitnessed(t, "a", "b", "c")
+	a, b := cluster.running("a"), cluster.running("b")
+	begun := programWithHome(0, "a", "a", "b", "c")
+	turn, err := reserveInFull(ctx, a.Manager, begun, 100, 1000)
+	require.NoError(t, err)
+	turn.Settle(60)
+	a.up = false
+	later, err := reserveInFull(ctx, b.Manager, programWithHome(1, "a", "a", "b", "c"), 1000, 1000)
+	require.NoError(t, err, "a program that begins later has its whole budget")
+	later.Settle(1000)
+	_, err = reserveInFull(ctx, b.Manager, begun, 901, 1000)
+	require.Error(t, err, "the home may have spent what it was granted")
+	_, err = reserveInFull(ctx, b.Manager, begun, 900, 1000)
+	require.NoError(t, err, "it was granted no more than that")
+}
+
+// Guards against a program that spends the same tokens twice: its home was frozen while
+// its escrow was released, and grants by it when it wakes.
+func TestFrozenHomeGrantsNothingAfterTakeover(t *testing.T) {
+	ctx := context.Background()
+	cluster, _, clk := startWitnessed(t, "a", "b", "c")
+	a, b := cluster.running("a"), cluster.running("b")
+	begun, other := programWithHome(0, "a", "a", "b", "c"), programWithHome(1, "a", "a", "b", "c")
+	turn, err := reserveInFull(ctx, a.Manager, begun, 100, 1000)
+	require.NoError(t, err)
+	turn.Settle(100)
+	a.isFrozen = true
+	for _, program := range []string{begun, other} {
+		clk.Advance(2 * time.Second)
+		_, err = reserveInFull(ctx, b.Manager, program, 900, 1000)
+		require.NoError(t, err)
+	}
+	a.isFrozen = false
+	_, err = a.Reserve(ctx, begun, 100, 1000)
+	require.Error(t, err, "all is granted")
+	_, err = a.Reserve(ctx, other, 101, 1000)
+	require.Error(t, err, "another instance was granted nine tenths")
+	clk.Advance(3 * time.Second)
+	a.acquire(t)
+	_, err = reserveInFull(ctx, a.Manager, programWithHome(2, "a", "a", "b", "c"), 1000, 1000)
+	require.NoError(t, err, "it goes on with a new escrow")
+}
+
+// Guards against callers that are told 402 though the budget holds the turn: the home
+// restarted under its name, and the escrow of the incarnation before counts as spent.
+func TestRestartedHomeAcquiresItsShardsAgain(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b", "c")
+	cluster.detectsReplacement = true
+	begun := programWithHome(0, "a", "a", "b", "c")
+	turn, err := reserveInFull(ctx, cluster.running("a").Manager, begun, 100, 1000)
+	require.NoError(t, err)
+	turn.Settle(100)
+	for range 2 {
+		cluster.running("a").up = false
+		cluster.start("a", "b", "c").acquire(t)
+	}
+	memory.SetFault(storeRefuses)
+	_, err = reserveInFull(ctx, cluster.running("a").Manager, programWithHome(1, "a", "a", "b", "c"), 300, 1000)
+	require.NoError(t, err, "programs begin by the new escrow")
+	memory.SetFault(storeServes)
+	_, err = reserveInFull(ctx, cluster.running("b").Manager, begun, 900, 1000)
+	require.NoError(t, err)
+	_, err = reserveInFull(ctx, cluster.running("b").Manager, begun, 1, 1000)
+	require.Error(t, err)
+}
+
+// Guards against instances that are gone one after the other, each the witness of the
+// next: an escrow whose witness is gone has to get another one.
+func TestEscrowGetsAnotherWitness(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, clk := startWitnessed(t, "a", "b", "c")
+	a, b, c := cluster.running("a"), cluster.running("b"), cluster.running("c")
+	var begun []string
+	for n := range 20 {
+		begun = append(begun, programWithHome(n, "a", "a", "b", "c"))
+		turn, err := reserveInFull(ctx, a.Manager, begun[n], 100, 1000)
+		require.NoError(t, err)
+		turn.Settle(100)
+	}
+	c.up = false
+	for n := range 40 { // grants that no witness records are written as rows
+		clk.Advance(200 * time.Millisecond)
+		turn, err := reserveInFull(ctx, a.Manager, programWithHome(100+n, "a", "a", "b", "c"), 100, 1000)
+		require.NoError(t, err)
+		turn.Settle(100)
+	}
+	a.peers = []string{"b"}
+	a.acquire(t)
+	before := memory.Commits()
+	after := programWithHome(200, "a", "a", "b", "c")
+	turn, err := reserveInFull(ctx, a.Manager, after, 100, 1000)
+	require.NoError(t, err)
+	turn.Settle(100)
+	assert.Equal(t, before, memory.Commits(), "granted by an escrow with another witness")
+	a.up = false
+	clk.Advance(2 * time.Second)
+	for _, program := range append(begun, after) {
+		_, err = reserveInFull(ctx, b.Manager, program, 900, 1000)
+		require.NoError(t, err)
+	}
+	clk.Advance(2 * time.Second)
+	_, err = reserveInFull(ctx, b.Manager, programWithHome(300, "a", "a", "b", "c"), 1000, 1000)
+	require.NoError(t, err)
+}
+
+// Guards against tokens spent twice where the home and its witness are gone: what the
+// escrow granted is unknown, and stays granted.
+func TestEscrowStaysWithoutHomeAndWitness(t *testing.T) {
+	ctx := context.Background()
+	cluster, _, _ := startWitnessed(t, "a", "b", "c")
+	a := cluster.running("a")
+	program := programWithHome(0, "a", "a", "b", "c")
+	turn, err := reserveInFull(ctx, a.Manager, program, 300, 1000)
+	require.NoError(t, err)
+	turn.Settle(300)
+	for _, m := range cluster.all {
+		m.up = false
+	}
+	next := cluster.start("b", "a", "c")
+	cluster.start("c", "a", "b")
+	_, err = reserveInFull(ctx, next.Manager, program, 701, 1000)
+	require.Error(t, err)
+	_, err = reserveInFull(ctx, next.Manager, program, 700, 1000)
+	require.NoError(t, err)
+}
+
+// Guards against grants that a witness records after it released the escrow, or for
+// another incarnation: they arrive late, or their sender was frozen.
+func TestWitnessRefusesGrantsOfEndedEscrows(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b")
+	b := cluster.running("b")
+	program := programWithHome(0, "a", "a", "b")
+	grant := recordedGrant(t, memory, program)
+	require.NoError(t, b.Manager.RecordGrant(b.owner, grant))
+	var refused *account.WitnessRefusedError
+	require.ErrorAs(t, b.Manager.RecordGrant("b-0", grant), &refused)
+	require.NoError(t, b.takeOverHeld(ctx, memory, grant.Shard))
+	require.ErrorAs(t, b.Manager.RecordGrant(b.owner, grant), &refused)
+	newer := grant
+	newer.Version += 100
+	require.NoError(t, b.Manager.RecordGrant(b.owner, newer), "a later escrow of the shard")
+	require.ErrorAs(t, b.Manager.RecordGrant(b.owner, grant), &refused)
+}
+
+// Guards against a witness whose records grow as long as the home runs, and refuse further
+// programs in the end.
+func TestWitnessDropsRecordsOfEvictedPrograms(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, clk := startWitnessed(t, "a", "b")
+	a, b := cluster.running("a"), cluster.running("b")
+	program := programWithHome(0, "a", "a", "b")
+	turn, err := reserveInFull(ctx, a.Manager, program, 300, 1000)
+	require.NoError(t, err)
+	turn.Settle(200)
+	assert.Equal(t, 1, b.WitnessedPrograms())
+	clk.Advance(3 * time.Minute)
+	a.SweepOnce(ctx)
+	assert.Zero(t, b.WitnessedPrograms())
+	a.up = false
+	require.NoError(t, b.takeOverHeld(ctx, memory, budget.Shard(program)))
+	_, err = reserveInFull(ctx, b.Manager, program, 801, 1000)
+	require.Error(t, err, "its row tells what it spent")
+	_, err = reserveInFull(ctx, b.Manager, program, 800, 1000)
+	require.NoError(t, err)
+}
+
+// recordedGrant returns a grant of all that the escrow of the program's shard may grant,
+// under the escrow in the store.
+func recordedGrant(t *testing.T, memory *storetest.Memory, program string) account.WitnessedGrant {
+	t.Helper()
+	shard := budget.Shard(program)
+	row, err := store.Get(context.Background(), memory, shardKey(shard))
+	require.NoError(t, err)
+	return account.WitnessedGrant{Shard: shard, Version: row.Version, Program: program, Tokens: 300}
+}
--- a/budget/escrow.go
+++ b/budget/escrow.go
@@ -34,15 +34,19 @@
 
 // Escrow is the right of one incarnation of an entry instance to grant a part
 // of the budgets of all programs of one shard that have no row yet, without
-// writing a row. It ends only when that incarnation closes it. The escrow of a
-// crashed instance remains, since the tokens granted under it are unknown. The
-// zero value is the escrow of a shard that no instance has acquired.
+// writing a row. It ends when that incarnation releases it, or its witness does,
+// which knows the tokens granted under it. The escrow of an instance that crashed
+// together with its witness remains. The zero value is the escrow of a shard that no
+// instance has acquired.
 type Escrow struct {
 	// Account is the account to which the right belongs. No other incarnation
 	// of any instance may use it.
 	Account string `cbor:"a"`
 	// Instance is the name of the instance, which its next incarnation shares.
 	Instance string `cbor:"i"`
+	// Witness is the incarnation of another instance that records what the escrow
+	// grants before it is granted; empty for none.
+	Witness string `cbor:"w,omitempty"`
 }
 
 // DecodeEscrow decodes the output of Encode. It returns the zero value for
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -85,6 +85,10 @@
 	return &Ledger{Accounts: accounts}
 }
 
+// IsUnused reports whether the account is implied by an escrow and its owner has recorded
+// no use of it.
+func (ledger *Ledger) IsUnused(name string) bool { return ledger.Accounts[name].unused() }
+
 // RemoveUnused returns a copy of the ledger without the named account, and true, if
 // the account is implied by an escrow and unused. Otherwise it returns the
 // ledger itself and false.
@@ -174,21 +178,22 @@
 )
 
 // decide returns the decision on a turn of a program whose budget is total. The
-// turn requires the account of owner to grant need tokens now, and up to
+// account of owner may spend usable tokens of its grant without a row. The turn
+// requires the account of owner to grant need tokens now, and up to
 // worstCase tokens if all its turns in flight spend their maximum. For
 // DecisionServe and DecisionGrant it also returns the resulting grant of the
 // account. A turn whose maximum may exceed the budget is not started. A turn
 // that has started gets its remainder unless that is granted to others.
-func (ledger *Ledger) decide(owner string, need, worstCase int64, turn Turn, total int64) (Decision, int64) {
+func (ledger *Ledger) decide(owner string, usable, need, worstCase int64, turn Turn, total int64) (Decision, int64) {
 	granted := ledger.Accounts[owner].Granted
-	if need <= granted && worstCase <= granted {
+	if need <= usable && worstCase <= usable {
 		return DecisionServe, granted
 	}
 	otherAccounts := ledger.otherAccounts(owner)
 	if otherAccounts.Used+otherAccounts.Reserved+worstCase > total && !turn.Rest {
 		return DecisionSpent, 0
 	}
-	if need <= granted {
+	if need <= usable {
 		return DecisionServe, granted
 	}
 	free := total - otherAccounts.Granted
@@ -202,5 +207,5 @@
 	if _, hasAccount := ledger.Accounts[owner]; !hasAccount {
 		accounts++
 	}
-	return DecisionGrant, need + min(remaining/(headroomDivisor*accounts*accounts), headroomTurns*turn.Part)
+	return DecisionGrant, max(granted, need+min(remaining/(headroomDivisor*accounts*accounts), headroomTurns*turn.Part))
 }
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -53,6 +53,10 @@
 	// ledger omits the grant of an unused escrow.
 	uncertain   bool
 	uncertainAt uint64
+	// hasWitness is set if a witness records what the escrow of the local account
+	// grants, and witnessed is the number of tokens that it has recorded.
+	hasWitness bool
+	witnessed  int64
 }
 
 // NewUsage returns the usage of the account owner, which must never have been
@@ -104,6 +108,47 @@
 	return true
 }
 
+// witnessSteps is the number of steps in which a witness records the grant of an escrow,
+// unless a turn needs a larger one. If the owner crashes, at most the unspent part of one
+// step is lost.
+const witnessSteps = 8
+
+// RequireWitness limits what the escrow of the local account grants to what Witnessed
+// was called with.
+func (usage *Usage) RequireWitness() { usage.hasWitness = true }
+
+// ToWitness returns the number of tokens that the witness has to record before the escrow
+// can grant the turn, and false if it need not record any or the escrow cannot grant the
+// turn.
+func (usage *Usage) ToWitness(turn Turn) (int64, bool) {
+	account := usage.ledger.Accounts[usage.owner]
+	need := usage.Used() + turn.Part
+	wanted := min(max(need, usage.settled+usage.worstCase+turn.Most), account.Granted)
+	if !usage.isWitnessed(account) || need > account.Granted || wanted <= usage.witnessed {
+		return 0, false
+	}
+	return max(wanted, min(usage.witnessed+account.Granted/witnessSteps, account.Granted)), true
+}
+
+// Witnessed records that the witness has recorded the given number of tokens.
+func (usage *Usage) Witnessed(tokens int64) { usage.witnessed = max(usage.witnessed, tokens) }
+
+// IsRecorded reports whether the witness has recorded any tokens.
+func (usage *Usage) IsRecorded() bool { return usage.witnessed > 0 }
+
+// isWitnessed reports whether the local account may spend only what its witness has
+// recorded: no row records that the account was used.
+func (usage *Usage) isWitnessed(account Account) bool { return usage.hasWitness && account.unused() }
+
+// usable returns how much of its grant the local account may spend.
+func (usage *Usage) usable() int64 {
+	account := usage.ledger.Accounts[usage.owner]
+	if usage.isWitnessed(account) {
+		return min(account.Granted, usage.witnessed)
+	}
+	return account.Granted
+}
+
 // Decide returns the decision on a turn, or on a further part of a turn in
 // flight, under the budget total. For DecisionGrant it also returns the row
 // that grants the part. The caller has to make the row durable, call SetRow,
@@ -113,7 +158,7 @@
 // them, which takes a row even if the account already covers them.
 func (usage *Usage) Decide(turn Turn, total int64) (Decision, *Ledger) {
 	worstCase := usage.settled + usage.worstCase + turn.Most
-	decision, amount := usage.ledger.decide(usage.owner, usage.Used()+turn.Part, worstCase, turn, total)
+	decision, amount := usage.ledger.decide(usage.owner, usage.usable(), usage.Used()+turn.Part, worstCase, turn, total)
 	takesReserved := turn.Rest && turn.Most > 0 && !turn.Taken && usage.ledger.otherAccounts(usage.owner).Reserved > 0
 	if decision == DecisionServe && takesReserved {
 		decision = DecisionGrant
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -205,6 +205,7 @@
 		return slices.Contains(ranked[:min(len(ranked), checkpointWriters)], peers.Self())
 	}
 	f.accounts = account.NewManager(guard, owner, peers, peers, clk, p.log, scope)
+	f.accounts.UseWitnesses(peers)
 	turns := archive.New(guard, peers, s.RowBytes, int(turnCacheShare*float64(s.Memory)), p.log, scope)
 	f.quotas = quota.NewLimiter(peers, s.Tolerance, clk, p.log, scope)
 	tables := entrypeer.NewTableReader(guard, peers, clk, p.log, scope)
@@ -217,7 +218,7 @@
 	loads := overload.NewMeter(clk)
 	controller := overload.NewController(loads, fleetSize{endpoints: list, instances: directory}, f.accounts, clk, rand.Float64)
 	rejected := scope.Counter("overload_rejected")
-	f.peers = &entrypeer.Server{Crashes: f.guard, Client: peers, Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
+	f.peers = &entrypeer.Server{Crashes: f.guard, Client: peers, Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Witness: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
 	self, _ := directory.Members()
 	f.gateway = gateway.New(gateway.Config{
 		Instance: self, DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -62,7 +61,7 @@
 func (e *TransportError) Unwrap() error { return e.cause }
 
 // Client calls other entry instances. It implements account.Owners,
-// account.Lenders, archive.Peers, quota.Peers, quarantine.Peers and resumption.Peers.
+// account.Lenders, account.Witnesses, archive.Peers, quota.Peers, quarantine.Peers and resumption.Peers.
 type Client struct {
 	directory *Directory
 	http      *http.Client
@@ -82,23 +81,37 @@
 
 // ReleaseUnused implements account.Owners. It calls each instance that owns one of
 // the accounts once, all of them concurrently, and returns when every call has
-// ended. Accounts of instances missing from the directory are skipped.
-func (client *Client) ReleaseUnused(ctx context.Context, program string, accounts []string) {
-	requested := map[string]bool{}
-	var calls sync.WaitGroup
+// ended. Accounts of instances missing from the directory are not called, and returned
+// as unanswered.
+func (client *Client) ReleaseUnused(ctx context.Context, program string, accounts []string) (unanswered []string) {
+	byOwner := map[string][]string{}
 	for _, account := range accounts {
-		instance, ok := client.directory.accountHolder(account)
-		if !ok || requested[instance.Owner] {
+		if owner := accountOwner(account); owner != client.directory.self.Owner {
+			byOwner[owner] = append(byOwner[owner], account)
+		}
+	}
+	results := make(chan []string, len(byOwner))
+	for _, accounts := range byOwner {
+		instance, ok := client.directory.accountHolder(accounts[0])
+		if !ok {
+			results <- accounts
 			continue
 		}
-		requested[instance.Owner] = true
-		calls.Go(func() {
-			// A failure needs no handling: unreleased tokens are still in the
-			// holder's row, which the caller reads next.
-			_ = client.call(ctx, instance, pathGiveBack, &giveBackRequest{Program: program}, nil)
-		})
+		go func() {
+			// An error that is a response needs no handling: unreleased tokens are still
+			// in the holder's row, which the caller reads next.
+			var transportErr *TransportError
+			if errors.As(client.call(ctx, instance, pathGiveBack, &giveBackRequest{Program: program}, nil), &transportErr) {
+				results <- accounts
+				return
+			}
+			results <- nil
+		}()
+	}
+	for range byOwner {
+		unanswered = append(unanswered, <-results...)
 	}
-	calls.Wait()
+	return unanswered
 }
 
 // call makes one call and records in the directory whether the instance was
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -283,7 +283,7 @@
 	memory := storetest.New()
 	asker, holder, other := start(t, memory, "asker"), start(t, memory, "holder"), start(t, memory, "other")
 	time.Sleep(50 * time.Millisecond)
-	asker.client.ReleaseUnused(context.Background(), "p", []string{"holder-1.7", "gone-1.2", "odd"})
+	assert.ElementsMatch(t, []string{"gone-1.2", "odd"}, asker.client.ReleaseUnused(context.Background(), "p", []string{"holder-1.7", "gone-1.2", "odd"}))
 	require.NotNil(t, holder.releaseRequested.Load())
 	assert.Equal(t, "p", *holder.releaseRequested.Load())
 	assert.Nil(t, other.releaseRequested.Load())
--- a/entrypeer/message.go
+++ b/entrypeer/message.go
@@ -22,6 +22,10 @@
 	pathFindOrigin   = "/entry/find-origin"
 	pathReports      = "/entry/crash-reports"
 	pathFetchReports = "/entry/fetch-crash-reports"
+	pathRecordGrant  = "/entry/record-grant"
+	pathAnnounce     = "/entry/announce"
+	pathDropGrants   = "/entry/drop-grants"
+	pathTakeOver     = "/entry/take-over"
 )
 
 // giveBackRequest requests the release of the unused tokens that the receiver
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -26,8 +26,10 @@
 	// so that a call is relayed at most once.
 	Store  store.Store
 	Lender Lender
-	Turns  TurnCache
-	Quotas QuotaHome
+	// Witness records the grants of other instances' escrows.
+	Witness WitnessServer
+	Turns   TurnCache
+	Quotas  QuotaHome
 	// Origins holds the origins of streams that other instances recorded here.
 	Origins Origins
 	// Crashes receives reports of endpoints that crashed, which are passed on through
@@ -80,6 +82,10 @@
 	mux.HandleFunc("POST "+pathFindOrigin, server.handleFindOrigin)
 	mux.HandleFunc("POST "+pathReports, server.handleReports)
 	mux.HandleFunc("POST "+pathFetchReports, server.handleFetchReports)
+	mux.HandleFunc("POST "+pathRecordGrant, server.handleRecordGrant)
+	mux.HandleFunc("POST "+pathAnnounce, server.handleAnnounce)
+	mux.HandleFunc("POST "+pathDropGrants, server.handleDropGrants)
+	mux.HandleFunc("POST "+pathTakeOver, server.handleTakeOver)
 	return mux
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,8 +153,10 @@
 	Endpoints     int    `json:"endpoints"`
 	InFlight      int64  `json:"in_flight"`
 	// BodyBytes is the memory held for bodies, prompts and responses.
-	BodyBytes int64          `json:"body_bytes"`
-	Programs  int            `json:"programs"`
+	BodyBytes int64 `json:"body_bytes"`
+	Programs  int   `json:"programs"`
+	// Witnessed is the number of programs whose grants are recorded for other instances.
+	Witnessed int            `json:"witnessed"`
 	Load      []balance.View `json:"load"`
 	Services  []ServiceState `json:"services"`
 	// Utilisations lists the services whose load was observed within a second.
@@ -178,7 +180,7 @@
 // State returns the gateway's section of a state dump, of type State.
 func (gateway *Gateway) State() any {
 	state := State{Ready: gateway.Ready(), Draining: gateway.Shutdown.HasBegun(), Endpoints: gateway.Endpoints.Len(),
-		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state(gateway.Loads), Utilisations: gateway.Loads.Utilisations(), Crashes: gateway.Crashes.Views(maxCrashViews)}
+		InFlight: gateway.InFlight(), BodyBytes: gateway.bodyMemory.Load(), Programs: gateway.Accounts.Len(), Witnessed: gateway.Accounts.WitnessedPrograms(), Load: gateway.Picker.Views(), Services: gateway.serviceQueues.state(gateway.Loads), Utilisations: gateway.Loads.Utilisations(), Crashes: gateway.Crashes.Views(maxCrashViews)}
 	if table := gateway.Routes.Load(); table != nil {
 		state.Configuration, state.Routes = table.Version(), table.Routes()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -95,7 +95,7 @@
 // without any.
 type singleInstance struct{}
 
-func (singleInstance) ReleaseUnused(context.Context, string, []string) {}
+func (singleInstance) ReleaseUnused(context.Context, string, []string) []string { return nil }
 
 func (singleInstance) Turns(context.Context, string, string) ([]archive.EncodedTurn, error) {
 	return nil, nil
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -32,6 +32,7 @@
 type site struct {
 	t      *testing.T
 	memory *storetest.Memory
+	dir    string // of the instances' files
 	fronts []*front
 
 	mu        sync.Mutex
@@ -108,19 +109,9 @@
 	for n := range models + tools {
 		s.add(n < models, nil)
 	}
-	dir := t.TempDir()
+	s.dir = t.TempDir()
 	for n := range frontCount {
-		door := platformtest.NewStoreServer(s.memory)
-		t.Cleanup(door.Close)
-		p, err := newProxy(door.Address())
-		require.NoError(t, err)
-		t.Cleanup(p.close)
-		process, err := platformtest.NewFrontProcess(dir, fmt.Sprintf("front-%d", n+1), dataCentres[n%len(dataCentres)], p.address())
-		require.NoError(t, err)
-		f := &front{FrontProcess: process, door: door, proxy: p}
-		require.NoError(t, f.Start())
-		t.Cleanup(f.Kill)
-		s.fronts = append(s.fronts, f)
+		s.fronts = append(s.fronts, s.newFront(fmt.Sprintf("front-%d", n+1), dataCentres[n%len(dataCentres)]))
 	}
 	for _, f := range s.fronts {
 		require.Eventually(t, f.IsReady, 10*time.Second, 10*time.Millisecond, "%s: %s", f.Name, f.ReadLog())
@@ -128,6 +119,22 @@
 	return s
 }
 
+// newFront starts an entry instance.
+func (s *site) newFront(name, dataCentre string) *front {
+	s.t.Helper()
+	door := platformtest.NewStoreServer(s.memory)
+	s.t.Cleanup(door.Close)
+	p, err := newProxy(door.Address())
+	require.NoError(s.t, err)
+	s.t.Cleanup(p.close)
+	process, err := platformtest.NewFrontProcess(s.dir, name, dataCentre, p.address())
+	require.NoError(s.t, err)
+	f := &front{FrontProcess: process, door: door, proxy: p}
+	require.NoError(s.t, f.Start())
+	s.t.Cleanup(f.Kill)
+	return f
+}
+
 // configure puts the next version of the configuration in force.
 func (s *site) configure() int {
 	s.mu.Lock()
