--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -940,6 +940,17 @@
 	}
 }
 
+// programsOfShards returns n programs of the first shards.
+func programsOfShards(shards, n int) []string {
+	var programs []string
+	for i := 0; len(programs) < n; i++ {
+		if program := fmt.Sprint("p", i); budget.Shard(program) < shards {
+			programs = append(programs, program)
+		}
+	}
+	return programs
+}
+
 type inFlightTurn struct {
 	turn     *account.Reservation
 	instance *instance
@@ -956,8 +967,11 @@
 	const steps = 400
 	programs := 3
 	pickProgram := func(int) int { return rng.IntN(programs) }
+	programName := func(program int) string { return fmt.Sprint("p", program) }
 	if hasWitnesses {
-		programs = 25 // which begin one after the other
+		programs = 25 // of two shards, which begin one after the other
+		ofShards := programsOfShards(2, programs)
+		programName = func(program int) string { return ofShards[program] }
 		pickProgram = func(step int) int { return max(0, step*programs/steps-rng.IntN(4)) }
 	}
 	totals, generated := make([]int64, programs), make([]int64, programs)
@@ -988,7 +1002,7 @@
 			if rng.IntN(5) > 0 {
 				return
 			}
-			shard := budget.Shard(fmt.Sprint("p", pickProgram(current)))
+			shard := budget.Shard(programName(pickProgram(current)))
 			for _, m := range cluster.all {
 				if m.up && !m.isFrozen {
 					_ = m.takeOverHeld(ctx, memory, shard)
@@ -1031,7 +1045,7 @@
 				break
 			}
 			program, maxTokens := pickProgram(step), int64(10+rng.IntN(200))
-			turn, err := m.Reserve(ctx, fmt.Sprint("p", program), maxTokens, totals[program])
+			turn, err := m.Reserve(ctx, programName(program), maxTokens, totals[program])
 			if err == nil {
 				inFlight = append(inFlight, inFlightTurn{turn, m, program})
 			}
