--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -162,6 +162,30 @@
 	require.NoError(t, err)
 }
 
+// Guards against a takeover by an instance that is not the witness, and knows of no grant.
+func TestOnlyWitnessTakesOver(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b", "c")
+	a := cluster.running("a")
+	program := programWithHome(0, "a", "a", "b", "c")
+	row, err := store.Get(ctx, memory, shardKey(budget.Shard(program)))
+	require.NoError(t, err)
+	escrow, err := budget.DecodeEscrow(row.Value)
+	require.NoError(t, err)
+	for _, m := range cluster.all {
+		if m != a && m.owner != escrow.Witness {
+			var refused *account.WitnessRefusedError
+			require.ErrorAs(t, m.Manager.TakeOver(ctx, m.owner, escrow.Account, []int{budget.Shard(program)}), &refused)
+		}
+	}
+	turn, err := reserveInFull(ctx, a.Manager, program, 300, 1000)
+	require.NoError(t, err)
+	turn.Settle(300)
+	unchanged, err := store.Get(ctx, memory, row.Key)
+	require.NoError(t, err)
+	assert.Equal(t, row, unchanged)
+}
+
 // Guards against grants that a witness records after it released the escrow, or for
 // another incarnation: they arrive late, or their sender was frozen.
 func TestWitnessRefusesGrantsOfEndedEscrows(t *testing.T) {
@@ -181,6 +205,36 @@
 	require.ErrorAs(t, b.Manager.RecordGrant(b.owner, grant), &refused)
 }
 
+// Guards against escrows that are released though their holder runs: the witness was
+// suspended and has heard from nobody, or the holder is slow to call. A holder that is
+// silent for long loses its escrow.
+func TestWitnessWaitsForSilentHolder(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, clk := startWitnessed(t, "a", "b")
+	a, b := cluster.running("a"), cluster.running("b")
+	shardOfA := budget.Shard(programWithHome(0, "a", "a", "b"))
+	version := func() uint64 {
+		row, err := store.Get(ctx, memory, shardKey(shardOfA))
+		require.NoError(t, err)
+		return row.Version
+	}
+	before := version()
+	b.TakeOverLost(ctx)
+	clk.Advance(time.Minute) // b was suspended
+	b.TakeOverLost(ctx)
+	for range 10 {
+		clk.Advance(2 * time.Second)
+		b.TakeOverLost(ctx)
+		a.acquire(t)
+	}
+	assert.Equal(t, before, version())
+	for range 5 {
+		clk.Advance(2 * time.Second)
+		b.TakeOverLost(ctx)
+	}
+	assert.Greater(t, version(), before)
+}
+
 // Guards against a witness whose records grow as long as the home runs, and refuse further
 // programs in the end.
 func TestWitnessDropsRecordsOfEvictedPrograms(t *testing.T) {
