account: escrows go on while their witness has terminated and the store is away

A shard is given up for another witness only once the store has answered a read. Until then its escrow grants without records if the witness is known to have terminated: only the holder can release it. A shard whose release was sent is not used again before its row has changed: a release without an answer may be applied later.

--- a/account/escrow.go
+++ b/account/escrow.go
@@ -111,10 +111,13 @@
 	defer cancel()
 	self, names := members.Members()
 	manager.announce(ctx)
-	toTransfer, toAcquire := manager.escrows.plan(self, names, manager.clock.Now(), manager.needsWitness)
+	toTransfer, toRenew, toAcquire := manager.escrows.plan(self, names, manager.clock.Now(), manager.needsWitness)
 	if err := manager.transferShards(ctx, toTransfer); err != nil {
 		return err
 	}
+	if manager.renewShards(ctx, toRenew) {
+		toAcquire = append(toAcquire, toRenew...)
+	}
 	if len(toAcquire) == 0 {
 		return nil
 	}
@@ -235,6 +238,7 @@
 func (manager *Manager) releaseShards(ctx context.Context, shards []int) error {
 	var failed error
 	for chunk := range slices.Chunk(shards, maxShardsPerTransaction) {
+		manager.escrows.setReleasing(chunk)
 		released, err := manager.writeShards(ctx, chunk, budget.Escrow{}, func(current budget.Escrow) bool { return !current.Acquired() || manager.isLocal(current) })
 		if err != nil {
 			failed = err
@@ -395,6 +399,23 @@
 	return nil
 }
 
+// renewShards releases shards that are to be acquired with another witness, and reports
+// whether it did. While the store cannot be read their escrows stay in use.
+func (manager *Manager) renewShards(ctx context.Context, shards []int) bool {
+	if len(shards) == 0 {
+		return false
+	}
+	err := manager.readShards(ctx, shards)
+	if err == nil {
+		err = manager.transferShards(ctx, shards)
+	}
+	if err == nil {
+		return true
+	}
+	manager.log.Info("shards do not get another witness yet", "shards", len(shards), "err", err)
+	return false
+}
+
 // programsWithRows returns the hashes of the names of all program rows in the
 // partitions of shards.
 func (manager *Manager) programsWithRows(ctx context.Context, shards []int) (map[uint64]struct{}, error) {
--- a/account/shards.go
+++ b/account/shards.go
@@ -66,6 +66,9 @@
 	maybeAcquired, usable bool
 	// takeoverAt is when a takeover of another instance's escrow was last requested.
 	takeoverAt time.Time
+	// releasing is set once a write that releases the escrow was sent, which may be applied
+	// later if it got no response.
+	releasing bool
 	// announced is set once the witness knows that it is one.
 	announced bool
 	// refused is set once the witness of this incarnation's escrow records no more of its
@@ -87,7 +90,8 @@
 	defer escrows.mu.Unlock()
 	if shard := &escrows.shards[index]; version >= shard.version {
 		shard.usable = shard.usable && escrow.Account == shard.escrow.Account
-		shard.refused, shard.announced = shard.refused && version == shard.version, shard.announced && version == shard.version
+		isSame := version == shard.version
+		shard.refused, shard.releasing, shard.announced = shard.refused && isSame, shard.releasing && isSame, shard.announced && isSame
 		shard.escrow, shard.version = escrow, version
 	}
 }
@@ -199,7 +203,8 @@
 		escrows.rows[hash] = struct{}{}
 	}
 	for _, index := range shards {
-		escrows.shards[index].usable = !escrows.stopped && !escrows.shards[index].refused
+		shard := &escrows.shards[index]
+		shard.usable = !escrows.stopped && !shard.refused && !shard.releasing
 	}
 }
 
@@ -236,6 +241,15 @@
 	return maybeAcquired
 }
 
+// setReleasing records that a write that releases shards is sent.
+func (escrows *escrows) setReleasing(shards []int) {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	for _, index := range shards {
+		escrows.shards[index].releasing = true
+	}
+}
+
 // setMaybeAcquired records whether a write of this incarnation may have
 // acquired shards.
 func (escrows *escrows) setMaybeAcquired(shards []int, maybeAcquired bool) {
@@ -246,15 +260,15 @@
 	}
 }
 
-// plan returns the shards to transfer, whose home is now another instance or whose
-// escrow needs another witness, and the shards to acquire, given the names of the known
-// instances. It returns only those with a new witness to acquire before nextRetry,
-// after the remaining ones were found to be held by other incarnations.
-func (escrows *escrows) plan(self string, names []string, now time.Time, needsWitness func(escrow budget.Escrow) bool) (toTransfer, toAcquire []int) {
+// plan returns the shards to transfer, whose home is now another instance, those to
+// renew, whose escrow needs another witness, and those to acquire, given the names of
+// the known instances. It returns none to acquire before nextRetry, after the remaining
+// ones were found to be held by other incarnations.
+func (escrows *escrows) plan(self string, names []string, now time.Time, needsWitness func(escrow budget.Escrow) bool) (toTransfer, toRenew, toAcquire []int) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
 	if escrows.stopped {
-		return nil, nil
+		return nil, nil, nil
 	}
 	escrows.updateHomeShards(self, names, now)
 	for _, index := range escrows.maybeAcquired() {
@@ -263,20 +277,19 @@
 		switch {
 		case !isHome:
 			toTransfer = append(toTransfer, index)
-		case shard.refused || needsWitness(shard.escrow):
-			toTransfer, toAcquire = append(toTransfer, index), append(toAcquire, index)
+		case shard.refused || shard.releasing || shard.usable && needsWitness(shard.escrow):
+			toRenew = append(toRenew, index)
 		}
 	}
 	if now.Before(escrows.nextRetry) {
-		return toTransfer, toAcquire
+		return toTransfer, toRenew, nil
 	}
 	for _, index := range escrows.homeShards {
-		if !escrows.shards[index].usable {
+		if shard := &escrows.shards[index]; !shard.usable && !shard.refused && !shard.releasing {
 			toAcquire = append(toAcquire, index)
 		}
 	}
-	slices.Sort(toAcquire)
-	return toTransfer, slices.Compact(toAcquire)
+	return toTransfer, toRenew, toAcquire
 }
 
 // updateHomeShards recomputes homeShards if the members have changed. The
--- a/account/witness.go
+++ b/account/witness.go
@@ -126,6 +126,11 @@
 	return !manager.witnesses.IsCurrent(escrow.Witness) || manager.unresponsive.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
 }
 
+// isTerminated reports whether a witness is known to have terminated for good.
+func (manager *Manager) isTerminated(witness string) bool {
+	return manager.holders.OwnerTerminated(witness + ".") // the name of an account of it
+}
+
 // announce tells the witnesses of this incarnation's escrows that it runs, and which shards
 // they are named for.
 func (manager *Manager) announce(ctx context.Context) {
@@ -161,6 +166,11 @@
 	}
 	shard := budget.Shard(p.id)
 	escrow, version := manager.escrows.get(shard)
+	if escrow.Account == p.account() && manager.isTerminated(escrow.Witness) {
+		// Nobody but this incarnation can release the escrow any more.
+		p.witnessed(tokens)
+		return
+	}
 	if escrow.Account != p.account() || manager.unresponsive.isPaused(escrow.Witness, manager.clock.Now()) {
 		return
 	}
