account: a witness that stops says so, and grants go on without records

The witness takes over no more escrows from the signal on, and tells holders which of theirs it has not ended: these grant without records until they have another witness. That a witness has terminated is no proof of that, as the change before had it: it may have released the escrow, or a write of it may come late. Such escrows grant nothing until the store is back.

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -1031,6 +1031,8 @@
 				m.isFrozen = !m.isFrozen
 			case m != nil && m.isFrozen && rng.IntN(5) == 0:
 				m.isFrozen = false
+			case m != nil && rng.IntN(40) == 0:
+				m.StopWitnessing()
 			case rng.IntN(60) == 0 && len(names) < 6:
 				names = append(names, string(rune('a'+len(names)))) // starts later, like any other that is not up
 			}
--- a/account/grant.go
+++ b/account/grant.go
@@ -263,7 +263,7 @@
 // returns the error of the call, which it logs.
 func (manager *Manager) takeOver(ctx context.Context, escrow budget.Escrow, shards []int) error {
 	if escrow.Witness == "" {
-		return NewWitnessRefusedError("the escrow has none")
+		return NewWitnessRefusedError(WitnessOtherIncarnation)
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
--- a/account/shards.go
+++ b/account/shards.go
@@ -66,6 +66,8 @@
 	maybeAcquired, usable bool
 	// takeoverAt is when a takeover of another instance's escrow was last requested.
 	takeoverAt time.Time
+	// unwitnessed is set once the witness has stopped without having ended the escrow.
+	unwitnessed bool
 	// releasing is set once a write that releases the escrow was sent, which may be applied
 	// later if it got no response.
 	releasing bool
@@ -91,6 +93,7 @@
 	if shard := &escrows.shards[index]; version >= shard.version {
 		shard.usable = shard.usable && escrow.Account == shard.escrow.Account
 		isSame := version == shard.version
+		shard.unwitnessed = shard.unwitnessed && isSame
 		shard.refused, shard.releasing, shard.announced = shard.refused && isSame, shard.releasing && isSame, shard.announced && isSame
 		shard.escrow, shard.version = escrow, version
 	}
@@ -140,6 +143,39 @@
 	return unannounced
 }
 
+// witnessedBy returns the shards of usable escrows with the given witness.
+func (escrows *escrows) witnessedBy(witness string) []WitnessedShard {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	var shards []WitnessedShard
+	for index := range escrows.shards {
+		if shard := &escrows.shards[index]; shard.usable && shard.escrow.Witness == witness {
+			shards = append(shards, WitnessedShard{Shard: index, Version: shard.version, Account: shard.escrow.Account})
+		}
+	}
+	return shards
+}
+
+// setUnwitnessed records that the witness of shards has stopped without having ended their
+// escrows.
+func (escrows *escrows) setUnwitnessed(shards []WitnessedShard) {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	for _, stopped := range shards {
+		if shard := &escrows.shards[stopped.Shard]; shard.version == stopped.Version {
+			shard.unwitnessed = true
+		}
+	}
+}
+
+// isUnwitnessed reports whether the escrow of a shard may grant without records, if the
+// shard's row is still at version.
+func (escrows *escrows) isUnwitnessed(index int, version uint64) bool {
+	escrows.mu.Lock()
+	defer escrows.mu.Unlock()
+	return escrows.shards[index].unwitnessed && escrows.shards[index].version == version
+}
+
 // setAnnounced records that the witness of shards was told of them.
 func (escrows *escrows) setAnnounced(shards []WitnessedShard) {
 	escrows.mu.Lock()
--- a/account/takeover.go
+++ b/account/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -55,12 +54,12 @@
 	known := records.at(grant.Shard, grant.Version)
 	_, isKnown := known.granted[grant.Program]
 	switch {
-	case records.stopped:
-		return NewWitnessRefusedError("the instance is stopping")
 	case known.version > grant.Version || known.sealed:
-		return NewWitnessRefusedError("the escrow has ended")
+		return NewWitnessRefusedError(WitnessEscrowEnded)
+	case records.stopped:
+		return NewWitnessRefusedError(WitnessStopped)
 	case !isKnown && records.programs >= maxWitnessed:
-		return NewWitnessRefusedError("too many programs")
+		return NewWitnessRefusedError(WitnessFull)
 	case !isKnown:
 		records.programs++
 	}
@@ -73,16 +72,16 @@
 func (records *witnessRecords) announce(holder string, shards []WitnessedShard, now time.Time) error {
 	records.mu.Lock()
 	defer records.mu.Unlock()
-	if records.stopped {
-		return NewWitnessRefusedError("the instance is stopping")
-	}
 	for _, shard := range shards {
 		known := records.at(shard.Shard, shard.Version)
 		if known.version > shard.Version || known.sealed {
-			return NewWitnessRefusedError("the escrow has ended")
+			return NewWitnessRefusedError(WitnessEscrowEnded)
 		}
 		known.holder, known.account = holder, shard.Account
 	}
+	if records.stopped {
+		return NewWitnessRefusedError(WitnessStopped)
+	}
 	if records.heardAt == nil {
 		records.heardAt = map[string]time.Time{}
 	}
@@ -163,25 +162,35 @@
 }
 
 // seal ends the recording of grants of a shard's escrow, and returns those that were
-// recorded. It returns false if a higher version of the shard's row is known.
-func (records *witnessRecords) seal(shard int, version uint64) (granted map[string]int64, ok bool) {
+// recorded. It returns false if a higher version of the shard's row is known, and a
+// *WitnessRefusedError after stop unless the shard was sealed before: its holder may grant
+// without records then.
+func (records *witnessRecords) seal(shard int, version uint64) (granted map[string]int64, ok bool, err error) {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	known := records.at(shard, version)
-	if known.version > version {
-		return nil, false
+	switch {
+	case known.version > version:
+		return nil, false, nil
+	case records.stopped && !known.sealed:
+		return nil, false, NewWitnessRefusedError(WitnessStopped)
 	}
 	known.sealed = true
-	return known.granted, true
+	return known.granted, true, nil
 }
 
-// stop ends the recording of grants.
+// stop ends the recording of grants and all takeovers that have not begun.
 func (records *witnessRecords) stop() {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	records.stopped = true
 }
 
+// StopWitnessing makes this instance take over no more escrows, and tell their holders so.
+// It is called when a shutdown begins, so that holders learn of it before the instance is
+// gone.
+func (manager *Manager) StopWitnessing() { manager.witnessed.stop() }
+
 // WitnessedPrograms returns the number of programs whose grants this instance records for
 // others.
 func (manager *Manager) WitnessedPrograms() int {
@@ -194,7 +203,7 @@
 // is the witness. It returns a *WitnessRefusedError if the escrow may not grant it.
 func (manager *Manager) RecordGrant(witness string, grant WitnessedGrant) error {
 	if witness != manager.owner {
-		return NewWitnessRefusedError("it is another incarnation")
+		return NewWitnessRefusedError(WitnessOtherIncarnation)
 	}
 	return manager.witnessed.record(grant)
 }
@@ -204,7 +213,7 @@
 // one or an escrow has ended.
 func (manager *Manager) Announce(witness, holder string, shards []WitnessedShard) error {
 	if witness != manager.owner {
-		return NewWitnessRefusedError("it is another incarnation")
+		return NewWitnessRefusedError(WitnessOtherIncarnation)
 	}
 	return manager.witnessed.announce(holder, shards, manager.clock.Now())
 }
@@ -227,7 +236,7 @@
 // DropGrants drops the records of grants to programs whose rows record them.
 func (manager *Manager) DropGrants(witness string, grants []WitnessedGrant) error {
 	if witness != manager.owner {
-		return NewWitnessRefusedError("it is another incarnation")
+		return NewWitnessRefusedError(WitnessOtherIncarnation)
 	}
 	manager.witnessed.drop(grants)
 	return nil
@@ -240,7 +249,7 @@
 // *store.Error if a shard could not be released. After an error it may be called again.
 func (manager *Manager) TakeOver(ctx context.Context, witness, account string, shards []int) error {
 	if witness != manager.owner {
-		return NewWitnessRefusedError("it is another incarnation")
+		return NewWitnessRefusedError(WitnessOtherIncarnation)
 	}
 	select {
 	case manager.takingOver <- struct{}{}:
@@ -259,9 +268,12 @@
 			continue // released already
 		}
 		if escrow.Witness != manager.owner {
-			return NewWitnessRefusedError(fmt.Sprintf("the witness of shard %d is %s", shard, escrow.Witness))
+			return NewWitnessRefusedError(WitnessOtherIncarnation)
+		}
+		programs, ok, err := manager.witnessed.seal(shard, version)
+		if err != nil {
+			return err
 		}
-		programs, ok := manager.witnessed.seal(shard, version)
 		if !ok {
 			continue // released since it was read
 		}
--- a/account/witness.go
+++ b/account/witness.go
@@ -64,16 +64,37 @@
 	Account string
 }
 
-// WitnessRefusedError is returned for a request to a witness that no longer is one.
-type WitnessRefusedError struct{ detail string }
+// WitnessRefusal is the reason for which a witness refused a request.
+type WitnessRefusal int
+
+//go:generate stringer -type=WitnessRefusal
+
+// Reasons of refusals.
+const (
+	// WitnessOtherIncarnation means that another incarnation than the named one answers.
+	WitnessOtherIncarnation WitnessRefusal = iota
+	// WitnessEscrowEnded means that the escrow may grant no more.
+	WitnessEscrowEnded
+	// WitnessStopped means that the witness stops, and has not ended the escrow and never
+	// will. Its holder may grant without records.
+	WitnessStopped
+	// WitnessFull means that no more programs can be recorded.
+	WitnessFull
+)
+
+// WitnessRefusedError is returned for a request that a witness refused.
+type WitnessRefusedError struct{ reason WitnessRefusal }
 
 // NewWitnessRefusedError returns the refusal that another instance reported.
-func NewWitnessRefusedError(detail string) *WitnessRefusedError {
-	return &WitnessRefusedError{detail: detail}
+func NewWitnessRefusedError(reason WitnessRefusal) *WitnessRefusedError {
+	return &WitnessRefusedError{reason: reason}
 }
 
+// Reason returns the reason.
+func (e *WitnessRefusedError) Reason() WitnessRefusal { return e.reason }
+
 // Error gives the reason.
-func (e *WitnessRefusedError) Error() string { return "witness refused: " + e.detail }
+func (e *WitnessRefusedError) Error() string { return "witness refused: " + e.reason.String() }
 
 // UseWitnesses makes the escrows of this instance have witnesses. It must be called
 // before the first shard is acquired.
@@ -123,12 +144,21 @@
 	case escrow.Witness == "":
 		return manager.nextWitness() != ""
 	}
-	return !manager.witnesses.IsCurrent(escrow.Witness) || manager.unresponsive.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
+	return manager.unresponsive.hasStopped(escrow.Witness) || !manager.witnesses.IsCurrent(escrow.Witness) || manager.unresponsive.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
 }
 
-// isTerminated reports whether a witness is known to have terminated for good.
-func (manager *Manager) isTerminated(witness string) bool {
-	return manager.holders.OwnerTerminated(witness + ".") // the name of an account of it
+// recordWitnessError records why a witness did not confirm a request, and returns the
+// reason if it refused, else WitnessOtherIncarnation.
+func (manager *Manager) recordWitnessError(witness string, err error) WitnessRefusal {
+	var refused *WitnessRefusedError
+	if !errors.As(err, &refused) {
+		manager.unresponsive.failed(witness, manager.clock.Now())
+		return WitnessOtherIncarnation
+	}
+	if refused.reason == WitnessStopped || refused.reason == WitnessOtherIncarnation {
+		manager.unresponsive.stopped(witness)
+	}
+	return refused.reason
 }
 
 // announce tells the witnesses of this incarnation's escrows that it runs, and which shards
@@ -141,22 +171,36 @@
 		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := manager.witnesses.Announce(callCtx, witness, manager.owner, shards)
 		cancel()
-		var refused *WitnessRefusedError
-		switch {
-		case err == nil:
+		if err == nil {
 			manager.unresponsive.responded(witness)
 			manager.escrows.setAnnounced(shards)
-		case errors.As(err, &refused):
-			manager.escrows.refuseWitness(witness)
-		default:
-			manager.unresponsive.failed(witness, manager.clock.Now())
+			continue
 		}
-		if err != nil {
-			manager.log.Info("witness of escrows not reached", "witness", witness, "err", err)
+		if manager.recordWitnessError(witness, err) == WitnessStopped {
+			err = manager.checkStoppedWitness(ctx, witness)
+		}
+		if manager.recordWitnessError(witness, err) == WitnessEscrowEnded {
+			manager.escrows.refuseWitness(witness)
 		}
+		manager.log.Info("witness of escrows did not confirm that it is one", "witness", witness, "err", err)
 	}
 }
 
+// checkStoppedWitness asks a witness that stops about all escrows that it is named for, and
+// records that they no longer have one if it has ended none of them. It returns the error
+// of the call.
+func (manager *Manager) checkStoppedWitness(ctx context.Context, witness string) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	shards := manager.escrows.witnessedBy(witness)
+	err := manager.witnesses.Announce(ctx, witness, manager.owner, shards)
+	var refused *WitnessRefusedError
+	if errors.As(err, &refused) && refused.reason == WitnessStopped {
+		manager.escrows.setUnwitnessed(shards)
+	}
+	return err
+}
+
 // recordAtWitness has the witness record what the escrow of p's shard is to grant, if the
 // turn needs that. If the witness does not confirm it, the turn is granted by a row.
 func (manager *Manager) recordAtWitness(ctx context.Context, p *program, turn budget.Turn) {
@@ -166,12 +210,14 @@
 	}
 	shard := budget.Shard(p.id)
 	escrow, version := manager.escrows.get(shard)
-	if escrow.Account == p.account() && manager.isTerminated(escrow.Witness) {
-		// Nobody but this incarnation can release the escrow any more.
+	if escrow.Account != p.account() {
+		return
+	}
+	if manager.escrows.isUnwitnessed(shard, version) {
 		p.witnessed(tokens)
 		return
 	}
-	if escrow.Account != p.account() || manager.unresponsive.isPaused(escrow.Witness, manager.clock.Now()) {
+	if manager.unresponsive.isPaused(escrow.Witness, manager.clock.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -184,11 +230,13 @@
 		return
 	}
 	manager.recordFailures.Inc(1)
-	var refused *WitnessRefusedError
-	if errors.As(err, &refused) {
+	switch manager.recordWitnessError(escrow.Witness, err) {
+	case WitnessEscrowEnded:
 		manager.escrows.refuse(shard, version)
-	} else {
-		manager.unresponsive.failed(escrow.Witness, manager.clock.Now())
+	case WitnessStopped:
+		manager.escrows.setUnwitnessed([]WitnessedShard{{Shard: shard, Version: version}})
+		p.witnessed(tokens)
+		return
 	}
 	manager.log.Info("grant of an escrow not recorded by its witness: the turn is granted by a row", "program", p.id, "shard", shard, "witness", escrow.Witness, "err", err)
 }
@@ -227,6 +275,25 @@
 type unresponsive struct {
 	mu       sync.Mutex
 	failures map[string]witnessFailure
+	// gone holds the incarnations that stop or have been replaced.
+	gone map[string]bool
+}
+
+// stopped records that a witness stops or has been replaced.
+func (unresponsive *unresponsive) stopped(witness string) {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	if unresponsive.gone == nil {
+		unresponsive.gone = map[string]bool{}
+	}
+	unresponsive.gone[witness] = true
+}
+
+// hasStopped reports whether stopped was called for a witness.
+func (unresponsive *unresponsive) hasStopped(witness string) bool {
+	unresponsive.mu.Lock()
+	defer unresponsive.mu.Unlock()
+	return unresponsive.gone[witness]
 }
 
 // witnessFailure holds when a witness first and last failed to answer without an answer
@@ -281,5 +348,5 @@
 	unresponsive.mu.Lock()
 	defer unresponsive.mu.Unlock()
 	failure, ok := unresponsive.failures[witness]
-	return ok && now.Sub(failure.last) < maxRetryDelay
+	return unresponsive.gone[witness] || ok && now.Sub(failure.last) < maxRetryDelay
 }
--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -235,6 +235,30 @@
 	assert.Greater(t, version(), before)
 }
 
+// Guards against programs that can't begin in an outage of the store since the witness of
+// their home stops as planned, and against tokens spent twice if it ended the escrow before.
+func TestEscrowGoesOnWhenWitnessStops(t *testing.T) {
+	ctx := context.Background()
+	for _, isEnded := range []bool{false, true} {
+		cluster, memory, _ := startWitnessed(t, "a", "b")
+		a, b := cluster.running("a"), cluster.running("b")
+		programs := []string{programWithHome(0, "a", "a", "b"), programWithHome(1, "a", "a", "b"), programWithHome(2, "a", "a", "b")}
+		if isEnded {
+			for _, program := range programs {
+				require.NoError(t, b.takeOverHeld(ctx, memory, budget.Shard(program)))
+			}
+		}
+		memory.SetFault(storeRefuses)
+		b.StopWitnessing()
+		_ = a.AcquireOnce(ctx, a, false) // calls its witness
+		b.up = false
+		for _, program := range programs {
+			_, err := a.Reserve(ctx, program, 300, 1000)
+			assert.Equal(t, isEnded, err != nil, "program %s: %v", program, err)
+		}
+	}
+}
+
 // Guards against a witness whose records grow as long as the home runs, and refuse further
 // programs in the end.
 func TestWitnessDropsRecordsOfEvictedPrograms(t *testing.T) {
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -304,6 +304,7 @@
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		defer context.AfterFunc(ctx, func() {
 			f.gateway.Drain()
+			f.accounts.StopWitnessing()
 			p.log.Info("draining", "in_flight", f.gateway.InFlight(), "accept_until", f.shutdown.AcceptUntil(), "respond_until", f.shutdown.RespondUntil())
 		})()
 		served := make(chan error, 1)
--- a/entrypeer/witness.go
+++ b/entrypeer/witness.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/budget"
+	"github.com/wagtaildrum/wagtaildrum/codec"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
@@ -72,6 +75,11 @@
 	return true
 }
 
+// witnessRefusal is the body of a response that refuses a request to a witness.
+type witnessRefusal struct {
+	Reason account.WitnessRefusal
+}
+
 // WitnessServer records the grants of other instances. *account.Manager implements it.
 type WitnessServer interface {
 	// RecordGrant records a grant. It returns an *account.WitnessRefusedError if the
@@ -167,10 +175,14 @@
 	}
 	err := client.exchange(ctx, instance, path, message, nil)
 	var statusErr *StatusError
-	if errors.As(err, &statusErr) && statusErr.status == http.StatusConflict {
-		return account.NewWitnessRefusedError(statusErr.detail)
+	if !errors.As(err, &statusErr) || statusErr.status != http.StatusConflict {
+		return err
 	}
-	return err
+	var refusal witnessRefusal
+	if err := codec.Unmarshal([]byte(statusErr.detail), &refusal); err != nil {
+		return eris.Wrapf(err, "decode refusal of instance %s", instance.Name)
+	}
+	return account.NewWitnessRefusedError(refusal.Reason)
 }
 
 // handleRecordGrant serves a recordGrantRequest. It responds with 409 if the grant is
@@ -229,7 +241,13 @@
 	case err == nil:
 		w.WriteHeader(http.StatusNoContent)
 	case errors.As(err, &refused):
-		http.Error(w, err.Error(), http.StatusConflict)
+		body, err := codec.Marshal(&witnessRefusal{Reason: refused.Reason()})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.WriteHeader(http.StatusConflict)
+		_, _ = w.Write(body) // a write fails if the caller has closed the connection
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
--- a/entrypeer/witness_test.go
+++ b/entrypeer/witness_test.go
@@ -36,7 +36,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if witness != "b-1-1" {
-		return account.NewWitnessRefusedError("it is another incarnation")
+		return account.NewWitnessRefusedError(account.WitnessOtherIncarnation)
 	}
 	w.grants = append(w.grants, grant)
 	return w.err
@@ -132,8 +132,11 @@
 	var status *entrypeer.StatusError
 	require.ErrorAs(t, client.RecordGrant(ctx, "b-0-1", grant), &unavailable)
 	require.Error(t, client.RecordGrant(ctx, "b-1-1", account.WitnessedGrant{Shard: 960, Program: "p"}))
-	witness.err = account.NewWitnessRefusedError("the escrow has ended")
-	require.ErrorAs(t, client.RecordGrant(ctx, "b-1-1", grant), &refused)
+	for _, reason := range []account.WitnessRefusal{account.WitnessEscrowEnded, account.WitnessStopped, account.WitnessOtherIncarnation} {
+		witness.err = account.NewWitnessRefusedError(reason)
+		require.ErrorAs(t, client.RecordGrant(ctx, "b-1-1", grant), &refused)
+		assert.Equal(t, reason, refused.Reason())
+	}
 	witness.err = store.NewError(store.FailureRefused, "commit", "test")
 	require.ErrorAs(t, client.TakeOver(ctx, "b-1-1", "c-1-1.4", []int{3}), &status)
 }
