--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -259,6 +259,28 @@
 	}
 }
 
+// Guards against tokens spent twice by a holder that takes the end of its witness for proof
+// that its escrow stands: the witness released it before.
+func TestTerminatedWitnessMayHaveReleasedEscrow(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b")
+	cluster.detectsReplacement = true
+	a, b := cluster.running("a"), cluster.running("b")
+	program := programWithHome(0, "a", "a", "b")
+	a.isFrozen = true
+	require.NoError(t, b.takeOverHeld(ctx, memory, budget.Shard(program)))
+	turn, err := reserveInFull(ctx, b.Manager, program, 1000, 1000)
+	require.NoError(t, err)
+	turn.Settle(1000)
+	b.up = false
+	cluster.start("b", "a")
+	a.isFrozen = false
+	memory.SetFault(storeRefuses)
+	_ = a.AcquireOnce(ctx, a, false)
+	_, err = a.Reserve(ctx, program, 300, 1000)
+	require.Error(t, err)
+}
+
 // Guards against a witness whose records grow as long as the home runs, and refuse further
 // programs in the end.
 func TestWitnessDropsRecordsOfEvictedPrograms(t *testing.T) {
