account: a witness takes over at once only if the holder is known to have terminated

A holder that is missing from the witness's list may just have started: its announcement comes before its entry. It was taken over as it began.

--- a/account/manager.go
+++ b/account/manager.go
@@ -42,10 +42,10 @@
 	lenders Lenders
 	loans   *loans
 	escrows escrows
-	// witnesses is nil if escrows have no witnesses. unresponsive holds those that did
-	// not answer lately.
-	witnesses    Witnesses
-	unresponsive unresponsive
+	// witnesses is nil if escrows have no witnesses. health holds which of them did not
+	// answer lately.
+	witnesses Witnesses
+	health    witnessHealth
 	// witnessed holds the grants of which this instance is the witness. takingOver holds
 	// an element while it releases an escrow of another instance.
 	witnessed  witnessRecords
--- a/account/takeover.go
+++ b/account/takeover.go
@@ -89,10 +89,10 @@
 	return nil
 }
 
-// lost returns the shards of each account whose holder is not current or was not heard
-// from for holderTimeout. It returns none after a pause in which the holders' calls may
-// have been missed.
-func (records *witnessRecords) lost(now time.Time, isCurrent func(holder string) bool) map[string][]int {
+// lost returns the shards of each account whose holder has terminated or was not heard
+// from for holderTimeout. The time starts anew after a pause in which the holders' calls
+// may have been missed.
+func (records *witnessRecords) lost(now time.Time, hasTerminated func(account string) bool) map[string][]int {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	if now.Sub(records.checkedAt) > holderTimeout/2 {
@@ -107,7 +107,7 @@
 			continue
 		}
 		held[known.holder] = true
-		if now.Sub(records.heardAt[known.holder]) >= holderTimeout || !isCurrent(known.holder) {
+		if now.Sub(records.heardAt[known.holder]) >= holderTimeout || hasTerminated(known.account) {
 			shards[known.account] = append(shards[known.account], shard)
 		}
 	}
@@ -226,7 +226,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	for account, shards := range manager.witnessed.lost(manager.clock.Now(), manager.witnesses.IsCurrent) {
+	for account, shards := range manager.witnessed.lost(manager.clock.Now(), manager.holders.OwnerTerminated) {
 		if err := manager.TakeOver(ctx, manager.owner, account, shards); err != nil {
 			manager.log.Info("escrow of a lost instance not released; trying again later", "account", account, "shards", len(shards), "err", err)
 		}
--- a/account/witness.go
+++ b/account/witness.go
@@ -106,7 +106,7 @@
 		return ""
 	}
 	now := manager.clock.Now()
-	return manager.witnesses.Witness(func(owner string) bool { return manager.unresponsive.isSuspect(owner, now) })
+	return manager.witnesses.Witness(func(owner string) bool { return manager.health.isSuspect(owner, now) })
 }
 
 // dropGrants has witnesses drop the records of programs that have rows now. If that fails,
@@ -144,7 +144,7 @@
 	case escrow.Witness == "":
 		return manager.nextWitness() != ""
 	}
-	return manager.unresponsive.hasStopped(escrow.Witness) || !manager.witnesses.IsCurrent(escrow.Witness) || manager.unresponsive.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
+	return manager.health.hasStopped(escrow.Witness) || !manager.witnesses.IsCurrent(escrow.Witness) || manager.health.failedSince(escrow.Witness, manager.clock.Now()) >= witnessPatience
 }
 
 // recordWitnessError records why a witness did not confirm a request, and returns the
@@ -152,11 +152,11 @@
 func (manager *Manager) recordWitnessError(witness string, err error) WitnessRefusal {
 	var refused *WitnessRefusedError
 	if !errors.As(err, &refused) {
-		manager.unresponsive.failed(witness, manager.clock.Now())
+		manager.health.failed(witness, manager.clock.Now())
 		return WitnessOtherIncarnation
 	}
 	if refused.reason == WitnessStopped || refused.reason == WitnessOtherIncarnation {
-		manager.unresponsive.stopped(witness)
+		manager.health.stopped(witness)
 	}
 	return refused.reason
 }
@@ -172,7 +172,7 @@
 		err := manager.witnesses.Announce(callCtx, witness, manager.owner, shards)
 		cancel()
 		if err == nil {
-			manager.unresponsive.responded(witness)
+			manager.health.responded(witness)
 			manager.escrows.setAnnounced(shards)
 			continue
 		}
@@ -217,14 +217,14 @@
 		p.witnessed(tokens)
 		return
 	}
-	if manager.unresponsive.isPaused(escrow.Witness, manager.clock.Now()) {
+	if manager.health.isPaused(escrow.Witness, manager.clock.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	err := manager.witnesses.RecordGrant(ctx, escrow.Witness, WitnessedGrant{Shard: shard, Version: version, Program: p.id, Tokens: tokens})
 	if err == nil {
-		manager.unresponsive.responded(escrow.Witness)
+		manager.health.responded(escrow.Witness)
 		manager.recorded.Inc(1)
 		p.witnessed(tokens)
 		return
@@ -270,9 +270,9 @@
 	return p.usage.Owner()
 }
 
-// unresponsive holds the witnesses that did not answer lately. Its zero value is ready
-// for use.
-type unresponsive struct {
+// witnessHealth holds which witnesses did not answer lately. Its zero value is ready for
+// use.
+type witnessHealth struct {
 	mu       sync.Mutex
 	failures map[string]witnessFailure
 	// gone holds the incarnations that stop or have been replaced.
@@ -280,20 +280,20 @@
 }
 
 // stopped records that a witness stops or has been replaced.
-func (unresponsive *unresponsive) stopped(witness string) {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	if unresponsive.gone == nil {
-		unresponsive.gone = map[string]bool{}
+func (health *witnessHealth) stopped(witness string) {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	if health.gone == nil {
+		health.gone = map[string]bool{}
 	}
-	unresponsive.gone[witness] = true
+	health.gone[witness] = true
 }
 
 // hasStopped reports whether stopped was called for a witness.
-func (unresponsive *unresponsive) hasStopped(witness string) bool {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	return unresponsive.gone[witness]
+func (health *witnessHealth) hasStopped(witness string) bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	return health.gone[witness]
 }
 
 // witnessFailure holds when a witness first and last failed to answer without an answer
@@ -301,52 +301,52 @@
 type witnessFailure struct{ first, last time.Time }
 
 // failed records that a witness did not answer.
-func (unresponsive *unresponsive) failed(witness string, now time.Time) {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	if unresponsive.failures == nil {
-		unresponsive.failures = map[string]witnessFailure{}
+func (health *witnessHealth) failed(witness string, now time.Time) {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	if health.failures == nil {
+		health.failures = map[string]witnessFailure{}
 	}
-	failure, ok := unresponsive.failures[witness]
+	failure, ok := health.failures[witness]
 	if !ok {
 		failure.first = now
 	}
 	failure.last = now
-	unresponsive.failures[witness] = failure
+	health.failures[witness] = failure
 }
 
 // responded records that a witness answered.
-func (unresponsive *unresponsive) responded(witness string) {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	delete(unresponsive.failures, witness)
+func (health *witnessHealth) responded(witness string) {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	delete(health.failures, witness)
 }
 
 // isPaused reports whether a witness failed to answer within recordPause.
-func (unresponsive *unresponsive) isPaused(witness string, now time.Time) bool {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	failure, ok := unresponsive.failures[witness]
+func (health *witnessHealth) isPaused(witness string, now time.Time) bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	failure, ok := health.failures[witness]
 	return ok && now.Sub(failure.last) < recordPause
 }
 
 // failedSince returns the time between the first and the last of the failures since the
 // witness last answered. Failures of long ago are forgotten.
-func (unresponsive *unresponsive) failedSince(witness string, now time.Time) time.Duration {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	failure, ok := unresponsive.failures[witness]
+func (health *witnessHealth) failedSince(witness string, now time.Time) time.Duration {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	failure, ok := health.failures[witness]
 	if !ok || now.Sub(failure.last) >= maxRetryDelay {
-		delete(unresponsive.failures, witness)
+		delete(health.failures, witness)
 		return 0
 	}
 	return failure.last.Sub(failure.first)
 }
 
 // isSuspect reports whether a witness has failed to answer and not answered since.
-func (unresponsive *unresponsive) isSuspect(witness string, now time.Time) bool {
-	unresponsive.mu.Lock()
-	defer unresponsive.mu.Unlock()
-	failure, ok := unresponsive.failures[witness]
-	return unresponsive.gone[witness] || ok && now.Sub(failure.last) < maxRetryDelay
+func (health *witnessHealth) isSuspect(witness string, now time.Time) bool {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	failure, ok := health.failures[witness]
+	return health.gone[witness] || ok && now.Sub(failure.last) < maxRetryDelay
 }
