--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -936,10 +936,27 @@
 		seeds = 50
 	}
 	for seed := range seeds {
-		runEscrowSchedule(t, seed, true)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runEscrowSchedule(t, seed, true)
+		})
 	}
 }
 
+// lockedSource is a rand.Source that is safe for concurrent use: an instance calls several
+// others at a time.
+type lockedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Uint64 implements rand.Source.
+func (locked *lockedSource) Uint64() uint64 {
+	locked.mu.Lock()
+	defer locked.mu.Unlock()
+	return locked.source.Uint64()
+}
+
 // programsOfShards returns n programs of the first shards.
 func programsOfShards(shards, n int) []string {
 	var programs []string
@@ -959,7 +976,7 @@
 
 func runEscrowSchedule(t *testing.T, seed uint64, hasWitnesses bool) {
 	ctx := context.Background()
-	rng := rand.New(rand.NewPCG(seed, 7))
+	rng := rand.New(&lockedSource{source: rand.NewPCG(seed, 7)})
 	memory := storetest.New()
 	clk := clock.NewFake(time.Unix(1000, 0))
 	cluster := &testCluster{store: memory, clock: clk, hasWitnesses: hasWitnesses, detectsReplacement: hasWitnesses && rng.IntN(2) == 0}
