account: tests of takeovers of programs with rows, of shards acquired meanwhile, and of late records

Two guards are covered by others: the shard's version as a condition of a single row (the row's version makes a late write void), and the end of use after a refusal (each grant asks again).

--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/budget"
@@ -162,6 +164,80 @@
 	require.NoError(t, err)
 }
 
+// Guards against tokens spent twice by programs that have rows when their home's escrow is
+// released: another instance wrote one without knowing what the escrow had granted, and the
+// home one that grants more than the escrow.
+func TestTakeoverCountsGrantsOfProgramsWithRows(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, clk := startWitnessed(t, "a", "b", "c")
+	a, b := cluster.running("a"), cluster.running("b")
+	unknown, granted := programWithHome(0, "a", "a", "b", "c"), programWithHome(1, "a", "a", "b", "c")
+	for _, program := range []string{unknown, granted} {
+		turn, err := reserveInFull(ctx, a.Manager, program, 300, 1000)
+		require.NoError(t, err)
+		turn.Settle(300)
+	}
+	turn, err := reserveInFull(ctx, a.Manager, granted, 300, 1000)
+	require.NoError(t, err)
+	turn.Settle(300)
+	a.isFrozen = true
+	turn, err = reserveInFull(ctx, b.Manager, unknown, 600, 1000)
+	require.NoError(t, err)
+	turn.Settle(600)
+	for _, program := range []string{unknown, granted} {
+		for _, m := range cluster.all {
+			_ = m.takeOverHeld(ctx, memory, budget.Shard(program)) // one of them is the witness
+		}
+		clk.Advance(2 * time.Second)
+	}
+	_, err = reserveInFull(ctx, b.Manager, unknown, 101, 1000)
+	require.Error(t, err)
+	_, err = reserveInFull(ctx, b.Manager, unknown, 100, 1000)
+	require.NoError(t, err)
+	_, err = reserveInFull(ctx, b.Manager, granted, 401, 1000)
+	require.Error(t, err)
+}
+
+// interferingStore calls before ahead of each commit that writes a shard.
+type interferingStore struct {
+	store.Store
+	before func()
+}
+
+func (s *interferingStore) Commit(ctx context.Context, tx store.Transaction) (uint64, error) {
+	if before := s.before; before != nil && len(tx.Puts) > 0 && tx.Puts[0].Key.Table == "escrows" {
+		s.before = nil
+		before()
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+// Guards against a takeover that releases the escrow of another holder, which acquired the
+// shard since the witness read it.
+func TestTakeoverLeavesLaterEscrows(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b")
+	a, b := cluster.running("a"), cluster.running("b")
+	shard := budget.Shard(programWithHome(0, "a", "a", "b"))
+	row, err := store.Get(ctx, memory, shardKey(shard))
+	require.NoError(t, err)
+	held, err := budget.DecodeEscrow(row.Value)
+	require.NoError(t, err)
+	next := budget.Escrow{Account: "c-1.1", Instance: "c", Witness: b.owner}
+	value, err := next.Encode()
+	require.NoError(t, err)
+	interfering := &interferingStore{Store: memory, before: func() {
+		_, err := memory.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: row.Key, Value: value}}})
+		assert.NoError(t, err)
+	}}
+	witness := account.NewManager(interfering, b.owner, b, b, cluster.clock, slog.New(slog.DiscardHandler), tally.NoopScope)
+	require.NoError(t, witness.TakeOver(ctx, b.owner, held.Account, []int{shard}))
+	row, err = store.Get(ctx, memory, shardKey(shard))
+	require.NoError(t, err)
+	assert.Equal(t, value, row.Value)
+	assert.True(t, a.up)
+}
+
 // Guards against a takeover by an instance that is not the witness, and knows of no grant.
 func TestOnlyWitnessTakesOver(t *testing.T) {
 	ctx := context.Background()
@@ -202,6 +278,8 @@
 	newer := grant
 	newer.Version += 100
 	require.NoError(t, b.Manager.RecordGrant(b.owner, newer), "a later escrow of the shard")
+	require.NoError(t, b.Manager.DropGrants(b.owner, []account.WitnessedGrant{grant}))
+	assert.Equal(t, 1, b.WitnessedPrograms(), "records of another escrow stay")
 	require.ErrorAs(t, b.Manager.RecordGrant(b.owner, grant), &refused)
 }
 
@@ -303,6 +381,25 @@
 	require.NoError(t, err)
 }
 
+// Guards against a witness that counts too little as spent, since an earlier record arrives
+// after a later one.
+func TestWitnessKeepsLargestGrant(t *testing.T) {
+	ctx := context.Background()
+	cluster, memory, _ := startWitnessed(t, "a", "b")
+	a, b := cluster.running("a"), cluster.running("b")
+	program := programWithHome(0, "a", "a", "b")
+	grant := recordedGrant(t, memory, program)
+	require.NoError(t, b.Manager.RecordGrant(b.owner, grant))
+	grant.Tokens = 100
+	require.NoError(t, b.Manager.RecordGrant(b.owner, grant))
+	a.up = false
+	require.NoError(t, b.takeOverHeld(ctx, memory, grant.Shard))
+	_, err := reserveInFull(ctx, b.Manager, program, 701, 1000)
+	require.Error(t, err)
+	_, err = reserveInFull(ctx, b.Manager, program, 700, 1000)
+	require.NoError(t, err)
+}
+
 // recordedGrant returns a grant of all that the escrow of the program's shard may grant,
 // under the escrow in the store.
 func recordedGrant(t *testing.T, memory *storetest.Memory, program string) account.WitnessedGrant {
