--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -198,6 +198,39 @@
 	require.Error(t, err)
 }
 
+// Guards against tokens spent twice by a shard that is used again although its release was
+// sent: the response was lost, and the release is applied later.
+func TestShardIsNotUsedAfterUnansweredRelease(t *testing.T) {
+	ctx := context.Background()
+	memory, clk := storetest.New(), clock.NewFake(time.Unix(1000, 0))
+	cluster := &testCluster{store: memory, clock: clk}
+	a := cluster.start("a")
+	a.acquire(t)
+	a.peers = []string{"b"}
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.LoseRequest
+		}
+		return storetest.None
+	})
+	require.Error(t, a.AcquireOnce(ctx, a, false))
+	a.peers = nil
+	clk.Advance(afterDepartureGrace)
+	memory.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	_ = a.AcquireOnce(ctx, a, false) // the shards' home is this instance again
+	program := programWithHome(0, "b", "a", "b")
+	_, errOfHome := a.Reserve(ctx, program, 300, 1000)
+	memory.SetFault(storeServes)
+	memory.ApplyLost()
+	_, err := reserveInFull(ctx, cluster.start("c", "a").Manager, program, 1000, 1000)
+	assert.True(t, err != nil || errOfHome != nil, "both were granted tokens")
+}
+
 // interferingStore calls before ahead of each commit that writes a shard.
 type interferingStore struct {
 	store.Store
@@ -326,8 +359,17 @@
 				require.NoError(t, b.takeOverHeld(ctx, memory, budget.Shard(program)))
 			}
 		}
-		memory.SetFault(storeRefuses)
 		b.StopWitnessing()
+		var refused *account.WitnessRefusedError
+		grant := recordedGrant(t, memory, programs[0])
+		if isEnded {
+			grant.Version = 1
+			require.ErrorAs(t, b.Manager.RecordGrant(b.owner, grant), &refused)
+			assert.Equal(t, account.WitnessEscrowEnded, refused.Reason())
+		} else {
+			require.ErrorAs(t, b.takeOverHeld(ctx, memory, grant.Shard), &refused, "its holder grants without records")
+		}
+		memory.SetFault(storeRefuses)
 		_ = a.AcquireOnce(ctx, a, false) // calls its witness
 		b.up = false
 		for _, program := range programs {
