--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -71,13 +71,19 @@
 	return store.Key{Table: "escrows", Partition: fmt.Sprintf("program-%02d", shard%48), Name: fmt.Sprintf("shard-%03d", shard)}
 }
 
-// takeOverHeld has this instance release the escrow of a shard if it is the witness.
-func (m *instance) takeOverHeld(ctx context.Context, s store.Store, shard int) error {
+// readEscrow returns the row of a shard and the escrow in it.
+func readEscrow(ctx context.Context, s store.Store, shard int) (store.Row, budget.Escrow, error) {
 	row, err := store.Get(ctx, s, shardKey(shard))
 	if err != nil {
-		return err
+		return row, budget.Escrow{}, err
 	}
 	escrow, err := budget.DecodeEscrow(row.Value)
+	return row, escrow, err
+}
+
+// takeOverHeld has this instance release the escrow of a shard if it is the witness.
+func (m *instance) takeOverHeld(ctx context.Context, s store.Store, shard int) error {
+	_, escrow, err := readEscrow(ctx, s, shard)
 	if err != nil {
 		return err
 	}
--- a/account/grant.go
+++ b/account/grant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/budget"
@@ -28,9 +27,6 @@
 	// waits. A busy partition responds or rejects the write within 1.25
 	// seconds.
 	rowWriteTimeout = 1500 * time.Millisecond
-	// takeoverTimeout bounds a request to a witness to release an escrow: a read, and one
-	// write for some thirty programs.
-	takeoverTimeout = time.Second
 	// releaseRequestTimeout bounds a request to another instance to release
 	// tokens: a store write there and the round trip.
 	releaseRequestTimeout = 300 * time.Millisecond
@@ -233,84 +229,6 @@
 	return manager.holders.ReleaseUnused(ctx, p.id, accounts)
 }
 
-// requestTakeover requests the witness of the escrow of p's shard to release it, if its
-// owner is among the unanswered accounts, and reports whether it did. A takeover is safe
-// even if the owner still runs; it only costs the owner its escrow.
-func (manager *Manager) requestTakeover(ctx context.Context, p *program, unanswered []string) (bool, error) {
-	if manager.witnesses == nil {
-		return false, nil
-	}
-	accounts, version := p.unusedAccounts()
-	index := budget.Shard(p.id)
-	for _, account := range accounts {
-		isLocal := manager.isLocal(budget.Escrow{Account: account})
-		if isLocal || !slices.Contains(unanswered, account) || !manager.escrows.mayTakeOver(index, manager.clock.Now()) {
-			continue
-		}
-		if err := manager.readShard(ctx, index); err != nil {
-			return false, err
-		}
-		if escrow, _ := manager.escrows.get(index); escrow.Account == account && manager.takeOver(ctx, escrow, []int{index}) != nil {
-			continue
-		}
-		p.removeEscrow(account, version)
-		return true, nil
-	}
-	return false, nil
-}
-
-// takeOver has the witness of an escrow of another instance release it in shards. It
-// returns the error of the call, which it logs.
-func (manager *Manager) takeOver(ctx context.Context, escrow budget.Escrow, shards []int) error {
-	if escrow.Witness == "" {
-		return NewWitnessRefusedError(WitnessOtherIncarnation)
-	}
-	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
-	defer cancel()
-	var err error
-	if escrow.Witness == manager.owner {
-		err = manager.TakeOver(ctx, escrow.Witness, escrow.Account, shards)
-	} else {
-		err = manager.witnesses.TakeOver(ctx, escrow.Witness, escrow.Account, shards)
-	}
-	if err != nil {
-		manager.log.Info("escrow not released by its witness", "account", escrow.Account, "witness", escrow.Witness, "shards", len(shards), "err", err)
-	}
-	return err
-}
-
-// takeOverTerminated has witnesses release those of shards that are held by incarnations
-// known to have terminated, and returns these shards.
-func (manager *Manager) takeOverTerminated(ctx context.Context, shards []int) []int {
-	if manager.witnesses == nil {
-		return nil
-	}
-	held := map[budget.Escrow][]int{}
-	for _, index := range shards {
-		escrow, _ := manager.escrows.get(index)
-		if escrow.Acquired() && !manager.isLocal(escrow) && manager.holders.OwnerTerminated(escrow.Account) && manager.escrows.mayTakeOver(index, manager.clock.Now()) {
-			held[escrow] = append(held[escrow], index)
-		}
-	}
-	results := make(chan []int, len(held))
-	for escrow, shards := range held {
-		go func() {
-			if manager.takeOver(ctx, escrow, shards) != nil {
-				shards = nil
-			} else if err := manager.readShards(ctx, shards); err != nil {
-				manager.log.Info("released shards not read: they are acquired later", "shards", len(shards), "err", err)
-				shards = nil
-			}
-			results <- shards
-		}()
-	}
-	var released []int
-	for range held {
-		released = append(released, <-results...)
-	}
-	return released
-}
-
 // RecentlySpent reports whether Reserve would return a *SpentError without a
 // check: the program's budget was found spent within spentCacheTTL for a turn
 // of at most this size, and the local account does not grant the turn either.
--- a/account/shards.go
+++ b/account/shards.go
@@ -159,13 +159,7 @@
 // setUnwitnessed records that the witness of shards has stopped without having ended their
 // escrows.
 func (escrows *escrows) setUnwitnessed(shards []WitnessedShard) {
-	escrows.mu.Lock()
-	defer escrows.mu.Unlock()
-	for _, stopped := range shards {
-		if shard := &escrows.shards[stopped.Shard]; shard.version == stopped.Version {
-			shard.unwitnessed = true
-		}
-	}
+	escrows.change(shards, func(shard *shard) { shard.unwitnessed = true })
 }
 
 // isUnwitnessed reports whether the escrow of a shard may grant without records, if the
@@ -178,13 +172,7 @@
 
 // setAnnounced records that the witness of shards was told of them.
 func (escrows *escrows) setAnnounced(shards []WitnessedShard) {
-	escrows.mu.Lock()
-	defer escrows.mu.Unlock()
-	for _, announced := range shards {
-		if shard := &escrows.shards[announced.Shard]; shard.version == announced.Version {
-			shard.announced = true
-		}
-	}
+	escrows.change(shards, func(shard *shard) { shard.announced = true })
 }
 
 // refuseWitness ends the use of all escrows with a witness that no longer is one.
@@ -201,10 +189,17 @@
 // refuse ends the use of a shard's escrow, since its witness records no more of its
 // grants, if the shard's row is still at version.
 func (escrows *escrows) refuse(index int, version uint64) {
+	escrows.change([]WitnessedShard{{Shard: index, Version: version}}, func(shard *shard) { shard.usable, shard.refused = false, true })
+}
+
+// change calls f for those of shards whose rows are still at the given versions.
+func (escrows *escrows) change(shards []WitnessedShard, f func(shard *shard)) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
-	if shard := &escrows.shards[index]; shard.version == version {
-		shard.usable, shard.refused = false, true
+	for _, known := range shards {
+		if shard := &escrows.shards[known.Shard]; shard.version == known.Version {
+			f(shard)
+		}
 	}
 }
 
--- a/account/witness.go
+++ b/account/witness.go
@@ -176,10 +176,11 @@
 			manager.escrows.setAnnounced(shards)
 			continue
 		}
-		if manager.recordWitnessError(witness, err) == WitnessStopped {
-			err = manager.checkStoppedWitness(ctx, witness)
+		reason := manager.recordWitnessError(witness, err)
+		if reason == WitnessStopped {
+			reason = manager.checkStoppedWitness(ctx, witness)
 		}
-		if manager.recordWitnessError(witness, err) == WitnessEscrowEnded {
+		if reason == WitnessEscrowEnded {
 			manager.escrows.refuseWitness(witness)
 		}
 		manager.log.Info("witness of escrows did not confirm that it is one", "witness", witness, "err", err)
@@ -187,18 +188,17 @@
 }
 
 // checkStoppedWitness asks a witness that stops about all escrows that it is named for, and
-// records that they no longer have one if it has ended none of them. It returns the error
-// of the call.
-func (manager *Manager) checkStoppedWitness(ctx context.Context, witness string) error {
+// records that they no longer have one if it has ended none of them. It returns what
+// recordWitnessError returns for the response.
+func (manager *Manager) checkStoppedWitness(ctx context.Context, witness string) WitnessRefusal {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	shards := manager.escrows.witnessedBy(witness)
-	err := manager.witnesses.Announce(ctx, witness, manager.owner, shards)
-	var refused *WitnessRefusedError
-	if errors.As(err, &refused) && refused.reason == WitnessStopped {
+	reason := manager.recordWitnessError(witness, manager.witnesses.Announce(ctx, witness, manager.owner, shards))
+	if reason == WitnessStopped {
 		manager.escrows.setUnwitnessed(shards)
 	}
-	return err
+	return reason
 }
 
 // recordAtWitness has the witness record what the escrow of p's shard is to grant, if the
--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -252,9 +252,7 @@
 	cluster, memory, _ := startWitnessed(t, "a", "b")
 	a, b := cluster.running("a"), cluster.running("b")
 	shard := budget.Shard(programWithHome(0, "a", "a", "b"))
-	row, err := store.Get(ctx, memory, shardKey(shard))
-	require.NoError(t, err)
-	held, err := budget.DecodeEscrow(row.Value)
+	row, held, err := readEscrow(ctx, memory, shard)
 	require.NoError(t, err)
 	next := budget.Escrow{Account: "c-1.1", Instance: "c", Witness: b.owner}
 	value, err := next.Encode()
@@ -277,9 +275,7 @@
 	cluster, memory, _ := startWitnessed(t, "a", "b", "c")
 	a := cluster.running("a")
 	program := programWithHome(0, "a", "a", "b", "c")
-	row, err := store.Get(ctx, memory, shardKey(budget.Shard(program)))
-	require.NoError(t, err)
-	escrow, err := budget.DecodeEscrow(row.Value)
+	row, escrow, err := readEscrow(ctx, memory, budget.Shard(program))
 	require.NoError(t, err)
 	for _, m := range cluster.all {
 		if m != a && m.owner != escrow.Witness {
