gateway, account: a test for each guard of a stop, and of a release without an answer

Each guard of a stop was taken out in a scratch copy. No test failed without the check before the body is read, the limit of a body at the signal, the end of that limit with the body, and the exception for a response of which the caller has a part; one fails for each now. TestRequestOutlivesLimitOfItsBody is TestStopLetsSentRequestEnd, with the same assertions: what it was named for it did not show.

TestShardIsNotUsedAfterUnansweredRelease passed whatever the code did, as the second instance asked the first one.

--- a/account/witness_test.go
+++ b/account/witness_test.go
@@ -227,6 +227,7 @@
 	_, errOfHome := a.Reserve(ctx, program, 300, 1000)
 	memory.SetFault(storeServes)
 	memory.ApplyLost()
+	a.up = false
 	_, err := reserveInFull(ctx, cluster.start("c", "a").Manager, program, 1000, 1000)
 	assert.True(t, err != nil || errOfHome != nil, "both were granted tokens")
 }
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -107,27 +108,21 @@
 		if stops {
 			time.AfterFunc(100*time.Millisecond, i.Drain)
 		}
-		conn, err := net.Dial("tcp", i.address)
-		require.NoError(t, err)
-		defer func() { _ = conn.Close() }()
-		require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
 		began := time.Now()
-		_, err = io.WriteString(conn, "POST /post/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r\r\nX-Deadline-Ms: 1500\r\nContent-Length: 9\r\n\r\nhalf")
-		require.NoError(t, err)
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		require.NoError(t, err)
-		body, err := io.ReadAll(response.Body)
-		require.NoError(t, err)
+		response, body := sendHalfBody(t, i, "/post/x", "1500")
 		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-		assert.Equal(t, stops, strings.Contains(string(body), "ShuttingDown"), string(body))
+		assert.Equal(t, stops, strings.Contains(body, "ShuttingDown"), body)
 		assert.Less(t, time.Since(began), 3*time.Second)
+		if stops {
+			assert.Less(t, time.Since(began), 1400*time.Millisecond, "before the request's deadline")
+		}
 		assert.Empty(t, b.tool.ReceivedRequests())
 	}
 }
 
-// Guards against a request that is aborted because a limit on reading its body remains
-// in force after the body has arrived.
-func TestRequestOutlivesLimitOfItsBody(t *testing.T) {
+// Guards against a stop that ends a request which was sent to an endpoint before the signal
+// and whose response comes in time, though its deadline is later.
+func TestStopLetsSentRequestEnd(t *testing.T) {
 	b := newFixture(t)
 	b.grace = 3 * time.Second
 	i := b.startInstance()
@@ -136,3 +131,84 @@
 	response, _ := i.mustSend(callerRequest{path: "/post/x", id: "r", body: "x"})
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// deadlineRecorder is a response writer that records the deadlines for reading.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (recorder *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	recorder.deadlines = append(recorder.deadlines, deadline)
+	return nil
+}
+
+// Guards against a response that is lost because the time limit of reading the body
+// remains in force after the body has arrived, and ends the connection.
+func TestTimeLimitOfBodyEndsWithIt(t *testing.T) {
+	b := newFixture(t)
+	i := b.startInstance()
+	r := httptest.NewRequest(http.MethodPost, "/post/x", strings.NewReader("x"))
+	r.Host = "desk.example"
+	r.Header.Set("X-Request-Id", "r")
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	i.ServeHTTP(w, r)
+	assert.Equal(t, http.StatusOK, w.Code)
+	require.Len(t, w.deadlines, 2)
+	assert.False(t, w.deadlines[0].IsZero())
+	assert.True(t, w.deadlines[1].IsZero())
+}
+
+// Guards against a stopping instance that waits for the body of a request that it can't
+// serve in time.
+func TestStoppingInstanceRefusesBeforeBody(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 4 * time.Second
+	i := b.startInstance()
+	i.Drain()
+	began := time.Now()
+	response, _ := sendHalfBody(t, i, "/chat/x", "3000")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Less(t, time.Since(began), 2*time.Second)
+}
+
+// Guards against a stream that a stopping instance breaks off although another endpoint
+// can go on with it.
+func TestStoppingInstanceGoesOnWithBrokenStream(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 2 * time.Second
+	other := platformtest.NewEndpoint("i-other", "model", true)
+	t.Cleanup(other.Close)
+	other.Register(b.memory, "a", "ready")
+	i := b.startInstance()
+	for _, endpoint := range []*platformtest.Endpoint{b.model, other} {
+		endpoint.EventDelay = 150 * time.Millisecond
+		endpoint.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+			if run.LastEventID == "" {
+				return platformtest.Behaviour{ResetAfter: 1}
+			}
+			return platformtest.Behaviour{}
+		})
+	}
+	time.AfterFunc(220*time.Millisecond, i.Drain)
+	response, body := i.mustSend(callerRequest{path: "/chat/x", id: "r", body: "x"})
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Equal(t, streamText("r", 1, 3), body)
+}
+
+// sendHalfBody sends a request with an incomplete body and returns the response and its
+// body.
+func sendHalfBody(t *testing.T, i *instance, path, deadlineMs string) (*http.Response, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", i.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r\r\nX-Deadline-Ms: "+deadlineMs+"\r\nContent-Length: 9\r\n\r\nhalf")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(body)
+}
