gateway: log each exchange that fails, with the state that its endpoint is given

Only lost connections left a line, so the log could not tell whether an endpoint that ended had been taken for a living one, and why.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -73,8 +73,13 @@
 		e.judgeLostConnection(ctx, endpoint, sentAt)
 	case outcome == balance.OutcomeAbandoned && e.Clock.Now().Sub(e.heardAt) >= minSilence:
 		e.Crashes.Unresolved(ctx, e.sendTo(endpoint, sentAt), false)
-	case e.send != nil:
-		e.Crashes.Survived(ctx, e.send)
+	default:
+		if outcome == balance.OutcomeBroken {
+			e.logOutcome(endpoint, outcome, quarantine.StateSurvived)
+		}
+		if e.send != nil {
+			e.Crashes.Survived(ctx, e.send)
+		}
 	}
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
@@ -67,5 +69,13 @@
 		slog.String("presence", e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt).String()), slog.String("probe", liveness.String()), slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", e.lastError))
 }
 
+// logOutcome writes one line about an exchange that failed in another way than by a lost
+// connection, with the state that the endpoint is given.
+func (e *exchange) logOutcome(endpoint *membership.Endpoint, outcome balance.Outcome, state quarantine.State) {
+	e.Log.LogAttrs(context.Background(), slog.LevelInfo, "exchange with an endpoint failed",
+		slog.String("request", e.call.ID), slog.String("identity", e.key().String()), slog.String("endpoint", endpoint.ID), slog.String("incarnation", endpoint.Incarnation()),
+		slog.String("outcome", outcome.String()), slog.String("state", state.String()), slog.Int("runs", e.runs), slog.Int64("events", e.received), slog.Any("err", e.lastError))
+}
+
 // abbreviate returns the beginning of a caller's value for a log line.
 func abbreviate(value string) string { return value[:min(len(value), maxLoggedValue)] }
