gateway, quarantine: the way an exchange fails is no evidence that its endpoint lives

Cause: endSend asked whether an endpoint lives only if the connection was lost, and took a connection for the answer; every other failure counted as survived, and nobody else learned of it. The class: evidence about an exchange, or about an address, taken for evidence about a process.

Change: an exchange without a whole response counts as one that may have ended its endpoint, at all instances, until the endpoint has responded itself, at least 250 ms later. Before a fourth endpoint, the request waits for that verdict: a health check of each endpoint that may have ended, which any other endpoint at the address rejects. After whole responses that report a failure, refusals, and requests that their callers gave up, a connection to the endpoint is watched for 250 ms; a failure is held back for the first 25 ms of it. A request is not sent again to an endpoint that it may have ended if there is another one, and if it is and finds it gone, the first sending counts. One attempt is offered to three endpoints, no longer four.

Why it works: what counts is what the endpoint does after the exchange, so the bound does not depend on what it sent before; while it is unknown, the request is not sent.

Two further causes were found by these tests: a 421 or a refused connection that cleared the first sending (fixed here), and a health check answered while connections were being closed (a response within 250 ms no longer counts).

Tests of Responded advance the clock by 250 ms now, since an earlier response is no longer evidence; a case for that was added.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -91,6 +91,12 @@
 	Prepare(header http.Header, send ForwardInfo)
 	// ResponseInfo returns the metadata of an endpoint's response.
 	ResponseInfo(status int, header http.Header) ResponseInfo
+	// HealthHeader returns the header of a health check of an endpoint. Any other
+	// endpoint at the address must reject it.
+	HealthHeader(endpoint string) http.Header
+	// IsFrom reports whether the response to a health check comes from the endpoint,
+	// whatever it says.
+	IsFrom(endpoint string, status int, header http.Header) bool
 	// IDHeader returns the name of the header that carries the request ID in
 	// both requests and responses.
 	IDHeader() string
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/balance"
@@ -17,6 +18,9 @@
 	// minSilence is the time without a byte from an endpoint from which on it may have
 	// crashed when the caller leaves or the deadline passes.
 	minSilence = 250 * time.Millisecond
+	// failureSettleTime is the time for which a response that reports a failure is held
+	// back while its endpoint is watched.
+	failureSettleTime = 25 * time.Millisecond
 	// isolationCrashes is the number of endpoints that crashed under a request from
 	// which on other requests avoid the endpoint that processes it.
 	isolationCrashes = 2
@@ -34,6 +38,9 @@
 	err := e.Crashes.Check(ctx, e.key(), e.isShared())
 	var crashedErr *quarantine.CrashedError
 	var unresolvedErr *quarantine.UnresolvedError
+	if errors.As(err, &unresolvedErr) && e.verifySuspects(ctx) {
+		err = e.Crashes.Check(ctx, e.key(), e.isShared())
+	}
 	var reason Reason
 	var retryAfter time.Duration
 	switch {
@@ -52,7 +59,8 @@
 
 // beginSend records that the request is about to be sent to the chosen endpoint.
 func (e *exchange) beginSend(ctx context.Context, endpoint *membership.Endpoint) {
-	e.heardAt = e.Clock.Now()
+	e.sentAt, e.isSettled = e.Clock.Now(), false
+	e.heardAt = e.sentAt
 	if !e.Crashes.Any() {
 		e.send = nil
 		return
@@ -60,29 +68,52 @@
 	e.send = e.Crashes.Begin(ctx, e.key(), e.isShared(), endpoint.Incarnation())
 }
 
-// endSend records whether the endpoint crashed under the request, before the request is
-// sent to another one and before the caller learns that it failed.
-func (e *exchange) endSend(ctx context.Context, endpoint *membership.Endpoint, sentAt time.Time, outcome balance.Outcome, err error) {
+// endSend records whether the endpoint may have crashed under the request, before the
+// request is sent to another one and before the caller learns that it failed. How the
+// exchange failed does not tell whether the endpoint lives.
+func (e *exchange) endSend(ctx context.Context, endpoint *membership.Endpoint, outcome balance.Outcome, err error) {
+	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
+	heardAt := e.heardAt
 	switch {
-	case outcome == balance.OutcomeServed:
+	case outcome == balance.OutcomeServed && e.r.Context().Err() == nil:
 		e.Crashes.Responded(endpoint.Incarnation())
 		if e.Crashes.Any() {
-			e.Crashes.Served(ctx, e.sendTo(endpoint, sentAt))
-		}
-	case outcome == balance.OutcomeBroken && isConnectionLost(err):
-		e.judgeLostConnection(ctx, endpoint, sentAt)
-	case outcome == balance.OutcomeAbandoned && e.Clock.Now().Sub(e.heardAt) >= minSilence:
-		e.Crashes.Unresolved(ctx, e.sendTo(endpoint, sentAt), false)
-	default:
-		if outcome == balance.OutcomeBroken {
-			e.logOutcome(endpoint, outcome, quarantine.StateSurvived)
+			e.Crashes.Served(ctx, e.sendTo(endpoint))
 		}
+	case outcome == balance.OutcomeBroken:
+		e.suspect(ctx, endpoint, err)
+	case outcome == balance.OutcomeUnreachable && (e.send == nil || !e.send.IsRepeated()):
 		if e.send != nil {
 			e.Crashes.Survived(ctx, e.send)
 		}
+	case outcome == balance.OutcomeUnreachable:
+		e.verify(ctx, endpoint, e.send, time.Time{}) // it has sent nothing
+	case outcome == balance.OutcomeAbandoned && e.Clock.Now().Sub(heardAt) >= minSilence:
+		send := e.sendTo(endpoint)
+		e.Crashes.Unresolved(ctx, send, false)
+		e.inBackground(func() { e.verify(ctx, endpoint, send, heardAt) })
+	case !e.isSettled:
+		send := e.sendTo(endpoint)
+		if send.IsAnnounced() {
+			// Endpoints failed under the request before, so this one counts, too.
+			e.Crashes.Unresolved(ctx, send, true)
+			e.logOutcome(endpoint, outcome, quarantine.StateUnresolved)
+		}
+		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, heardAt) })
 	}
 }
 
+// awaitFailureSettled waits for a moment before the caller receives a response that reports a
+// failure, and records whether the endpoint crashes in it: the caller may send the request
+// again at once.
+func (e *exchange) awaitFailureSettled(ctx context.Context, endpoint *membership.Endpoint) {
+	ctx = context.WithoutCancel(ctx)
+	if e.Upstream.Watch(ctx, endpoint.Address, failureSettleTime) == upstream.LivenessConnected {
+		return
+	}
+	e.isSettled = e.verify(ctx, endpoint, e.sendTo(endpoint), e.heardAt) != healthUnknown
+}
+
 // isConnectionLost reports whether err tells that the connection ended before the
 // response did, and not that something else than the response arrived.
 func isConnectionLost(err error) bool {
@@ -92,67 +123,80 @@
 
 // sendTo returns the sending of the request to the endpoint, which is recorded only if
 // requests are in quarantine when it begins.
-func (e *exchange) sendTo(endpoint *membership.Endpoint, sentAt time.Time) *quarantine.Send {
+func (e *exchange) sendTo(endpoint *membership.Endpoint) *quarantine.Send {
 	if e.send == nil {
-		e.send = quarantine.NewSend(e.key(), endpoint.Incarnation(), sentAt)
+		e.send = quarantine.NewSend(e.key(), endpoint.Incarnation(), e.sentAt)
 	}
 	return e.send
 }
 
-// heard records that the endpoint has sent something.
-func (e *exchange) heard(endpoint *membership.Endpoint) {
+// heard records that the endpoint has sent a response.
+func (e *exchange) heard(endpoint *membership.Endpoint, verdict ResponseInfo) {
 	e.heardAt = e.Clock.Now()
-	e.Crashes.Responded(endpoint.Incarnation())
+	if verdict.Stamped {
+		e.Crashes.Responded(endpoint.Incarnation())
+	}
 }
 
-// judgeLostConnection finds out whether the endpoint of a lost connection crashed. One
-// that was about to stop has not.
-func (e *exchange) judgeLostConnection(ctx context.Context, endpoint *membership.Endpoint, sentAt time.Time) {
-	ctx = context.WithoutCancel(ctx)
-	send := e.sendTo(endpoint, sentAt)
+// suspect records that an exchange failed without a whole response. The endpoint counts as
+// one that may have crashed, unless it is known already whether it has.
+func (e *exchange) suspect(ctx context.Context, endpoint *membership.Endpoint, err error) {
+	send, heardAt := e.sendTo(endpoint), e.heardAt
 	settle := upstream.ShortSettleTime
 	if e.Crashes.Assess(e.key(), false).Crashed > 0 {
 		settle = upstream.LongSettleTime // few requests, and each mistake counts
 	}
 	liveness := e.Upstream.Probe(ctx, endpoint.Address, settle)
-	isListed := e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) == membership.PresenceListed
+	state := quarantine.StateUnresolved
 	switch {
-	case !isListed && liveness == upstream.LivenessRefused:
+	case liveness != upstream.LivenessRefused:
+		e.Crashes.Unresolved(ctx, send, true)
+		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, heardAt) })
+	case e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) != membership.PresenceListed:
+		state = quarantine.StateSurvived // it was about to stop
 		e.Crashes.Survived(ctx, send)
-	case liveness == upstream.LivenessConnected:
-		e.Crashes.Connected(ctx, send)
-	case liveness == upstream.LivenessRefused:
-		e.Crashes.Crashed(ctx, send, liveness.String())
 	default:
-		e.Crashes.Unresolved(ctx, send, true)
+		state = quarantine.StateCrashed
+		e.Crashes.Crashed(ctx, send, liveness.String())
+	}
+	if isConnectionLost(err) {
+		e.logFailure(endpoint, liveness)
+	} else {
+		e.logOutcome(endpoint, balance.OutcomeBroken, state)
 	}
-	e.logFailure(endpoint, liveness)
 }
 
-// isolated returns the IDs of the endpoints that the request avoids because they process
-// requests under which endpoints crashed: a request that may be at fault itself avoids
-// all of these, so that each of them crashes alone, and others avoid those under which
-// several crashed.
+// isolated returns the IDs of the endpoints that the request avoids: those that it may have
+// crashed, and those that process requests under which endpoints crashed. A request that
+// may be at fault itself avoids all of the latter, so that each of them crashes alone, and
+// others avoid those under which several crashed.
 func (e *exchange) isolated(endpoints []*membership.Endpoint) map[string]bool {
 	if !e.Crashes.Any() {
 		return nil
 	}
+	avoided := map[string]bool{}
+	failed := e.Crashes.Failed(e.key())
+	for _, endpoint := range endpoints {
+		if slices.Contains(failed, endpoint.Incarnation()) {
+			avoided[endpoint.ID] = true
+		}
+	}
 	crashes := isolationCrashes
 	if e.Crashes.Assess(e.key(), false).Crashed > 0 {
 		crashes = 1
 	}
 	trying := e.Crashes.Trying(e.key(), crashes)
-	if len(trying) == 0 {
-		return nil
-	}
-	avoided := map[string]bool{}
+	var others []string
 	for _, endpoint := range endpoints {
 		if trying[endpoint.Incarnation()] {
-			avoided[endpoint.ID] = true
+			others = append(others, endpoint.ID)
 		}
 	}
-	if float64(len(avoided)) > maxIsolatedShare*float64(len(endpoints)) {
-		return nil
+	if float64(len(others)) > maxIsolatedShare*float64(len(endpoints)) {
+		return avoided
+	}
+	for _, id := range others {
+		avoided[id] = true
 	}
 	return avoided
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -11,14 +11,16 @@
 	"strings"
 
 	"github.com/wagtaildrum/wagtaildrum/balance"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/route"
 	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 const (
 	// maxEndpointsTried bounds how many endpoints receive one request if each
-	// rejects it or fails.
-	maxEndpointsTried = 4
+	// rejects it or fails: all of them may crash soon after.
+	maxEndpointsTried = quarantine.MaxCrashes
 	// maxBufferedBody is how much of a plain response is read before any of it
 	// is relayed. A response that breaks off within this size is detected and
 	// can be retried.
@@ -57,12 +59,11 @@
 		}
 		e.tried, e.incarnation = append(e.tried, choice.Endpoint().ID), choice.Endpoint().Incarnation()
 		e.versions = append(e.versions, choice.Endpoint().Version)
-		sentAt := e.Clock.Now()
 		e.beginSend(ctx, choice.Endpoint())
 		outcome, err := e.try(ctx, choice)
 		choice.Done(outcome)
 		e.lastError = err
-		e.endSend(ctx, choice.Endpoint(), sentAt, outcome, err)
+		e.endSend(ctx, choice.Endpoint(), outcome, err)
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
 			return nil
 		}
@@ -135,7 +136,7 @@
 		return balance.OutcomeRefused, errors.New("request was not run by the endpoint: status " + strconv.Itoa(response.Status))
 	}
 	choice.HeaderReceived()
-	e.heard(choice.Endpoint())
+	e.heard(choice.Endpoint(), verdict)
 	e.runs++
 	if !verdict.Stamped {
 		return balance.OutcomeBroken, errUnstamped
@@ -146,7 +147,7 @@
 	if e.route.Kind == route.KindStream && response.Status == http.StatusOK {
 		return e.relayStream(ctx, response, choice)
 	}
-	return e.relayBuffered(ctx, response)
+	return e.relayBuffered(ctx, response, choice.Endpoint())
 }
 
 // failureOutcome returns the outcome of a request that got no response. The
@@ -231,7 +232,7 @@
 
 // relayBuffered relays a plain response. A body within the limits of bufferBody
 // is read completely first; a longer one is then streamed.
-func (e *exchange) relayBuffered(ctx context.Context, response *upstream.Response) (balance.Outcome, error) {
+func (e *exchange) relayBuffered(ctx context.Context, response *upstream.Response, endpoint *membership.Endpoint) (balance.Outcome, error) {
 	body, complete, err := e.bufferBody(response.Body)
 	if err != nil && !complete {
 		if ctx.Err() != nil {
@@ -244,6 +245,10 @@
 		outcome = balance.OutcomeFailed
 	}
 	if complete {
+		if outcome == balance.OutcomeFailed {
+			response.Close() // the connection can be watched
+			e.awaitFailureSettled(ctx, endpoint)
+		}
 		e.writeHead(response, len(body))
 		_, _ = e.w.Write(body) // the caller may be gone; the request has run
 		return outcome, nil
--- a/gateway/endpointend_test.go
+++ b/gateway/endpointend_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -31,8 +32,9 @@
 	crashes bool
 	// restarts has another endpoint start at the address, which refuses no connection.
 	restarts bool
-	// isWhole is set if raw is a whole response, which says how the endpoint failed.
-	isWhole bool
+	// lingers is how long the endpoint responds to others after it has closed its
+	// connections.
+	lingers time.Duration
 }
 
 // endShapes are the shapes that apply to all kinds of requests.
@@ -49,9 +51,11 @@
 	{name: "malformed chunk", raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
 	{name: "short body", raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 100\r\n\r\nid: 1\ndata: x\n\n"},
 	{name: "overlong event", raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 3000000\r\n\r\n" + strings.Repeat("x", 2000000)},
-	{name: "failure", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", isWhole: true},
-	{name: "failure, connection closed", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", isWhole: true},
-	{name: "not run", raw: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", isWhole: true},
+	{name: "failure", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"},
+	{name: "failure, connection closed", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
+	{name: "failure, lingers", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", lingers: 60 * time.Millisecond},
+	{name: "garbage, lingers", raw: "\x00\x01 no response\r\n\r\n", lingers: 100 * time.Millisecond},
+	{name: "not run", raw: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
 }
 
 // endFixture is a fixture with endpoints that end under requests of the program "ending".
@@ -77,7 +81,13 @@
 				if !strings.Contains(run.Body+run.Path, "crash") {
 					return platformtest.Behaviour{}
 				}
-				end := func() { b.end(endpoint, shape.restarts) }
+				end := func() {
+					if shape.lingers > 0 {
+						endpoint.CloseConnections()
+						time.Sleep(shape.lingers)
+					}
+					b.end(endpoint, shape.restarts)
+				}
 				if shape.crashes {
 					return platformtest.Behaviour{Crash: end}
 				}
@@ -119,6 +129,13 @@
 			t.Run(shape.name+path, func(t *testing.T) {
 				t.Parallel()
 				b := newEndFixture(t, 14, shape)
+				var logs lockedBuffer
+				b.logs = &logs
+				defer func() {
+					if t.Failed() {
+						t.Log(logs.String())
+					}
+				}()
 				instances := []*instance{b.startInstance(), b.startInstance(), b.startInstance()}
 				var statuses []int
 				for n := range 6 {
@@ -187,3 +204,51 @@
 		}
 	}
 }
+
+// Guards against an endpoint that is no longer counted as crashed since the request was sent
+// to its address again, where another one has started.
+func TestCrashCountsIfRequestIsSentToItsAddressAgain(t *testing.T) {
+	b := newEndFixture(t, 1, endShape{raw: "no response\r\n", restarts: true})
+	i := b.startInstance()
+	for n := range 2 {
+		response, _ := i.mustSend(crashingRequest("/look/x", fmt.Sprint("r", n), "p"))
+		assert.NotEqual(t, http.StatusOK, response.StatusCode)
+	}
+	assert.Len(t, i.crashes.Crashes(10), 1)
+}
+
+// Guards against an endpoint that is not counted since its crash under a request that the
+// caller gave up, or whose response did not reach the caller, is seen too late.
+func TestCrashCountsIfCallerHasLeft(t *testing.T) {
+	for name, raw := range map[string]string{
+		"no response":    "HTTP/1.1 200 OK\r\n",
+		"whole response": "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t)
+			received, left := make(chan struct{}), make(chan struct{})
+			b.tool.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+				return platformtest.Behaviour{Raw: raw, After: func() {
+					close(received)
+					<-left
+					time.Sleep(20 * time.Millisecond) // the instance learns that the caller has left
+					b.tool.WriteRaw("x")
+					time.Sleep(20 * time.Millisecond)
+					b.tool.Crash()
+				}}
+			})
+			i := b.startInstance()
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				<-received
+				cancel()
+				close(left)
+			}()
+			request := crashingRequest("/look/x", "r", "p")
+			request.ctx = ctx
+			_, _, err := i.send(request)
+			assert.Error(t, err)
+			assert.Eventually(t, func() bool { return len(i.crashes.Crashes(10)) == 1 }, 2*time.Second, 5*time.Millisecond)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,23 +78,28 @@
 	// bodyMemory is the number of bytes reserved for the bodies, prompts and
 	// responses of the requests in flight.
 	bodyMemory atomic.Int64
+	// background holds an element for each endpoint that is being watched or checked
+	// after an exchange.
+	background chan struct{}
 }
 
 // metrics holds the metrics of a Gateway; refused is indexed by Reason.
 type metrics struct {
 	requests, served, failed, sends, resumed                      tally.Counter
+	healthChecks, watchesSkipped                                  tally.Counter
 	refused                                                       [ReasonShuttingDown + 1]tally.Counter
 	latency, firstEvent, reserve, extend, storeTurn, queue, quota tally.Histogram
 }
 
 // New returns a Gateway that uses the given parts.
 func New(config Config) *Gateway {
-	gateway := &Gateway{Config: config, serviceQueues: newServiceQueues(config.Clock), usage: overload.NewUsage(config.Clock)}
+	gateway := &Gateway{Config: config, serviceQueues: newServiceQueues(config.Clock), usage: overload.NewUsage(config.Clock), background: make(chan struct{}, maxBackground)}
 	scope := config.Metrics
 	buckets := tally.MustMakeExponentialDurationBuckets(minLatency, latencyFactor, latencyBuckets)
 	gateway.metrics = metrics{
 		requests: scope.Counter("requests"), served: scope.Counter("served"), failed: scope.Counter("failed"),
 		sends: scope.Counter("sends"), resumed: scope.Counter("resumed"),
+		healthChecks: scope.Counter("health_checks"), watchesSkipped: scope.Counter("endpoint_watches_skipped"),
 		latency: scope.Histogram("request_seconds", buckets), firstEvent: scope.Histogram("first_event_seconds", buckets),
 		reserve: scope.Histogram("budget_seconds", buckets), extend: scope.Histogram("budget_extend_seconds", buckets), storeTurn: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets), quota: scope.Histogram("quota_seconds", buckets),
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -139,10 +139,12 @@
 	// identityKey is the key of the request's identity; nil until it is needed.
 	identityKey *quarantine.Key
 	// send is the latest sending of the request to an endpoint; nil while no request is
-	// in quarantine. heardAt is when the endpoint last sent something, or when the
-	// request was sent to it.
-	send    *quarantine.Send
-	heardAt time.Time
+	// in quarantine. sentAt is when it began, heardAt when the endpoint last sent
+	// something, initially sentAt. isSettled is set once it is known whether the endpoint
+	// crashed.
+	send            *quarantine.Send
+	sentAt, heardAt time.Time
+	isSettled       bool
 	// lastError is the error of the latest endpoint that did not serve the
 	// request; it is logged.
 	lastError error
--- /dev/null
+++ b/gateway/verify.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/membership"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
+)
+
+const (
+	// healthTimeout bounds a health check, and healthAttempts the checks of one
+	// endpoint in a row: one that fails some of its requests fails some checks, too.
+	healthTimeout  = 250 * time.Millisecond
+	healthAttempts = 4
+	// maxBackground bounds the endpoints that are watched or checked at a time.
+	maxBackground = 256
+	// defaultHealthPath is that of services without one in the configuration.
+	defaultHealthPath = "/health"
+)
+
+// health is the result of a health check.
+type health int
+
+//go:generate stringer -type=health -trimprefix=health
+
+// Results of a health check.
+const (
+	// healthUnknown means that there was no response.
+	healthUnknown health = iota
+	// healthAlive means that the endpoint has responded.
+	healthAlive
+	// healthEnded means that nobody listens at the endpoint's address, or another
+	// endpoint does.
+	healthEnded
+)
+
+// inBackground calls f unless too many such calls are in progress.
+func (gateway *Gateway) inBackground(f func()) {
+	select {
+	case gateway.background <- struct{}{}:
+	default:
+		gateway.metrics.watchesSkipped.Inc(1)
+		return
+	}
+	go func() {
+		defer func() { <-gateway.background }()
+		f()
+	}()
+}
+
+// watchEnd records whether the endpoint crashes within quarantine.SettleTime after an
+// exchange, in which it was last heard at heardAt.
+func (gateway *Gateway) watchEnd(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time) {
+	if gateway.Upstream.Watch(ctx, endpoint.Address, quarantine.SettleTime) == upstream.LivenessConnected {
+		return
+	}
+	result := gateway.judge(ctx, endpoint, heardAt)
+	if wait := heardAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); result == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
+		result = gateway.judge(ctx, endpoint, heardAt)
+	}
+	gateway.record(ctx, endpoint, send, heardAt, result)
+}
+
+// verify records whether the endpoint lives that was last heard at heardAt, and returns that.
+func (gateway *Gateway) verify(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time) health {
+	result := gateway.judge(ctx, endpoint, heardAt)
+	gateway.record(ctx, endpoint, send, heardAt, result)
+	return result
+}
+
+// judge returns whether the endpoint lives. A response within quarantine.SettleTime after it
+// was last heard does not tell that.
+func (gateway *Gateway) judge(ctx context.Context, endpoint *membership.Endpoint, heardAt time.Time) health {
+	result := gateway.checkHealth(ctx, endpoint)
+	if result == healthAlive && gateway.Clock.Now().Sub(heardAt) < quarantine.SettleTime {
+		return healthUnknown
+	}
+	return result
+}
+
+// record records whether the endpoint crashed under the request. One that was about to stop
+// has not.
+func (gateway *Gateway) record(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time, result health) {
+	switch {
+	case result == healthAlive:
+		gateway.Crashes.Survived(ctx, send)
+	case result == healthUnknown:
+		gateway.Crashes.Unresolved(ctx, send, true)
+	case gateway.Endpoints.Presence(endpoint.Incarnation(), heardAt) == membership.PresenceListed:
+		gateway.Crashes.Crashed(ctx, send, result.String())
+	default:
+		gateway.Crashes.Survived(ctx, send)
+	}
+}
+
+// verifySuspects waits until a sign of life of the endpoints that may have crashed under the
+// request is evidence, and checks them. It returns false if there are none.
+func (e *exchange) verifySuspects(ctx context.Context) bool {
+	suspects := e.Crashes.Suspects(e.key(), e.isShared())
+	began := e.Clock.Now()
+	results := make([]string, len(suspects))
+	var checks sync.WaitGroup
+	for i, suspect := range suspects {
+		results[i] = suspect.Incarnation + " Unlisted"
+		endpoint := e.Endpoints.Incarnation(suspect.Incarnation)
+		if endpoint == nil {
+			continue
+		}
+		checks.Go(func() {
+			if wait := suspect.FailedAt.Add(quarantine.SettleTime).Sub(began); wait <= 0 || clock.Sleep(ctx, wait) {
+				results[i] = suspect.Incarnation + " " + e.verify(ctx, endpoint, suspect.Send, suspect.FailedAt).String()
+			}
+		})
+	}
+	checks.Wait()
+	if len(suspects) > 0 {
+		e.Log.LogAttrs(ctx, slog.LevelInfo, "endpoints of failed exchanges checked", slog.String("request", e.call.ID), slog.String("identity", e.key().String()), slog.Any("results", results), slog.Duration("took", e.Clock.Now().Sub(began)))
+	}
+	return len(suspects) > 0
+}
+
+// checkHealth returns whether the endpoint responds itself at its address. It checks again
+// if there is no response, since an endpoint may live and fail some requests.
+func (gateway *Gateway) checkHealth(ctx context.Context, endpoint *membership.Endpoint) health {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	for range healthAttempts {
+		gateway.metrics.healthChecks.Inc(1)
+		response, err := gateway.Upstream.Do(ctx, gateway.healthRequest(endpoint))
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return healthEnded
+		case err != nil:
+			continue
+		}
+		isOwn := gateway.Dialect.IsFrom(endpoint.ID, response.Status, response.Header)
+		response.Close()
+		if isOwn {
+			return healthAlive
+		}
+		return healthEnded
+	}
+	return healthUnknown
+}
+
+// healthRequest returns a health check of the endpoint.
+func (gateway *Gateway) healthRequest(endpoint *membership.Endpoint) *upstream.Request {
+	path := defaultHealthPath
+	if table := gateway.Routes.Load(); table != nil {
+		if service := table.Service(endpoint.Service); service != nil && service.HealthPath != "" {
+			path = service.HealthPath
+		}
+	}
+	return &upstream.Request{Address: endpoint.Address, Method: http.MethodGet, Target: path, Host: endpoint.Address, Header: gateway.Dialect.HealthHeader(endpoint.ID), IDHeader: gateway.Dialect.IDHeader()}
+}
--- a/membership/list.go
+++ b/membership/list.go
@@ -289,11 +289,19 @@
 // HasIncarnation reports whether the list holds the named incarnation of an endpoint,
 // whether or not it takes work.
 func (list *List) HasIncarnation(incarnation string) bool {
+	return list.Incarnation(incarnation) != nil
+}
+
+// Incarnation returns the endpoint of the named incarnation, nil if it is not listed.
+func (list *List) Incarnation(incarnation string) *Endpoint {
 	id, _, _ := strings.Cut(incarnation, "@")
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	endpoint, ok := list.endpoints[id]
-	return ok && endpoint.Incarnation() == incarnation
+	if !ok || endpoint.Incarnation() != incarnation {
+		return nil
+	}
+	return endpoint
 }
 
 // Presence returns whether the named incarnation of an endpoint, which was listed at
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -87,7 +87,10 @@
 	Incarnation string
 	attempt     uint64
 	sentAt      time.Time
-	// isAnnounced is set if other instances were told of it.
+	// isRepeated is set if the request was sent to the endpoint before, which may have
+	// crashed under it.
+	isRepeated bool
+	// isAnnounced is set once other instances were told of it.
 	isAnnounced bool
 }
 
@@ -96,6 +99,14 @@
 	return &Send{Key: key, Incarnation: incarnation, attempt: rand.Uint64(), sentAt: sentAt}
 }
 
+// IsAnnounced reports whether the other instances were told that the request is tried at
+// the endpoint.
+func (send *Send) IsAnnounced() bool { return send.isAnnounced }
+
+// IsRepeated reports whether the request was sent to the endpoint before, which may have
+// crashed under it.
+func (send *Send) IsRepeated() bool { return send.isRepeated }
+
 // report returns a report of the endpoint's state now.
 func (send *Send) report(state State, now time.Time) Report {
 	return Report{Key: send.Key, Attempt: send.attempt, Incarnation: send.Incarnation, State: state, SentAt: send.sentAt, At: now}
@@ -166,9 +177,13 @@
 // that may crash, also if this instance does not live to report how it ended.
 func (guard *Guard) Begin(ctx context.Context, key Key, isShared bool, incarnation string) *Send {
 	send := NewSend(key, incarnation, guard.clock.Now())
+	if sentAt, ok := guard.suspectSince(key, incarnation); ok {
+		// The first sending counts if the endpoint turns out to be gone.
+		send.sentAt, send.isRepeated = sentAt, true
+	}
 	if assessment := guard.Assess(key, isShared); assessment.Crashed+assessment.Unresolved > 0 {
 		send.isAnnounced = true
-		report := send.report(StateTrying, send.sentAt)
+		report := send.report(StateTrying, guard.clock.Now())
 		guard.Add(report, SourceOwn)
 		guard.publish(ctx, report)
 	}
@@ -220,24 +235,29 @@
 // returned function is called when the attempt has ended, whether or not it succeeded.
 func (guard *Guard) StartKeeping() (end func()) { return guard.keeper.start() }
 
-// Unresolved records that the connection to the endpoint failed and that the endpoint
-// may have crashed. The other instances are told if isBroken is set: an endpoint that
-// does not respond is far more often slow.
+// Unresolved records that the exchange with the endpoint failed and that the endpoint may
+// have crashed. The other instances are told if isBroken is set: an endpoint that does not
+// respond is far more often slow.
 func (guard *Guard) Unresolved(ctx context.Context, send *Send, isBroken bool) {
 	report := send.report(StateUnresolved, guard.clock.Now())
-	if guard.Add(report, SourceOwn) && (isBroken || send.isAnnounced) {
-		guard.publish(ctx, report)
+	changed := guard.Add(report, SourceOwn)
+	switch {
+	case changed && send.isAnnounced:
+	case isBroken && !send.isAnnounced && (changed || guard.isUnresolved(send)):
+		send.isAnnounced = true
+	default:
+		return
 	}
+	guard.publish(ctx, report)
 }
 
 // Survived records that the endpoint did not crash.
 func (guard *Guard) Survived(ctx context.Context, send *Send) {
-	if !send.isAnnounced {
-		return
-	}
 	report := send.report(StateSurvived, guard.clock.Now())
 	guard.Add(report, SourceOwn)
-	guard.startPublishing(ctx, report)
+	if send.isAnnounced {
+		guard.startPublishing(ctx, report)
+	}
 }
 
 // Served records that the endpoint served the request completely: the crashes before
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -240,6 +240,7 @@
 		m.Unresolved(ctx, m.Begin(ctx, keyOf(n), false, "e1"), false)
 	}
 	assert.Zero(t, f.guards[0].published)
+	f.clock.Advance(quarantine.SettleTime)
 	f.guards[0].Responded("e1")
 	f.guards[0].Tick(ctx)
 	assert.False(t, f.guards[0].Any())
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	// unresolvedTimeout is how long it may remain unknown whether an endpoint crashed.
 	// The entry of a crashed endpoint leaves the list within it.
 	unresolvedTimeout = 5 * time.Second
+	// SettleTime is the time after a failed exchange from which on a sign of life of the
+	// endpoint is evidence that it did not crash under the request. A process that
+	// crashes may still respond for a moment.
+	SettleTime = 250 * time.Millisecond
 	// crashTolerance is the time after a crash in which a request may seem to have been
 	// sent though it was sent before: reports of several instances about one crash take
 	// different times to arrive.
@@ -173,26 +178,103 @@
 }
 
 // Responded records that an incarnation has responded to some request now, so that it
-// had not crashed under those before.
+// had not crashed under those whose exchanges failed at least SettleTime before.
 func (records *Records) Responded(incarnation string) {
 	if !records.Any() {
 		return
 	}
 	records.mu.Lock()
 	defer records.mu.Unlock()
-	if _, ok := records.unresolved[incarnation]; !ok {
+	latest, ok := records.unresolved[incarnation]
+	if !ok {
 		return
 	}
-	delete(records.unresolved, incarnation)
+	now := records.clock.Now()
+	if now.Sub(latest) >= SettleTime {
+		delete(records.unresolved, incarnation)
+	}
 	for _, known := range records.requests.Values() {
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && (attempt.state == StateUnresolved || attempt.state == StateConnected) {
+			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.isSuspect() && now.Sub(attempt.at) >= SettleTime {
 				attempt.state = StateSurvived
 			}
 		}
 	}
 }
 
+// isUnresolved reports whether it is unknown if the endpoint crashed under the sending.
+func (records *Records) isUnresolved(send *Send) bool {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	known, ok := records.requests.Peek(send.Key)
+	return ok && slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
+		return attempt.id == send.attempt && attempt.state == StateUnresolved
+	})
+}
+
+// suspectSince returns when a request was sent to an incarnation that may have crashed
+// under it. It returns false if there is none.
+func (records *Records) suspectSince(key Key, incarnation string) (sentAt time.Time, ok bool) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	known, ok := records.requests.Peek(key)
+	if !ok {
+		return time.Time{}, false
+	}
+	now := records.clock.Now()
+	for _, attempt := range known.attempts {
+		if attempt.incarnation == incarnation && attempt.isUnresolved(now) {
+			return attempt.sentAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Failed returns the incarnations that crashed under a request or may have.
+func (records *Records) Failed(key Key) []string {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	known, ok := records.requests.Peek(key)
+	if !ok {
+		return nil
+	}
+	var incarnations []string
+	now := records.clock.Now()
+	for _, attempt := range known.attempts {
+		if attempt.state == StateCrashed || attempt.isUnresolved(now) {
+			incarnations = append(incarnations, attempt.incarnation)
+		}
+	}
+	return incarnations
+}
+
+// Suspect is a sending of a request whose endpoint may have crashed under it.
+type Suspect struct {
+	*Send
+	// FailedAt is when the exchange failed.
+	FailedAt time.Time
+}
+
+// Suspects returns the sendings of a request whose exchanges have failed and whose
+// endpoints may have crashed.
+func (records *Records) Suspects(key Key, isShared bool) []Suspect {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	known, ok := records.requests.Get(key)
+	if !ok {
+		return nil
+	}
+	now := records.clock.Now()
+	var suspects []Suspect
+	for _, attempt := range known.counted(isShared) {
+		if attempt.state == StateUnresolved && attempt.isUnresolved(now) {
+			send := &Send{Key: key, Incarnation: attempt.incarnation, attempt: attempt.id, sentAt: attempt.sentAt, isAnnounced: true}
+			suspects = append(suspects, Suspect{Send: send, FailedAt: attempt.at})
+		}
+	}
+	return suspects
+}
+
 // PresenceFunc returns whether an incarnation is listed, by a list that was current after
 // since.
 type PresenceFunc func(incarnation string, since time.Time) membership.Presence
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -137,10 +137,17 @@
 		want    [2]int
 		reports int
 	}{
-		"listed":         {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceListed)) }, want: [2]int{0, 1}},
-		"left the list":  {observe: func(f *fixture) {}, want: [2]int{1, 0}, reports: 1},
-		"drained, left":  {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, want: [2]int{0, 1}},
-		"responded":      {observe: func(f *fixture) { f.Responded("e1") }, want: [2]int{0, 0}},
+		"listed":        {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceListed)) }, want: [2]int{0, 1}},
+		"left the list": {observe: func(f *fixture) {}, want: [2]int{1, 0}, reports: 1},
+		"drained, left": {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, want: [2]int{0, 1}},
+		"responded": {observe: func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime)
+			f.Responded("e1")
+		}, want: [2]int{0, 0}},
+		"responded at once": {observe: func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime - 1)
+			f.Responded("e1")
+		}, want: [2]int{1, 0}, reports: 1},
 		"other responds": {observe: func(f *fixture) { f.Responded("e2") }, want: [2]int{1, 0}, reports: 1},
 		"listed for long": {observe: func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
@@ -166,8 +173,11 @@
 		want    int
 	}{
 		"its entry lapses": {func(*fixture) {}, 1},
-		"it responds":      {func(f *fixture) { f.Responded("e1") }, 0},
-		"it drains":        {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 0},
+		"it responds": {func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime)
+			f.Responded("e1")
+		}, 0},
+		"it drains": {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 0},
 		"its entry lapses late": {func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
 			f.Resolve(presence(membership.PresenceListed))
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -117,6 +117,11 @@
 	return (attempt.state == StateUnresolved || attempt.state == StateTrying) && now.Sub(attempt.at) < unresolvedTimeout
 }
 
+// isSuspect reports whether the exchange has failed and the endpoint may have crashed.
+func (attempt *attempt) isSuspect() bool {
+	return attempt.state == StateUnresolved || attempt.state == StateConnected
+}
+
 // resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
 // true if the endpoint has crashed. An endpoint that drained before it left has not.
 func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
--- a/route/route.go
+++ b/route/route.go
@@ -89,6 +89,9 @@
 // Service is a group of equivalent endpoints.
 type Service struct {
 	Name string
+	// HealthPath is the path at which endpoints respond to health checks; empty if
+	// unknown.
+	HealthPath string
 	// Model is set for services that run a language model.
 	Model *Model
 }
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -40,8 +40,23 @@
 	mannerEvents manner = "events" // after two events of a stream
 	mannerSilent manner = "silent" // the machine falls silent
 	mannerReset  manner = "reset"  // the connection is reset, and the endpoint goes on
+
+	mannerGarbage   manner = "garbage"   // after bytes that are no response
+	mannerUnstamped manner = "unstamped" // after a response without a stamp
+	mannerFailure   manner = "failure"   // after a whole response that reports a failure
+	mannerAnew      manner = "anew"      // before a response; another endpoint starts at the address
 )
 
+// endDelay is the time from what an endpoint sends to its end.
+const endDelay = 5 * time.Millisecond
+
+// sentBeforeEnd holds what endpoints send before they end, by manner.
+var sentBeforeEnd = map[manner]string{
+	mannerGarbage:   "\x00\x01 no response\r\n\r\n",
+	mannerUnstamped: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	mannerFailure:   "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+}
+
 // crash is an endpoint that ended under a request.
 type crash struct {
 	endpoint string
@@ -52,7 +67,17 @@
 // says.
 func (s *site) crashUnder(e *endpoint, run *platformtest.ReceivedRequest) platformtest.Behaviour {
 	name := path.Base(run.Path)
+	for manner, raw := range sentBeforeEnd {
+		if strings.Contains(run.Path, string(manner)) {
+			return platformtest.Behaviour{Raw: raw, After: func() {
+				time.Sleep(endDelay)
+				s.end(e, name, e.proxy.crash)
+			}}
+		}
+	}
 	switch {
+	case strings.Contains(run.Path, string(mannerAnew)):
+		return platformtest.Behaviour{Crash: func() { s.end(e, name, func() { s.add(e.Service == "model", e) }) }}
 	case strings.Contains(run.Path, string(mannerReset)):
 		return platformtest.Behaviour{DropResponse: true}
 	case strings.Contains(run.Path, string(mannerSilent)):
@@ -226,9 +251,7 @@
 
 // Guards against a request that ends one endpoint after the other: what ended under earlier attempts is known at every instance that the next one reaches.
 func TestCrashingRequestEndsThreeEndpoints(t *testing.T) {
-	s := newCrashSite(t, *first)
-	stop := s.playBystanders(*first)
-	crashers := []crasher{
+	testCrashers(t, []crasher{
 		{kind: kindChat, manner: mannerFirst},
 		{kind: kindChat, manner: mannerFirst, stays: true},
 		{kind: kindChat, manner: mannerEvents},
@@ -238,7 +261,26 @@
 		{kind: kindChat, manner: mannerSilent},
 		{kind: kindLook, manner: mannerSilent},
 		{kind: kindChat, manner: mannerFirst, kills: true},
+	})
+}
+
+// Guards against a request that ends more endpoints than allowed since they send something before they end, or another one starts at their address.
+func TestCrashingRequestEndsThreeEndpointsWhateverTheySend(t *testing.T) {
+	var crashers []crasher
+	for _, manner := range []manner{mannerGarbage, mannerUnstamped, mannerFailure, mannerAnew} {
+		for _, kind := range []kind{kindChat, kindKeep, kindLook} {
+			crashers = append(crashers, crasher{kind: kind, manner: manner})
+		}
 	}
+	testCrashers(t, crashers)
+}
+
+// testCrashers has each of the crashers send its request, one after the other, beside callers
+// of other requests.
+func testCrashers(t *testing.T, crashers []crasher) {
+	t.Helper()
+	s := newCrashSite(t, *first)
+	stop := s.playBystanders(*first)
 	b := &book{attempts: map[string]*attempt{}}
 	for n, crasher := range crashers {
 		time.Sleep(lapseTime + 200*time.Millisecond) // until the endpoints that ended before are replaced
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -74,6 +74,8 @@
 	body   io.ReadCloser
 	// complete is set once the end of the body has been read.
 	complete atomic.Bool
+	// closed is set once Close was called.
+	closed bool
 	// reusable is unset if the endpoint closes the connection after the
 	// response.
 	reusable bool
@@ -245,7 +247,12 @@
 		return nil, err
 	}
 	client.opened.Add(1)
-	return &conn{Conn: raw, address: request.Address, reader: bufio.NewReader(raw)}, nil
+	return newConn(raw, request.Address), nil
+}
+
+// newConn returns an open connection to the endpoint at address.
+func newConn(raw net.Conn, address string) *conn {
+	return &conn{Conn: raw, address: address, reader: bufio.NewReader(raw)}
 }
 
 // takeIdle removes and returns the most recently used idle connection to
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -105,7 +104,7 @@
 		_ = raw.Close() // closed by the other end
 		return LivenessUnknown, true
 	}
-	client.putIdle(&conn{Conn: raw, address: key.address, reader: bufio.NewReader(raw)}, maxIdleTime)
+	client.putIdle(newConn(raw, key.address), maxIdleTime)
 	return LivenessConnected, false
 }
 
@@ -118,3 +117,34 @@
 	_, err := io.ReadFull(raw, make([]byte, 1))
 	return errors.Is(err, os.ErrDeadlineExceeded) && raw.SetReadDeadline(time.Time{}) == nil
 }
+
+// Watch keeps a connection to address open for d, or until ctx ends. It returns
+// LivenessConnected if the connection stays open, LivenessRefused if nobody listens at the
+// address, and otherwise LivenessUnknown: the other end closed it, sent something, or does
+// not respond. The connection is taken from the idle ones or opened.
+func (client *Client) Watch(ctx context.Context, address string, d time.Duration) Liveness {
+	until := time.Now().Add(d)
+	c := client.takeIdle(address)
+	if c == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		raw, err := client.dialer.DialContext(dialCtx, "tcp", address)
+		cancel()
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return LivenessRefused
+		case err != nil:
+			return LivenessUnknown
+		}
+		client.opened.Add(1)
+		c = newConn(raw, address)
+		c.expires = time.Now().Add(maxIdleTime)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends the read
+	isOpen := staysOpen(c.Conn, time.Until(until))
+	if !stop() || !isOpen {
+		_ = c.Close() // not reusable
+		return LivenessUnknown
+	}
+	client.putIdle(c, time.Until(c.expires))
+	return LivenessConnected
+}
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -102,3 +102,36 @@
 	response.Close()
 	assert.LessOrEqual(t, accepted.Load(), int32(2))
 }
+
+// Guards against an endpoint whose end is not seen, and against a watch that keeps a connection that the endpoint is about to close.
+func TestWatchTellsWhetherTheConnectionStaysOpen(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	waits := func(_ int, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }
+	for name, test := range map[string]struct {
+		address string
+		want    upstream.Liveness
+	}{
+		"nobody listens": {closed.Addr().String(), upstream.LivenessRefused},
+		"stays open":     {serve(t, waits), upstream.LivenessConnected},
+		"closes":         {serve(t, func(int, net.Conn, *bufio.Reader) { time.Sleep(20 * time.Millisecond) }), upstream.LivenessUnknown},
+		"sends": {serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+			_, _ = conn.Write([]byte("x"))
+			_, _ = reader.ReadByte()
+		}), upstream.LivenessUnknown},
+	} {
+		client := upstream.NewClient()
+		assert.Equal(t, test.want, client.Watch(context.Background(), test.address, 60*time.Millisecond), name)
+		assert.Equal(t, test.want == upstream.LivenessConnected, client.HasIdleConn(test.address), name)
+	}
+	client, address := upstream.NewClient(), serve(t, waits)
+	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
+	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
+	assert.EqualValues(t, 1, client.ConnectionsOpened(), "an idle connection is watched")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	began := time.Now()
+	assert.Equal(t, upstream.LivenessUnknown, client.Watch(ctx, address, 10*time.Second))
+	assert.Less(t, time.Since(began), 5*time.Second)
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -28,10 +28,14 @@
 	return n, err
 }
 
-// Close ends the exchange. It keeps the connection for reuse only if the
+// Close ends the exchange; further calls do nothing. It keeps the connection for reuse only if the
 // request was sent in full, the response was read in full and no data follows
 // it; otherwise it closes the connection.
 func (response *Response) Close() {
+	if response.closed {
+		return
+	}
+	response.closed = true
 	stopped := response.stop()
 	if !stopped || !response.complete.Load() || !response.reusable || !response.requestSent() || response.conn.reader.Buffered() > 0 {
 		_ = response.conn.Close() // not reusable
