upstream, gateway, eventstream: bound what is read of a response

Cause: http.ReadResponse read from an unlimited reader, interim responses and responses to other requests were skipped as long as they came, and events in progress, held back or kept were not counted in the memory for bodies. The class: input of another process that is bounded by time only.

Change: 64 KiB until a head is complete, 1 MiB for the body of another response, 64 KiB of events without data, no more events than the request's tokens allow, and the memory of events is reserved. While that memory is used up, only responses of over 64 KiB are cut. Where a bound strikes the connection is closed and the exchange has failed; the endpoint counts as any other whose exchange failed.

Without the reservation for events held back, or that for kept ones, TestKeptAndHeldBackEventsTakeMemory fails.

--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -78,3 +78,43 @@
 		require.True(t, bytes.HasPrefix(data, raw), "the events are the bytes of the stream, unchanged and in order")
 	})
 }
+
+// Guards against events without data, such as comments, that come without end.
+func TestEventsWithoutDataAreBounded(t *testing.T) {
+	comments, event := strings.Repeat(": c\n\n", 10<<10), "data: x\n\n"
+	events, err := readAll(strings.NewReader(comments + event + comments + event))
+	require.ErrorIs(t, err, io.EOF)
+	assert.Len(t, events, 20<<10+2)
+	_, err = readAll(strings.NewReader(comments + comments))
+	var tooLong *eventstream.TooLongError
+	assert.ErrorAs(t, err, &tooLong)
+}
+
+// Guards against events that take memory which is not accounted for, or not released.
+func TestMemoryOfEventsIsReserved(t *testing.T) {
+	long, short := "data: "+strings.Repeat("x", 300<<10)+"\n\n", "data: x\n\n"
+	var reserved, peak int64
+	reader := eventstream.NewMeteredReader(strings.NewReader(long+short), func(bytes int64) error {
+		reserved += bytes
+		peak = max(peak, reserved)
+		return nil
+	})
+	for range 2 {
+		_, err := reader.Next()
+		require.NoError(t, err)
+		assert.Zero(t, reserved)
+	}
+	assert.Greater(t, peak, int64(280<<10))
+	full := errors.New("full")
+	reader = eventstream.NewMeteredReader(strings.NewReader(long), func(bytes int64) error {
+		reserved += bytes
+		if reserved > 100<<10 {
+			reserved -= bytes
+			return full
+		}
+		return nil
+	})
+	_, err := reader.Next()
+	require.ErrorIs(t, err, full)
+	assert.Zero(t, reserved)
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -13,6 +14,11 @@
 	// body within the limits takes 20 ms on the slowest link seen, of 30
 	// Mbit/s.
 	discardTimeout = time.Second
+	// smallResponse is the memory of a response that is not cut because all of the memory
+	// for bodies is used, and maxResponse that above which any is, in bytes. The latter
+	// is the largest turn that can be stored.
+	smallResponse = 64 << 10
+	maxResponse   = 16 << 20
 	// defaultMaxBody is the body size limit in bytes if the configuration sets
 	// none.
 	defaultMaxBody = 4 << 20
@@ -35,6 +41,27 @@
 	return e.bodyMemory.Add(size) <= e.MaxBodyBytes || e.MaxBodyBytes <= 0
 }
 
+// ResponseTooLargeError is the cause of a refusal if a response takes too much memory.
+type ResponseTooLargeError struct {
+	size int64
+}
+
+// Error returns the memory that the response would have taken, in bytes.
+func (e *ResponseTooLargeError) Error() string {
+	return fmt.Sprintf("response takes too much memory: %d bytes", e.size)
+}
+
+// reserveResponseMemory reserves memory for a part of a response that is not relayed yet or
+// is kept, or releases it if size is negative. It returns a *refusal if the response takes
+// too much, by itself or beside others.
+func (e *exchange) reserveResponseMemory(size int64) error {
+	e.responseMemory += size
+	if fits := e.countMemory(size); e.responseMemory <= smallResponse || fits && e.responseMemory <= maxResponse {
+		return nil
+	}
+	return refuse(ReasonNoMemory, http.StatusBadGateway, 0, &ResponseTooLargeError{size: e.responseMemory})
+}
+
 // readBody reads the request's body. It returns a *refusal if the body exceeds
 // the size limit, the memory for bodies is exhausted, reading fails, or the body is not
 // complete by the deadline or the end of a shutdown.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -26,8 +26,9 @@
 	// can be retried.
 	maxBufferedBody = 1 << 20
 	// bufferStep is how much of a plain response is read at a time before the
-	// memory for bodies is checked.
-	bufferStep = 32 << 10
+	// memory for bodies is checked, and firstBufferStep at first.
+	bufferStep      = 32 << 10
+	firstBufferStep = 4 << 10
 	// lastEventHeader names the event after which a stream resumes.
 	lastEventHeader = "Last-Event-Id"
 )
@@ -218,23 +219,28 @@
 // less if the memory for bodies is exhausted. Callers that read slowly could
 // otherwise make the process exceed its memory. It reports whether the body is
 // complete.
-func (e *exchange) bufferBody(body io.Reader) (data []byte, complete bool, err error) {
-	var buffer bytes.Buffer
-	for buffer.Len() < maxBufferedBody && e.countMemory(0) {
-		n, err := io.CopyN(&buffer, body, bufferStep)
-		e.countMemory(n)
-		if err != nil {
-			return buffer.Bytes(), err == io.EOF, err
+func (e *exchange) bufferBody(body io.Reader) (data net.Buffers, complete bool, err error) {
+	size := firstBufferStep
+	for total := 0; total < maxBufferedBody && e.countMemory(0); size = bufferStep {
+		e.countMemory(int64(size))
+		chunk := make([]byte, size)
+		n, err := io.ReadFull(body, chunk)
+		data, total = append(data, chunk[:n]), total+n
+		switch {
+		case err == io.EOF || err == io.ErrUnexpectedEOF:
+			return data, true, nil
+		case err != nil:
+			return data, false, err
 		}
 	}
-	return buffer.Bytes(), false, nil
+	return data, false, nil
 }
 
 // relayBuffered relays a plain response. A body within the limits of bufferBody
 // is read completely first; a longer one is then streamed.
 func (e *exchange) relayBuffered(ctx context.Context, response *upstream.Response, endpoint *membership.Endpoint) (balance.Outcome, error) {
 	body, complete, err := e.bufferBody(response.Body)
-	if err != nil && !complete {
+	if err != nil {
 		if ctx.Err() != nil {
 			return balance.OutcomeAbandoned, err
 		}
@@ -244,17 +250,26 @@
 	if response.Status >= http.StatusInternalServerError {
 		outcome = balance.OutcomeFailed
 	}
+	length := -1
 	if complete {
 		if outcome == balance.OutcomeFailed {
 			response.Close() // the connection can be watched
 			e.awaitFailureSettled(ctx, endpoint)
 		}
-		e.writeHead(response, len(body))
-		_, _ = e.w.Write(body) // the caller may be gone; the request has run
-		return outcome, nil
+		length = 0
+		for _, chunk := range body {
+			length += len(chunk)
+		}
+	}
+	e.writeHead(response, length)
+	_, err = body.WriteTo(e.w)
+	if complete {
+		return outcome, nil // the caller may be gone; the request has run
+	}
+	if err == nil {
+		_, err = io.Copy(e.w, response.Body)
 	}
-	e.writeHead(response, -1)
-	if _, err := io.Copy(e.w, io.MultiReader(bytes.NewReader(body), response.Body)); err != nil {
+	if err != nil {
 		return balance.OutcomeBroken, err
 	}
 	return outcome, nil
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,8 +9,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 )
 
 // maxEndlessBytes bounds what is taken of a response without end. It includes the buffers of
@@ -102,3 +105,70 @@
 		assert.Equal(t, event, body, path)
 	}
 }
+
+// Guards against small responses that are cut since large ones use the memory for bodies, and
+// against large ones that use all of it.
+func TestLargeResponsesAreCutBeforeSmallOnes(t *testing.T) {
+	b := newFixture(t)
+	i := b.startInstance()
+	i.MaxBodyBytes = 256 << 10
+	large := make(chan struct{})
+	b.model.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+		switch {
+		case strings.Contains(run.Path, "waits"): // within its event, which takes some of the memory
+			return platformtest.Behaviour{Raw: responseHead + "\r\ndata: " + strings.Repeat("x", 250<<10), After: func() { <-large }, CloseRaw: true}
+		case strings.Contains(run.Path, "large"):
+			return platformtest.Behaviour{Raw: responseHead + "\r\ndata: " + strings.Repeat("x", 400<<10) + "\n\n", CloseRaw: true}
+		}
+		return platformtest.Behaviour{}
+	})
+	waiting := make(chan struct{})
+	go func() {
+		defer close(waiting)
+		_, _, _ = i.send(callerRequest{path: "/keep/waits", id: "waits", body: "x"})
+	}()
+	assert.Eventually(t, func() bool { return i.bodyBytes() > 200<<10 }, time.Second, time.Millisecond)
+	response, body := i.mustSend(callerRequest{path: "/keep/large", id: "large", body: "x"})
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+	assert.Contains(t, body, "NoMemory")
+	response, body = i.mustSend(callerRequest{path: "/keep/small", id: "small", body: "x"})
+	assert.Equal(t, http.StatusOK, response.StatusCode, body)
+	close(large)
+	<-waiting
+	assert.Eventually(t, func() bool { return i.bodyBytes() == 0 }, time.Second, time.Millisecond)
+}
+
+// Guards against memory that events take which are kept or held back, and that is not counted.
+func TestKeptAndHeldBackEventsTakeMemory(t *testing.T) {
+	b := newFixture(t)
+	i := b.startInstance()
+	event := "id: 1\ndata: " + strings.Repeat("x", 30<<10) + "\n\n"
+	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: responseHead + "\r\n" + strings.Repeat(event, 10), CloseRaw: true}
+	})
+	for n, test := range []struct {
+		path    string
+		header  map[string]string
+		limit   int64
+		isWhole bool
+	}{
+		{path: "/chat/relayed", header: turnHeaders("relayed", nil), limit: 256 << 10, isWhole: true},
+		{path: "/chat/held", header: turnHeaders("p1", nil), limit: 256 << 10},
+		{path: "/chat/held", header: turnHeaders("p2", nil), limit: 1 << 20, isWhole: true},
+		{path: "/keep/kept", limit: 256 << 10},
+		{path: "/keep/kept", limit: 1 << 20, isWhole: true},
+	} {
+		i.MaxBodyBytes = test.limit
+		switch n {
+		case 1: // turns have a partial grant while the store is away
+			require.NoError(t, i.accounts.AcquireOnce(context.Background(), singleInstance{}, false))
+			b.memory.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+		case 3:
+			b.memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
+		}
+		response, body, err := i.send(callerRequest{path: test.path, id: fmt.Sprint("r", n), body: "x", header: test.header})
+		isWhole := err == nil && response.StatusCode == http.StatusOK && len(body) == 10*len(event)
+		assert.Equal(t, test.isWhole, isWhole, "%s within %d: %v %.100s", test.path, test.limit, err, body)
+		assert.Eventually(t, func() bool { return i.bodyBytes() == 0 }, time.Second, time.Millisecond)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -78,8 +78,8 @@
 	bodyTimedOut bool
 
 	// memoryUsed is the number of bytes reserved for the body, the prompt and
-	// what is kept of the response.
-	memoryUsed int64
+	// what is kept of the response, and responseMemory the last of these.
+	memoryUsed, responseMemory int64
 	// chain holds the earlier turns of the conversation, the oldest first.
 	chain []*history.Turn
 	// reservation is the budget reserved for the turn; nil for a request that
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,6 +20,14 @@
 // the store.
 const heldBudgetRetryInterval = 300 * time.Millisecond
 
+// maxExtraEvents is the number of events of a stream beyond its maximum of tokens, for
+// those that have data and no token.
+const maxExtraEvents = 64
+
+// errTooManyEvents is the error for a stream with more events than its maximum of tokens
+// allows.
+var errTooManyEvents = errors.New("stream exceeds its maximum of tokens")
+
 // maxRelayShare is the share of a stream's time that may be spent waiting for
 // its caller and for budget. A stream with a larger share ends later than the
 // endpoint finished it, so its time tells nothing about the endpoint's speed.
@@ -30,7 +38,7 @@
 // event is never sent, so another endpoint can resume after the last complete
 // one.
 func (e *exchange) relayStream(ctx context.Context, response *upstream.Response, choice *balance.Choice) (balance.Outcome, error) {
-	reader := eventstream.NewReader(response.Body)
+	reader := eventstream.NewMeteredReader(response.Body, e.reserveResponseMemory)
 	began, receivedBefore := e.Clock.Now(), e.received
 	var relaying time.Duration
 	for {
@@ -47,6 +55,8 @@
 			return balance.OutcomeAbandoned, err
 		case err != nil:
 			return balance.OutcomeBroken, err
+		case e.exceedsMaxTokens(event):
+			return balance.OutcomeBroken, refuse(ReasonEndpointFailed, http.StatusBadGateway, 0, errTooManyEvents)
 		}
 		e.heardAt = received
 		e.setFirstResponse(response)
@@ -61,6 +71,12 @@
 	}
 }
 
+// exceedsMaxTokens reports whether the event is more than the request's tokens allow, of
+// which each event has one at least.
+func (e *exchange) exceedsMaxTokens(event eventstream.Event) bool {
+	return event.HasData && e.call.MaxTokens > 0 && e.received >= e.call.MaxTokens+maxExtraEvents
+}
+
 // nextEvent returns the next event of the stream. While the endpoint pauses, it
 // sends held-back events to keep the caller connected.
 func (e *exchange) nextEvent(ctx context.Context, reader *eventstream.Reader) (event eventstream.Event, err error) {
@@ -201,7 +217,9 @@
 	if event.HasData {
 		e.received++
 		if e.route.KeepsHistory {
-			e.countMemory(int64(len(event.Raw)))
+			if err := e.reserveResponseMemory(int64(len(event.Data))); err != nil {
+				return err
+			}
 			e.eventData = append(e.eventData, event.Data)
 		}
 	}
@@ -211,6 +229,9 @@
 	e.eventBuffer.add(event)
 	if e.mustHoldBack() {
 		e.heldBack = true
+		if err := e.reserveResponseMemory(int64(len(event.Raw))); err != nil {
+			return err
+		}
 		return e.writeEvents(e.eventBuffer.takeDue(e.Clock.Now()))
 	}
 	return e.writeEvents(e.eventBuffer.takeAll(e.Clock.Now()))
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -20,6 +21,9 @@
 	// endpoint in a row: one that fails some of its requests fails some checks, too.
 	healthTimeout  = 250 * time.Millisecond
 	healthAttempts = 4
+	// maxHealthBody bounds what is read of the body of a response to a health check, in
+	// bytes.
+	maxHealthBody = 4 << 10
 	// maxBackground bounds the endpoints that are watched or checked at a time.
 	maxBackground = 256
 	// defaultHealthPath is that of services without one in the configuration.
@@ -142,6 +146,7 @@
 			continue
 		}
 		isOwn := gateway.Dialect.IsFrom(endpoint.ID, response.Status, response.Header)
+		_, _ = io.CopyN(io.Discard, response.Body, maxHealthBody) // so that the connection can be reused
 		response.Close()
 		if isOwn {
 			return healthAlive
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -38,6 +38,13 @@
 	// maxInlineBody is the size of the largest body, in bytes, that is written
 	// in full before the response is read.
 	maxInlineBody = 2048
+	// maxHeadBytes bounds what is read of a response until its head is complete,
+	// including interim responses. It is also the largest head of a request that callers
+	// may send.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to an earlier request that is
+	// skipped.
+	maxSkippedBytes = 1 << 20
 	// maxMismatched is the number of responses to earlier requests that are
 	// skipped on one connection.
 	maxMismatched = 2
@@ -104,7 +111,8 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	limit   *limitReader
+	reader  *bufio.Reader // of limit
 	expires time.Time
 }
 
@@ -188,9 +196,12 @@
 
 // readHead reads the head of the response to request. It skips interim (1xx)
 // responses and up to maxMismatched responses to earlier requests. It returns a
-// *ResponseMismatchError for one that it cannot skip.
+// *ResponseMismatchError for one that it cannot skip, and a *HeadTooLongError if more than
+// maxHeadBytes come without a head.
 func (c *conn) readHead(request *Request) (*responseHead, error) {
 	mismatched := 0
+	c.limit.remaining = maxHeadBytes
+	defer func() { c.limit.remaining = unlimited }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -205,9 +216,10 @@
 			return &responseHead{status: response.StatusCode, header: response.Header, body: response.Body, closing: response.Close}, nil
 		}
 		mismatched++
-		if mismatched > maxMismatched || response.Close || response.ContentLength < 0 {
+		if mismatched > maxMismatched || response.Close || response.ContentLength < 0 || response.ContentLength > maxSkippedBytes {
 			return nil, &ResponseMismatchError{want: want, got: got}
 		}
+		c.limit.remaining += response.ContentLength
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
@@ -252,7 +264,8 @@
 
 // newConn returns an open connection to the endpoint at address.
 func newConn(raw net.Conn, address string) *conn {
-	return &conn{Conn: raw, address: address, reader: bufio.NewReader(raw)}
+	limit := &limitReader{reader: raw, remaining: unlimited}
+	return &conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReader(limit)}
 }
 
 // takeIdle removes and returns the most recently used idle connection to
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -323,3 +323,45 @@
 		client.HasIdleConn("127.0.0.1:1")
 	}
 }
+
+// Guards against an endpoint that sends bytes without end before its response, which are all
+// read and partly held in memory.
+func TestHeadIsBounded(t *testing.T) {
+	const large = 70 << 10
+	for name, test := range map[string]struct {
+		sent string
+		// isRead is set if the response is within the bound.
+		isRead bool
+	}{
+		"no line":                  {sent: strings.Repeat("x", large)},
+		"header field":             {sent: "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", large)},
+		"interim responses":        {sent: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", large/28)},
+		"large header":             {sent: "HTTP/1.1 200 OK\r\nX-A: " + strings.Repeat("x", 50<<10) + "\r\nContent-Length: 1\r\n\r\na", isRead: true},
+		"large body":               {sent: "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 200000), isRead: true},
+		"large body of another":    {sent: "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2000000\r\n\r\n"},
+		"medium body of another":   {sent: "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 200000) + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", isRead: true},
+		"long head after a medium": {sent: "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("x", 200000) + strings.Repeat("x", large)},
+	} {
+		closed := make(chan struct{})
+		address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+			_, _ = http.ReadRequest(reader)
+			_, _ = io.WriteString(conn, test.sent)
+			_, _ = reader.ReadByte() // until the client closes the connection
+			close(closed)
+		})
+		client := upstream.NewClient()
+		_, _, err := do(t, client, request(address, "1", ""))
+		if test.isRead {
+			assert.NoError(t, err, name)
+			continue
+		}
+		var failure *upstream.Error
+		require.ErrorAs(t, err, &failure, name)
+		assert.Equal(t, upstream.StageHead, failure.Stage(), name)
+		select {
+		case <-closed:
+		case <-time.After(time.Second):
+			t.Errorf("%s: the connection stays open", name)
+		}
+	}
+}
