codec, upstream: bound what other readers take from another process

Change: 8 MiB for a value, 4 MiB for an answer of an endpoint to the sidecar, 8 MiB for a response of the table service, 64 KiB for headers.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -6,6 +6,7 @@
 package codec
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
@@ -69,15 +70,50 @@
 	return eris.Wrap(encoder.encoder.Encode(value), "encode")
 }
 
+// MaxValueBytes bounds the encoding of a value that a Decoder reads.
+const MaxValueBytes = 8 << 20
+
 // Decoder reads a sequence of values.
-type Decoder struct{ decoder *cbor.Decoder }
+type Decoder struct {
+	decoder *cbor.Decoder
+	limit   *valueReader
+}
 
 // NewDecoder returns a Decoder that reads from r.
-func NewDecoder(r io.Reader) *Decoder { return &Decoder{decoder: decMode.NewDecoder(r)} }
+func NewDecoder(r io.Reader) *Decoder {
+	limit := &valueReader{reader: r}
+	return &Decoder{decoder: decMode.NewDecoder(limit), limit: limit}
+}
+
+// TooLongError is returned for a value of more than MaxValueBytes bytes.
+type TooLongError struct{}
+
+// Error returns the limit.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("value exceeds the maximum length of %d bytes", MaxValueBytes)
+}
+
+// valueReader reads up to remaining bytes of reader, which are set for each value, and then
+// returns a *TooLongError.
+type valueReader struct {
+	reader    io.Reader
+	remaining int
+}
+
+// Read implements io.Reader.
+func (limit *valueReader) Read(p []byte) (int, error) {
+	if limit.remaining <= 0 {
+		return 0, &TooLongError{}
+	}
+	n, err := limit.reader.Read(p[:min(len(p), limit.remaining)])
+	limit.remaining -= n
+	return n, err
+}
 
 // Decode reads the next value into the value that dst points to. It returns
-// io.EOF at the end of the input.
+// io.EOF at the end of the input, and a *TooLongError for a value that is too long.
 func (decoder *Decoder) Decode(dst any) error {
+	decoder.limit.remaining = MaxValueBytes
 	err := decoder.decoder.Decode(dst)
 	if err == io.EOF {
 		return io.EOF
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -114,3 +114,39 @@
 	// one
 	// two
 }
+
+// endlessReader returns the head of a long string and then bytes without end.
+type endlessReader struct {
+	head []byte
+	read int
+}
+
+// Read implements io.Reader.
+func (reader *endlessReader) Read(p []byte) (int, error) {
+	n := len(p)
+	if len(reader.head) > 0 {
+		n = copy(p, reader.head)
+		reader.head = reader.head[n:]
+	}
+	reader.read += n
+	return n, nil
+}
+
+// Guards against a value that another process sends without end.
+func TestDecoderBoundsValues(t *testing.T) {
+	endless := &endlessReader{head: []byte{0x5b, 0, 0, 0, 1, 0, 0, 0, 0}} // a byte string of 4 GB
+	var value []byte
+	var tooLong *codec.TooLongError
+	require.ErrorAs(t, codec.NewDecoder(endless).Decode(&value), &tooLong)
+	assert.LessOrEqual(t, endless.read, codec.MaxValueBytes)
+	var stream bytes.Buffer
+	encoder, large := codec.NewEncoder(&stream), make([]byte, 5<<20)
+	for range 3 {
+		require.NoError(t, encoder.Encode(large))
+	}
+	decoder := codec.NewDecoder(&stream)
+	for range 3 {
+		require.NoError(t, decoder.Decode(&value), "the bound is that of one value")
+		assert.Len(t, value, len(large))
+	}
+}
--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -17,6 +17,7 @@
 	"github.com/wagtaildrum/wagtaildrum/codec"
 	"github.com/wagtaildrum/wagtaildrum/debug"
 	"github.com/wagtaildrum/wagtaildrum/tcp"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 const (
@@ -72,10 +73,13 @@
 	repeating chan struct{}
 }
 
+// maxDetailBytes bounds the detail of a *StatusError.
+const maxDetailBytes = 1 << 10
+
 // NewClient returns a client for the instances in directory. It reports the
 // metrics peer_calls and peer_bytes to scope, tagged with the path of the call.
 func NewClient(directory *Directory, scope tally.Scope) *Client {
-	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: upstream.MaxHeaderBytes}
 	return &Client{directory: directory, http: &http.Client{Transport: transport}, repeating: make(chan struct{}, maxRepeating), calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
 }
 
@@ -156,7 +160,7 @@
 		return &TransportError{instance: instance.Name, cause: err}
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return &StatusError{instance: instance.Name, status: response.StatusCode, detail: string(data)}
+		return &StatusError{instance: instance.Name, status: response.StatusCode, detail: string(data[:min(len(data), maxDetailBytes)])}
 	}
 	if result == nil {
 		return nil
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,8 +21,12 @@
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/settings"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
+// maxAnswerBytes bounds an event or a whole body that an endpoint sends.
+const maxAnswerBytes = 4 << 20
+
 // retryAfterDraining is the retry delay for a call rejected by a draining
 // sidecar: none, since the caller normally retries at another endpoint.
 // retryAfterQueueFull is the retry delay for a call rejected by the gate if the
@@ -66,6 +70,7 @@
 	// connection would be opened and closed for nearly every call.
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = s.MaxConcurrent, s.MaxConcurrent
+	transport.MaxResponseHeaderBytes = upstream.MaxHeaderBytes
 	hc := &http.Client{Transport: transport}
 	endpoint := sling.New().Client(hc).Base(s.Endpoint)
 	order, err := admission.NewOrder(s.Order)
@@ -76,7 +81,7 @@
 	return &Sidecar{
 		role:       s.Role,
 		endpoint:   endpoint,
-		cache:      newCacheWatcher(endpoint, log),
+		cache:      newCacheWatcher(sling.New().Client(&http.Client{Transport: upstream.LimitBodies(transport, maxAnswerBytes)}).Base(s.Endpoint), log),
 		modelCalls: newModelCalls(),
 		http:       hc,
 		gate:       admission.NewGate(order, limits, clk),
@@ -230,12 +235,12 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(resp.Body)
+		body, _ := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswerBytes))
 		_ = send(peer.Frame{Type: peer.FrameFailed, Reason: "endpoint_status", Message: string(body)})
 		return
 	}
 	sc := bufio.NewScanner(resp.Body)
-	sc.Buffer(make([]byte, 64<<10), 4<<20)
+	sc.Buffer(make([]byte, 64<<10), maxAnswerBytes)
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data: "))
 		if !ok || string(data) == "[DONE]" {
@@ -261,7 +266,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswerBytes))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		_ = send(peer.Frame{Type: peer.FrameFailed, Reason: "endpoint_status", Message: resp.Status + " " + string(body)})
 		return
--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/retry"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 // keyQuery holds the query parameter of a call for one key.
@@ -34,11 +35,16 @@
 	base *sling.Sling
 }
 
+// maxResponseBytes bounds the body of a response.
+const maxResponseBytes = 8 << 20
+
 // NewClient returns a client for the platform at baseURL. Each HTTP request
 // fails after timeout, because a slow platform must not delay a caller
 // beyond its deadline.
 func NewClient(baseURL string, timeout time.Duration) *Client {
-	httpClient := &http.Client{Timeout: timeout}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = upstream.MaxHeaderBytes
+	httpClient := &http.Client{Timeout: timeout, Transport: upstream.LimitBodies(transport, maxResponseBytes)}
 	return &Client{base: sling.New().Client(httpClient).Base(baseURL)}
 }
 
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/http"
 )
 
 // unlimited is the number of remaining bytes of a limitReader without a limit.
@@ -36,3 +37,27 @@
 	}
 	return n, err
 }
+
+// MaxHeaderBytes bounds the header of a response, for an http.Transport.
+const MaxHeaderBytes = maxHeadBytes
+
+// LimitBodies returns a RoundTripper like transport whose response bodies fail with an
+// *http.MaxBytesError after so many bytes.
+func LimitBodies(transport http.RoundTripper, bytes int64) http.RoundTripper {
+	return &limitedTransport{RoundTripper: transport, bytes: bytes}
+}
+
+// limitedTransport bounds the bodies of responses.
+type limitedTransport struct {
+	http.RoundTripper
+	bytes int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (transport *limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := transport.RoundTripper.RoundTrip(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, transport.bytes)
+	}
+	return response, err
+}
