--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -75,7 +75,7 @@
 	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
 	heardAt := e.heardAt
 	switch {
-	case outcome == balance.OutcomeServed && e.r.Context().Err() == nil:
+	case outcome == balance.OutcomeServed:
 		e.Crashes.Responded(endpoint.Incarnation())
 		if e.Crashes.Any() {
 			e.Crashes.Served(ctx, e.sendTo(endpoint))
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -261,6 +261,8 @@
 	}
 	if a.resumes != "" {
 		r.Header.Set("Resumes", a.resumes)
+	}
+	if a.lastEvent != "" {
 		r.Header.Set("Last-Event-Id", a.lastEvent)
 	}
 	if a.previous != "" {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -365,3 +365,36 @@
 		}
 	}
 }
+
+// Guards against a connection that is kept twice, and given to two requests.
+func TestCloseKeepsTheConnectionOnce(t *testing.T) {
+	client := upstream.NewClient()
+	release := make(chan struct{})
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.Header.Get("X-Id") != "first" {
+				<-release
+			}
+			respond(conn, r.Header.Get("X-Id"), "", "")
+		}
+	})
+	_, response, err := do(t, client, request(address, "first", ""))
+	require.NoError(t, err)
+	response.Close()
+	response.Close()
+	done := make(chan error, 2)
+	for _, id := range []string{"second", "third"} {
+		go func() {
+			_, err := client.Do(context.Background(), request(address, id, ""))
+			done <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return client.ConnectionsOpened() == 2 }, time.Second, time.Millisecond)
+	close(release)
+	require.NoError(t, <-done)
+	require.NoError(t, <-done)
+}
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -135,3 +136,17 @@
 	assert.Equal(t, upstream.LivenessUnknown, client.Watch(ctx, address, 10*time.Second))
 	assert.Less(t, time.Since(began), 5*time.Second)
 }
+
+// Guards against a watched connection that is kept for longer than the endpoint announced.
+func TestWatchKeepsTheIdleTimeout(t *testing.T) {
+	client := upstream.NewClient()
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		respond(conn, "1", "Keep-Alive: timeout=1\r\n", "")
+		_, _ = reader.ReadByte()
+	})
+	_, _, err := do(t, client, request(address, "1", ""))
+	require.NoError(t, err)
+	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
+	assert.Eventually(t, func() bool { return !client.HasIdleConn(address) }, time.Second, 10*time.Millisecond, "idle for half a second at most")
+}
