quarantine: an instance that does not respond delays no reports to others

Every failed exchange is reported now, so more publications are in progress while one instance does not respond, and each waits for it: with four of them, later crashes reached nobody for some 60 ms, and their callers were back before. A publication that takes over 20 ms no longer counts as one of the four; 64 of these are waited for at most. TestUnresponsiveInstanceDelaysNoReports failed before (from the fifth crash on).

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -31,7 +31,11 @@
 	// more than maxTickDelay tells of a suspension.
 	TickInterval = 500 * time.Millisecond
 	maxTickDelay = 250 * time.Millisecond
-	// maxPublications bounds the concurrent publications; reports in the meantime are
+	// stallTime is the time after which a publication waits for instances that do not
+	// respond, and maxStalled bounds those that do.
+	stallTime  = 20 * time.Millisecond
+	maxStalled = 64
+	// maxPublications bounds the other concurrent publications; reports in the meantime are
 	// published together. maxPending bounds these.
 	maxPublications = 4
 	maxPending      = 1000
@@ -139,6 +143,8 @@
 	// publish.
 	pending    *publication
 	publishing int
+	// stalled holds an element for each publication that has stalled.
+	stalled chan struct{}
 }
 
 // NewGuard returns a Guard on records. presence tells whether an incarnation is listed.
@@ -146,7 +152,7 @@
 // crash_reports_received, crash_reports_published and crash_reports_dropped to scope.
 func NewGuard(records *Records, peers Peers, presence PresenceFunc, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
 	now := clk.Now()
-	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: now, tickedAt: now, changed: make(chan struct{}, 1),
+	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: now, tickedAt: now, changed: make(chan struct{}, 1), stalled: make(chan struct{}, maxStalled),
 		crashes: scope.Counter("endpoint_crashes"), received: scope.Counter("crash_reports_received"), published: scope.Counter("crash_reports_published"), dropped: scope.Counter("crash_reports_dropped")}
 }
 
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -37,6 +37,8 @@
 	fleet *fleet
 	// isCut is set while no reports reach the instance, or leave it.
 	isCut bool
+	// stall is how long an instance beside the others does not respond.
+	stall time.Duration
 	// knownFor is how long the others know of the instance.
 	knownFor time.Duration
 	// fetches counts the calls of FetchReports, and published the reports sent.
@@ -96,6 +98,7 @@
 	for _, other := range others {
 		other.Receive(reports)
 	}
+	time.Sleep(m.stall)
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
 	m.published += len(reports)
@@ -360,3 +363,20 @@
 		}
 	}
 }
+
+// Guards against crashes that other instances learn of too late since one of them does not
+// respond, and publications wait for it.
+func TestUnresponsiveInstanceDelaysNoReports(t *testing.T) {
+	f := newFleet(3)
+	first, other := f.guards[0], f.guards[1]
+	first.stall = 400 * time.Millisecond
+	var requests sync.WaitGroup
+	for n := range 20 {
+		requests.Go(func() {
+			time.Sleep(time.Duration(n) * 5 * time.Millisecond)
+			first.crash(keyOf(n), fmt.Sprint("e", n))
+			assert.Equal(t, 1, other.Assess(keyOf(n), false).Crashed, "request %d", n)
+		})
+	}
+	requests.Wait()
+}
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -44,7 +44,8 @@
 	return batch.done
 }
 
-// publishPending publishes what is pending until nothing is.
+// publishPending publishes what is pending until nothing is. A publication that takes
+// longer than stallTime, since an instance does not respond, does not hold up the next one.
 func (guard *Guard) publishPending(ctx context.Context) {
 	for {
 		guard.mu.Lock()
@@ -56,10 +57,30 @@
 			return
 		}
 		guard.mu.Unlock()
-		if received, instances := guard.peers.PublishReports(ctx, batch.reports); received < instances {
-			guard.log.Info("crash reports not received by all instances", "reports", len(batch.reports), "received", received, "instances", instances)
+		go guard.publishBatch(ctx, batch)
+		timer := time.NewTimer(stallTime)
+		select {
+		case <-batch.done:
+			timer.Stop()
+			continue
+		case <-timer.C:
 		}
-		guard.published.Inc(int64(len(batch.reports)))
-		close(batch.done)
+		select {
+		case guard.stalled <- struct{}{}:
+			go func() {
+				<-batch.done
+				<-guard.stalled
+			}()
+		case <-batch.done:
+		}
+	}
+}
+
+// publishBatch publishes a batch and closes its done channel.
+func (guard *Guard) publishBatch(ctx context.Context, batch *publication) {
+	if received, instances := guard.peers.PublishReports(ctx, batch.reports); received < instances {
+		guard.log.Info("crash reports not received by all instances", "reports", len(batch.reports), "received", received, "instances", instances)
 	}
+	guard.published.Inc(int64(len(batch.reports)))
+	close(batch.done)
 }
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -275,3 +275,14 @@
 	f.clock.Advance(6 * time.Second)
 	assert.Empty(t, f.Trying(keyOf(2), 1), "of an instance that died")
 }
+
+// Guards against a request that is counted at an endpoint which had crashed before it was sent.
+func TestEndpointThatCrashedBeforeIsNotCounted(t *testing.T) {
+	f := newFixture()
+	f.add(keyOf(1), "e1", quarantine.StateCrashed)
+	f.clock.Advance(time.Second)
+	f.add(keyOf(2), "e1", quarantine.StateUnresolved)
+	assert.Empty(t, f.Resolve(presence(membership.PresenceGone)))
+	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(2)))
+	assert.Equal(t, [2]int{1, 0}, f.counts(keyOf(1)))
+}
