--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -45,6 +46,7 @@
 	mannerUnstamped manner = "unstamped" // after a response without a stamp
 	mannerFailure   manner = "failure"   // after a whole response that reports a failure
 	mannerAnew      manner = "anew"      // before a response; another endpoint starts at the address
+	mannerAccepts   manner = "accepts"   // before a response; the address accepts connections, and nobody responds
 )
 
 // endDelay is the time from what an endpoint sends to its end.
@@ -76,6 +78,13 @@
 		}
 	}
 	switch {
+	case strings.Contains(run.Path, string(mannerAccepts)):
+		return platformtest.Behaviour{Crash: func() {
+			s.end(e, name, func() {
+				e.proxy.cut(wayBoth)
+				e.proxy.resetAll(false)
+			})
+		}}
 	case strings.Contains(run.Path, string(mannerAnew)):
 		return platformtest.Behaviour{Crash: func() { s.end(e, name, func() { s.add(e.Service == "model", e) }) }}
 	case strings.Contains(run.Path, string(mannerReset)):
@@ -146,6 +155,8 @@
 	stays bool
 	// kills is set if each instance is killed after its attempt.
 	kills bool
+	// pause is the time between attempts; 0 for 5 to 400 ms.
+	pause time.Duration
 }
 
 // name returns the name of the crashing request, the last element of its path.
@@ -181,7 +192,7 @@
 		if !crasher.stays {
 			caller.front = caller.site.fronts[(n+try+1)%frontCount]
 		}
-		caller.sleep(ctx, time.Duration(5+caller.rng.IntN(395))*time.Millisecond)
+		caller.sleep(ctx, cmp.Or(crasher.pause, time.Duration(5+caller.rng.IntN(395))*time.Millisecond))
 	}
 	return all
 }
@@ -267,11 +278,14 @@
 // Guards against a request that ends more endpoints than allowed since they send something before they end, or another one starts at their address.
 func TestCrashingRequestEndsThreeEndpointsWhateverTheySend(t *testing.T) {
 	var crashers []crasher
-	for _, manner := range []manner{mannerGarbage, mannerUnstamped, mannerFailure, mannerAnew} {
+	for _, manner := range []manner{mannerGarbage, mannerUnstamped, mannerFailure, mannerAnew, mannerAccepts} {
 		for _, kind := range []kind{kindChat, kindKeep, kindLook} {
 			crashers = append(crashers, crasher{kind: kind, manner: manner})
 		}
 	}
+	for _, pause := range []time.Duration{150 * time.Millisecond, 2 * time.Second} {
+		crashers = append(crashers, crasher{kind: kindChat, manner: mannerAnew, pause: pause})
+	}
 	testCrashers(t, crashers)
 }
 
