gateway: a response that was relayed in part is not continued by another endpoint's

Cause: once a plain body exceeds the buffer it is relayed as it comes, and an endpoint that broke off then still counted as an attempt that may be repeated. Now that bytes of a plain body were relayed is a state of the exchange that the loop over attempts asks: the connection is aborted instead.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -78,7 +78,7 @@
 		if outcome == balance.OutcomeAbandoned {
 			return refuse(ReasonCallerGone, http.StatusBadGateway, 0, err)
 		}
-		if outcome == balance.OutcomeBroken && (!e.route.Repeatable() || e.runs >= e.route.Attempts) {
+		if outcome == balance.OutcomeBroken && (!e.route.Repeatable() || e.runs >= e.route.Attempts || e.bodyRelayed) {
 			return refuse(ReasonEndpointFailed, http.StatusBadGateway, 0, err)
 		}
 	}
@@ -262,6 +262,7 @@
 		}
 	}
 	e.writeHead(response, length)
+	e.bodyRelayed = true
 	_, err = body.WriteTo(e.w)
 	if complete {
 		return outcome, nil // the caller may be gone; the request has run
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -130,9 +130,11 @@
 	// heldBack is set once an event was held back from the caller.
 	heldBack bool
 	// The following fields describe what the caller was sent: whether the head
-	// was written, its status, the number of events, and the time from the
+	// was written, whether bytes of a plain body followed, which no other response can
+	// continue, the status, the number of events, and the time from the
 	// request's arrival to the first event.
 	headWritten      bool
+	bodyRelayed      bool
 	status           int
 	eventsSent       int64
 	timeToFirstEvent time.Duration
