gateway, upstream: watches of an endpoint share a connection; verdicts count from the end of the exchange

Two findings from reading the change again. Each failed exchange took an idle connection for 250 ms, so many refusals at a time opened new ones: concurrent watches of an address share one now (TestWatchesShareAConnection). And a response counted as a sign of life 250 ms after the endpoint was last heard, which may be long before a stream breaks off, in place of after the exchange ended; a shape of TestRequestEndsThreeEndpointsWhateverTheySend pauses for 300 ms before its end.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -73,7 +73,7 @@
 // exchange failed does not tell whether the endpoint lives.
 func (e *exchange) endSend(ctx context.Context, endpoint *membership.Endpoint, outcome balance.Outcome, err error) {
 	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
-	heardAt := e.heardAt
+	heardAt, endedAt := e.heardAt, e.Clock.Now()
 	switch {
 	case outcome == balance.OutcomeServed:
 		e.Crashes.Responded(endpoint.Incarnation())
@@ -81,14 +81,14 @@
 			e.Crashes.Served(ctx, e.sendTo(endpoint))
 		}
 	case outcome == balance.OutcomeBroken:
-		e.suspect(ctx, endpoint, err)
+		e.suspect(ctx, endpoint, endedAt, err)
 	case outcome == balance.OutcomeUnreachable && (e.send == nil || !e.send.IsRepeated()):
 		if e.send != nil {
 			e.Crashes.Survived(ctx, e.send)
 		}
 	case outcome == balance.OutcomeUnreachable:
 		e.verify(ctx, endpoint, e.send, time.Time{}) // it has sent nothing
-	case outcome == balance.OutcomeAbandoned && e.Clock.Now().Sub(heardAt) >= minSilence:
+	case outcome == balance.OutcomeAbandoned && endedAt.Sub(heardAt) >= minSilence:
 		send := e.sendTo(endpoint)
 		e.Crashes.Unresolved(ctx, send, false)
 		e.inBackground(func() { e.verify(ctx, endpoint, send, heardAt) })
@@ -99,7 +99,7 @@
 			e.Crashes.Unresolved(ctx, send, true)
 			e.logOutcome(endpoint, outcome, quarantine.StateUnresolved)
 		}
-		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, heardAt) })
+		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	}
 }
 
@@ -107,11 +107,11 @@
 // failure, and records whether the endpoint crashes in it: the caller may send the request
 // again at once.
 func (e *exchange) awaitFailureSettled(ctx context.Context, endpoint *membership.Endpoint) {
-	ctx = context.WithoutCancel(ctx)
+	ctx, endedAt := context.WithoutCancel(ctx), e.Clock.Now()
 	if e.Upstream.Watch(ctx, endpoint.Address, failureSettleTime) == upstream.LivenessConnected {
 		return
 	}
-	e.isSettled = e.verify(ctx, endpoint, e.sendTo(endpoint), e.heardAt) != healthUnknown
+	e.isSettled = e.verify(ctx, endpoint, e.sendTo(endpoint), endedAt) != healthUnknown
 }
 
 // isConnectionLost reports whether err tells that the connection ended before the
@@ -138,10 +138,10 @@
 	}
 }
 
-// suspect records that an exchange failed without a whole response. The endpoint counts as
+// suspect records that an exchange failed at endedAt without a whole response. The endpoint counts as
 // one that may have crashed, unless it is known already whether it has.
-func (e *exchange) suspect(ctx context.Context, endpoint *membership.Endpoint, err error) {
-	send, heardAt := e.sendTo(endpoint), e.heardAt
+func (e *exchange) suspect(ctx context.Context, endpoint *membership.Endpoint, endedAt time.Time, err error) {
+	send := e.sendTo(endpoint)
 	settle := upstream.ShortSettleTime
 	if e.Crashes.Assess(e.key(), false).Crashed > 0 {
 		settle = upstream.LongSettleTime // few requests, and each mistake counts
@@ -151,7 +151,7 @@
 	switch {
 	case liveness != upstream.LivenessRefused:
 		e.Crashes.Unresolved(ctx, send, true)
-		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, heardAt) })
+		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	case e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) != membership.PresenceListed:
 		state = quarantine.StateSurvived // it was about to stop
 		e.Crashes.Survived(ctx, send)
--- a/gateway/endpointend_test.go
+++ b/gateway/endpointend_test.go
@@ -62,6 +62,7 @@
 	{name: "failure", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"},
 	{name: "failure, connection closed", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"},
 	{name: "failure, lingers", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", lingers: 60 * time.Millisecond},
+	{name: "pause, lingers", raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 1000\r\n\r\nid: 1\ndata: x\n\n", delay: 300 * time.Millisecond, lingers: 60 * time.Millisecond},
 	{name: "garbage, lingers", raw: "\x00\x01 no response\r\n\r\n", lingers: 100 * time.Millisecond},
 	{name: "not run", raw: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
 }
@@ -92,7 +93,9 @@
 				end := func() {
 					if shape.lingers > 0 {
 						endpoint.CloseConnections()
-						time.Sleep(shape.lingers)
+						time.Sleep(shape.lingers / 3)
+						endpoint.CloseConnections()
+						time.Sleep(2 * shape.lingers / 3)
 					}
 					b.end(endpoint, shape.restarts)
 				}
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -61,30 +61,31 @@
 }
 
 // watchEnd records whether the endpoint crashes within quarantine.SettleTime after an
-// exchange, in which it was last heard at heardAt.
-func (gateway *Gateway) watchEnd(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time) {
+// exchange that ended at endedAt.
+func (gateway *Gateway) watchEnd(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time) {
 	if gateway.Upstream.Watch(ctx, endpoint.Address, quarantine.SettleTime) == upstream.LivenessConnected {
 		return
 	}
-	result := gateway.judge(ctx, endpoint, heardAt)
-	if wait := heardAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); result == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
-		result = gateway.judge(ctx, endpoint, heardAt)
+	result := gateway.judge(ctx, endpoint, endedAt)
+	if wait := endedAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); result == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
+		result = gateway.judge(ctx, endpoint, endedAt)
 	}
-	gateway.record(ctx, endpoint, send, heardAt, result)
+	gateway.record(ctx, endpoint, send, endedAt, result)
 }
 
-// verify records whether the endpoint lives that was last heard at heardAt, and returns that.
-func (gateway *Gateway) verify(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time) health {
-	result := gateway.judge(ctx, endpoint, heardAt)
-	gateway.record(ctx, endpoint, send, heardAt, result)
+// verify records whether the endpoint of an exchange that ended at endedAt lives, and returns
+// that.
+func (gateway *Gateway) verify(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time) health {
+	result := gateway.judge(ctx, endpoint, endedAt)
+	gateway.record(ctx, endpoint, send, endedAt, result)
 	return result
 }
 
-// judge returns whether the endpoint lives. A response within quarantine.SettleTime after it
-// was last heard does not tell that.
-func (gateway *Gateway) judge(ctx context.Context, endpoint *membership.Endpoint, heardAt time.Time) health {
+// judge returns whether the endpoint lives. A response within quarantine.SettleTime after
+// endedAt does not tell that.
+func (gateway *Gateway) judge(ctx context.Context, endpoint *membership.Endpoint, endedAt time.Time) health {
 	result := gateway.checkHealth(ctx, endpoint)
-	if result == healthAlive && gateway.Clock.Now().Sub(heardAt) < quarantine.SettleTime {
+	if result == healthAlive && gateway.Clock.Now().Sub(endedAt) < quarantine.SettleTime {
 		return healthUnknown
 	}
 	return result
@@ -92,13 +93,13 @@
 
 // record records whether the endpoint crashed under the request. One that was about to stop
 // has not.
-func (gateway *Gateway) record(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, heardAt time.Time, result health) {
+func (gateway *Gateway) record(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time, result health) {
 	switch {
 	case result == healthAlive:
 		gateway.Crashes.Survived(ctx, send)
 	case result == healthUnknown:
 		gateway.Crashes.Unresolved(ctx, send, true)
-	case gateway.Endpoints.Presence(endpoint.Incarnation(), heardAt) == membership.PresenceListed:
+	case gateway.Endpoints.Presence(endpoint.Incarnation(), endedAt) == membership.PresenceListed:
 		gateway.Crashes.Crashed(ctx, send, result.String())
 	default:
 		gateway.Crashes.Survived(ctx, send)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -103,8 +103,10 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
 	idle map[string][]*conn
-	// probes holds the probes in progress.
-	probes map[probeKey]*probe
+	// probes holds the probes in progress, and watches the connections watched by
+	// address.
+	probes  map[probeKey]*probe
+	watches map[string]*probe
 }
 
 // conn is a connection to an endpoint. expires is set while it is idle.
@@ -118,7 +120,7 @@
 
 // NewClient returns a Client without connections.
 func NewClient() *Client {
-	return &Client{idle: map[string][]*conn{}, probes: map[probeKey]*probe{}, dialer: tcp.NewDialer(connectTimeout, unackedTimeout)}
+	return &Client{idle: map[string][]*conn{}, probes: map[probeKey]*probe{}, watches: map[string]*probe{}, dialer: tcp.NewDialer(connectTimeout, unackedTimeout)}
 }
 
 // ConnectionsOpened returns the number of connections opened so far.
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -46,7 +46,7 @@
 	settle  time.Duration
 }
 
-// probe is a probe in progress that several callers wait for.
+// probe is a probe or a watch in progress that several callers wait for.
 type probe struct {
 	done   chan struct{}
 	result Liveness
@@ -118,17 +118,57 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) && raw.SetReadDeadline(time.Time{}) == nil
 }
 
-// Watch keeps a connection to address open for d, or until ctx ends. It returns
-// LivenessConnected if the connection stays open, LivenessRefused if nobody listens at the
-// address, and otherwise LivenessUnknown: the other end closed it, sent something, or does
-// not respond. The connection is taken from the idle ones or opened.
+// maxWatch bounds how long a connection is taken from the idle ones to be watched.
+const maxWatch = 250 * time.Millisecond
+
+// Watch reports whether a connection to address stays open for d. It returns
+// LivenessConnected if it does, LivenessRefused if nobody listens at the address, and
+// otherwise LivenessUnknown: the other end closed it, sent something, or does not respond,
+// or ctx ended. The connection is taken from the idle ones or opened; concurrent watches of
+// an address share one.
 func (client *Client) Watch(ctx context.Context, address string, d time.Duration) Liveness {
+	until := time.Now().Add(d)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		client.mu.Lock()
+		running, ok := client.watches[address]
+		if !ok {
+			running = &probe{done: make(chan struct{})}
+			client.watches[address] = running
+			go client.runWatch(context.WithoutCancel(ctx), address, min(d, maxWatch), running)
+		}
+		client.mu.Unlock()
+		select {
+		case <-running.done:
+		case <-timer.C:
+			return LivenessConnected
+		case <-ctx.Done():
+			return LivenessUnknown
+		}
+		if d = time.Until(until); running.result != LivenessConnected || d <= 0 {
+			return running.result
+		}
+	}
+}
+
+// runWatch watches a connection to address and closes running.done.
+func (client *Client) runWatch(ctx context.Context, address string, d time.Duration, running *probe) {
+	running.result = client.watchOnce(ctx, address, d)
+	client.mu.Lock()
+	delete(client.watches, address)
+	client.mu.Unlock()
+	close(running.done)
+}
+
+// watchOnce is Watch without sharing.
+func (client *Client) watchOnce(ctx context.Context, address string, d time.Duration) Liveness {
 	until := time.Now().Add(d)
 	c := client.takeIdle(address)
 	if c == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		raw, err := client.dialer.DialContext(dialCtx, "tcp", address)
-		cancel()
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		raw, err := client.dialer.DialContext(ctx, "tcp", address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return LivenessRefused
@@ -139,10 +179,8 @@
 		c = newConn(raw, address)
 		c.expires = time.Now().Add(maxIdleTime)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends the read
-	isOpen := staysOpen(c.Conn, time.Until(until))
-	if !stop() || !isOpen {
-		_ = c.Close() // not reusable
+	if !staysOpen(c.Conn, time.Until(until)) {
+		_ = c.Close() // closed by the other end
 		return LivenessUnknown
 	}
 	client.putIdle(c, time.Until(c.expires))
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -124,11 +124,14 @@
 	} {
 		client := upstream.NewClient()
 		assert.Equal(t, test.want, client.Watch(context.Background(), test.address, 60*time.Millisecond), name)
-		assert.Equal(t, test.want == upstream.LivenessConnected, client.HasIdleConn(test.address), name)
+		isKept := test.want == upstream.LivenessConnected
+		assert.Eventually(t, func() bool { return client.HasIdleConn(test.address) == isKept }, time.Second, time.Millisecond, name)
 	}
 	client, address := upstream.NewClient(), serve(t, waits)
-	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
-	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
+	for range 2 {
+		require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
+		require.Eventually(t, func() bool { return client.HasIdleConn(address) }, time.Second, time.Millisecond)
+	}
 	assert.EqualValues(t, 1, client.ConnectionsOpened(), "an idle connection is watched")
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
@@ -150,3 +153,20 @@
 	require.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, time.Millisecond))
 	assert.Eventually(t, func() bool { return !client.HasIdleConn(address) }, time.Second, 10*time.Millisecond, "idle for half a second at most")
 }
+
+// Guards against a connection opened for each of several watches of an endpoint.
+func TestWatchesShareAConnection(t *testing.T) {
+	client := upstream.NewClient()
+	address := serve(t, func(_ int, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
+	var watches sync.WaitGroup
+	for n := range 10 {
+		watches.Go(func() {
+			time.Sleep(time.Duration(n) * 10 * time.Millisecond)
+			began := time.Now()
+			assert.Equal(t, upstream.LivenessConnected, client.Watch(context.Background(), address, 300*time.Millisecond))
+			assert.GreaterOrEqual(t, time.Since(began), 290*time.Millisecond)
+		})
+	}
+	watches.Wait()
+	assert.EqualValues(t, 1, client.ConnectionsOpened())
+}
