gateway: every response after which callers send again may come from an endpoint that ends

What callers saw: endpoints that respond 408, 409 or 429 with their stamp and then end, six under one request: only 5xx counted as a failure, and the others cleared what was known of the request. Now all statuses count after which callers send a request again, that is all but successes and 400, 401, 404, 413 and 431. They are held back for 25 ms, as 5xx are.

Evidence: the shapes "too many requests" and "request timeout" of TestRequestEndsThreeEndpointsWhateverTheySend failed before (6 ended); "conflict" was added with them.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -59,7 +59,7 @@
 
 // beginSend records that the request is about to be sent to the chosen endpoint.
 func (e *exchange) beginSend(ctx context.Context, endpoint *membership.Endpoint) {
-	e.sentAt, e.isSettled = e.Clock.Now(), false
+	e.sentAt, e.isSettled, e.failed = e.Clock.Now(), false, false
 	e.heardAt = e.sentAt
 	if !e.Crashes.Any() {
 		e.send = nil
@@ -75,7 +75,7 @@
 	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
 	heardAt, endedAt := e.heardAt, e.Clock.Now()
 	switch {
-	case outcome == balance.OutcomeServed:
+	case outcome == balance.OutcomeServed && !e.failed:
 		e.Crashes.Responded(endpoint.Incarnation())
 		if e.Crashes.Any() {
 			e.Crashes.Served(ctx, e.sendTo(endpoint))
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -236,6 +237,17 @@
 	return data, false, nil
 }
 
+// finalStatuses are those of responses other than successful ones after which callers do not
+// send the request again.
+var finalStatuses = []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge}
+
+// isRepeated reports whether callers may send a request again that gets a response with the
+// status.
+func isRepeated(status int) bool {
+	isSuccess := status >= http.StatusOK && status < http.StatusMultipleChoices
+	return !isSuccess && !slices.Contains(finalStatuses, status)
+}
+
 // relayBuffered relays a plain response. A body within the limits of bufferBody
 // is read completely first; a longer one is then streamed.
 func (e *exchange) relayBuffered(ctx context.Context, response *upstream.Response, endpoint *membership.Endpoint) (balance.Outcome, error) {
@@ -250,9 +262,10 @@
 	if response.Status >= http.StatusInternalServerError {
 		outcome = balance.OutcomeFailed
 	}
+	e.failed = isRepeated(response.Status)
 	length := -1
 	if complete {
-		if outcome == balance.OutcomeFailed {
+		if e.failed {
 			response.Close() // the connection can be watched
 			e.awaitFailureSettled(ctx, endpoint)
 		}
--- a/gateway/endpointend_test.go
+++ b/gateway/endpointend_test.go
@@ -64,6 +64,9 @@
 	{name: "failure, lingers", raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", lingers: 60 * time.Millisecond},
 	{name: "pause, lingers", raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 1000\r\n\r\nid: 1\ndata: x\n\n", delay: 300 * time.Millisecond, lingers: 60 * time.Millisecond},
 	{name: "garbage, lingers", raw: "\x00\x01 no response\r\n\r\n", lingers: 100 * time.Millisecond},
+	{name: "too many requests", raw: "HTTP/1.1 429 Too Many Requests\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"},
+	{name: "conflict", raw: "HTTP/1.1 409 Conflict\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"},
+	{name: "request timeout", raw: "HTTP/1.1 408 Request Timeout\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"},
 	{name: "not run", raw: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -142,11 +142,12 @@
 	identityKey *quarantine.Key
 	// send is the latest sending of the request to an endpoint; nil while no request is
 	// in quarantine. sentAt is when it began, heardAt when the endpoint last sent
-	// something, initially sentAt. isSettled is set once it is known whether the endpoint
-	// crashed.
-	send            *quarantine.Send
-	sentAt, heardAt time.Time
-	isSettled       bool
+	// something, initially sentAt. failed is set if it sent a whole response after which
+	// the caller may send the request again, and isSettled once it is known whether the
+	// endpoint crashed.
+	send              *quarantine.Send
+	sentAt, heardAt   time.Time
+	failed, isSettled bool
 	// lastError is the error of the latest endpoint that did not serve the
 	// request; it is logged.
 	lastError error
