--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -275,15 +275,6 @@
 	}
 }
 
-// Connected records that the connection to the endpoint failed, and that its address
-// accepts others.
-func (guard *Guard) Connected(ctx context.Context, send *Send) {
-	report := send.report(StateConnected, guard.clock.Now())
-	if guard.Add(report, SourceOwn) && send.isAnnounced {
-		guard.startPublishing(ctx, report)
-	}
-}
-
 // Receive records the reports of another instance.
 func (guard *Guard) Receive(reports []Report) { guard.receive(reports, SourcePeer) }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,7 +14,7 @@
 	StateTrying State = iota
 	// StateConnected means that the connection failed, and that the endpoint's address
 	// accepts others. The endpoint has survived unless its entry lapses soon: another one
-	// may have taken its address.
+	// may have taken its address. Only instances of earlier versions report it.
 	StateConnected
 	// StateUnresolved means that the connection failed, or that the endpoint did not
 	// respond, and that the endpoint may have crashed.
