soak: a proxy that crashes resets connections that it is about to pass on

Cause: a connection accepted while the proxy crashed was added to its links after these had been reset, so the stand-in behind it, which is no process that ends, answered a health check 350 ms after its end. Change: the proxy asks again whether it refuses before it passes a connection on; no check was changed.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -75,8 +75,16 @@
 		}
 		l := &link{near: near, far: far, held: held}
 		proxy.mu.Lock()
-		proxy.links[l] = true
+		refuse = proxy.refuse // since the connection was accepted
+		if !refuse {
+			proxy.links[l] = true
+		}
 		proxy.mu.Unlock()
+		if refuse {
+			reset(near)
+			reset(far)
+			continue
+		}
 		proxy.ended.Go(func() { proxy.pass(l) })
 	}
 }
