gateway: requests that end endpoints which drain, hang or end late, failing; timeline

Change: a test whose endpoints are listed as leaving before they end, end after their caller has left, hang for longer than a verdict is waited for, or start again under their ID. The endpoint of the tests can fall silent.

--- a/gateway/endpointend_test.go
+++ b/gateway/endpointend_test.go
@@ -74,6 +74,9 @@
 type endFixture struct {
 	*fixture
 
+	// stops counts the endpoints that are about to end.
+	stops sync.WaitGroup
+
 	mu    sync.Mutex
 	ended map[string]bool
 }
--- /dev/null
+++ b/gateway/endpointstop_test.go
@@ -0,0 +1,165 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+)
+
+// stopShape is how an endpoint ends that works on a request: what its entry says, when it
+// ends, and how patient the caller is.
+type stopShape struct {
+	name string
+	// announce changes the entry, lead before the end; nil leaves it as it is.
+	announce func(b *endFixture, endpoint *platformtest.Endpoint)
+	lead     time.Duration
+	// work is how long the endpoint works on the request before it ends. It does so
+	// silently if isSilent is set: it responds to nobody meanwhile.
+	work     time.Duration
+	isSilent bool
+	// restarts has the endpoint start again under its ID, at an address that refuses no
+	// connection.
+	restarts bool
+	// deadline is that of each attempt, and patience the time after which the caller
+	// leaves; 0 for never. interval is the pause between attempts.
+	deadline, patience, interval time.Duration
+	// path is that of the requests; empty for all kinds.
+	path string
+}
+
+// drains registers the endpoint as draining.
+func drains(b *endFixture, endpoint *platformtest.Endpoint) {
+	endpoint.Register(b.memory, "a", "draining")
+}
+
+// leaves removes the endpoint's entry.
+func leaves(b *endFixture, endpoint *platformtest.Endpoint) { endpoint.Unregister(b.memory) }
+
+var stopShapes = []stopShape{
+	{name: "drains 5 ms before", announce: drains, lead: 5 * time.Millisecond, interval: retryInterval},
+	{name: "drains 100 ms before", announce: drains, lead: 100 * time.Millisecond, interval: retryInterval},
+	{name: "drains 1 s before", announce: drains, lead: time.Second, interval: retryInterval},
+	{name: "leaves the list 100 ms before", announce: leaves, lead: 100 * time.Millisecond, interval: retryInterval},
+	{name: "ends as the caller leaves", work: 600 * time.Millisecond, deadline: 1200 * time.Millisecond, interval: retryInterval, path: "/look/x"},
+	{name: "ends after the caller left", work: 500 * time.Millisecond, patience: 400 * time.Millisecond, interval: 600 * time.Millisecond},
+	{name: "hangs and ends", work: 7 * time.Second, isSilent: true, patience: 1500 * time.Millisecond},
+	{name: "restarts under its ID", restarts: true, interval: retryInterval},
+	{name: "restarts under its ID late", restarts: true, interval: time.Second},
+}
+
+// newStopFixture returns a fixture with 14 endpoints of each service, which end under
+// requests of the program "ending".
+func newStopFixture(t *testing.T, shape stopShape) *endFixture {
+	t.Helper()
+	b := newEndFixture(t, 0, endShape{})
+	for n := range 14 {
+		for _, service := range []string{"model", "tool"} {
+			endpoint := platformtest.NewEndpoint(fmt.Sprintf("%s-%d", service, n), service, service == "model")
+			t.Cleanup(endpoint.Close)
+			t.Cleanup(b.stops.Wait)
+			if shape.restarts {
+				endpoint.Born = time.Now().UnixMilli()
+			}
+			var once sync.Once
+			endpoint.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+				if !strings.Contains(run.Body+run.Path, "crash") {
+					return platformtest.Behaviour{}
+				}
+				if shape.restarts {
+					return platformtest.Behaviour{Crash: func() { b.restart(endpoint) }}
+				}
+				b.mu.Lock()
+				b.ended[endpoint.ID] = true // whatever happens to the request
+				b.mu.Unlock()
+				once.Do(func() { b.stops.Go(func() { b.stop(endpoint, shape) }) })
+				return platformtest.Behaviour{Hang: true}
+			})
+			endpoint.Register(b.memory, "a", "ready")
+		}
+	}
+	return b
+}
+
+// stop ends an endpoint that works on a request.
+func (b *endFixture) stop(endpoint *platformtest.Endpoint, shape stopShape) {
+	if shape.isSilent {
+		endpoint.Silence()
+	}
+	time.Sleep(shape.work)
+	if shape.announce != nil {
+		shape.announce(b, endpoint)
+		time.Sleep(shape.lead)
+	}
+	b.end(endpoint, false)
+}
+
+// restart ends the incarnation of an endpoint and starts the next one, whose entry follows
+// a moment later.
+func (b *endFixture) restart(endpoint *platformtest.Endpoint) {
+	b.mu.Lock()
+	b.ended[fmt.Sprint(endpoint.ID, "@", endpoint.Born)] = true
+	b.mu.Unlock()
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		endpoint.Born = time.Now().UnixMilli()
+		endpoint.Register(b.memory, "a", "ready")
+	}()
+}
+
+// Guards against a request that ends more endpoints than allowed since an endpoint that is
+// listed as leaving, or responds after its caller has left, or is silent, is taken for one
+// that lives or stops for another reason.
+func TestRequestEndsThreeEndpointsHoweverTheyStop(t *testing.T) {
+	const attempts = 7
+	for _, shape := range stopShapes {
+		paths := []string{"/chat/x", "/keep/x", "/look/x"}
+		if shape.path != "" {
+			paths = []string{shape.path}
+		}
+		for _, path := range paths {
+			t.Run(shape.name+path, func(t *testing.T) {
+				t.Parallel()
+				b := newStopFixture(t, shape)
+				var logs lockedBuffer
+				b.logs = &logs
+				defer func() {
+					if t.Failed() {
+						t.Log(logs.String())
+					}
+				}()
+				instances := []*instance{b.startInstance(), b.startInstance(), b.startInstance()}
+				var statuses []int
+				for n := range attempts {
+					request := crashingRequest(path, fmt.Sprint("r", n), "p")
+					if shape.deadline > 0 {
+						request.header["X-Deadline-Ms"] = fmt.Sprint(shape.deadline.Milliseconds())
+					}
+					ctx, cancel := context.Background(), func() {}
+					if shape.patience > 0 {
+						ctx, cancel = context.WithTimeout(ctx, shape.patience)
+					}
+					request.ctx = ctx
+					began, status := time.Now(), 0
+					if response, _, err := instances[n%len(instances)].send(request); err == nil {
+						status = response.StatusCode
+					}
+					cancel()
+					statuses = append(statuses, status)
+					time.Sleep(max(shape.interval, shape.patience-time.Since(began)))
+				}
+				assert.LessOrEqual(t, b.endedCount(), maxEnded, "statuses %v", statuses)
+				assert.NotZero(t, b.endedCount())
+				response, body := instances[0].mustSend(callerRequest{path: path, id: "other", body: "x"})
+				assert.Equal(t, http.StatusOK, response.StatusCode, body)
+			})
+		}
+	}
+}
