quarantine: log why an endpoint counts as one that did not end

Change: Evidence names what an endpoint is cleared by; a line for each endpoint that was suspected and is cleared says which, and the time from the end of the exchange to the beginning of what was observed. Decisions are the same.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -84,7 +84,7 @@
 		e.suspect(ctx, endpoint, endedAt, err)
 	case outcome == balance.OutcomeUnreachable && (e.send == nil || !e.send.IsRepeated()):
 		if e.send != nil {
-			e.Crashes.Survived(ctx, e.send)
+			e.Crashes.Survived(ctx, e.send, quarantine.EvidenceNotDelivered)
 		}
 	case outcome == balance.OutcomeUnreachable:
 		e.verify(ctx, endpoint, e.send, time.Time{}) // it has sent nothing
@@ -154,7 +154,7 @@
 		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	case e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) != membership.PresenceListed:
 		state = quarantine.StateSurvived // it was about to stop
-		e.Crashes.Survived(ctx, send)
+		e.Crashes.Survived(ctx, send, quarantine.EvidencePlannedStop)
 	default:
 		state = quarantine.StateCrashed
 		e.Crashes.Crashed(ctx, send, liveness.String())
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -96,13 +96,13 @@
 func (gateway *Gateway) record(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time, result health) {
 	switch {
 	case result == healthAlive:
-		gateway.Crashes.Survived(ctx, send)
+		gateway.Crashes.Survived(ctx, send, quarantine.EvidenceHealthCheck)
 	case result == healthUnknown:
 		gateway.Crashes.Unresolved(ctx, send, true)
 	case gateway.Endpoints.Presence(endpoint.Incarnation(), endedAt) == membership.PresenceListed:
 		gateway.Crashes.Crashed(ctx, send, result.String())
 	default:
-		gateway.Crashes.Survived(ctx, send)
+		gateway.Crashes.Survived(ctx, send, quarantine.EvidencePlannedStop)
 	}
 }
 
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -152,8 +152,10 @@
 // crash_reports_received, crash_reports_published and crash_reports_dropped to scope.
 func NewGuard(records *Records, peers Peers, presence PresenceFunc, clk clock.Clock, log *slog.Logger, scope tally.Scope) *Guard {
 	now := clk.Now()
-	return &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: now, tickedAt: now, changed: make(chan struct{}, 1), stalled: make(chan struct{}, maxStalled),
+	guard := &Guard{Records: records, peers: peers, presence: presence, clock: clk, log: log, startedAt: now, tickedAt: now, changed: make(chan struct{}, 1), stalled: make(chan struct{}, maxStalled),
 		crashes: scope.Counter("endpoint_crashes"), received: scope.Counter("crash_reports_received"), published: scope.Counter("crash_reports_published"), dropped: scope.Counter("crash_reports_dropped")}
+	records.onCleared = guard.logClearance
+	return guard
 }
 
 // Changed returns a channel that receives a value when an endpoint crashed under a
@@ -257,10 +259,10 @@
 	guard.publish(ctx, report)
 }
 
-// Survived records that the endpoint did not crash.
-func (guard *Guard) Survived(ctx context.Context, send *Send) {
+// Survived records that the endpoint did not crash, by evidence.
+func (guard *Guard) Survived(ctx context.Context, send *Send, evidence Evidence) {
 	report := send.report(StateSurvived, guard.clock.Now())
-	guard.Add(report, SourceOwn)
+	guard.Clear(report, evidence)
 	if send.isAnnounced {
 		guard.startPublishing(ctx, report)
 	}
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -326,7 +326,7 @@
 				assert.True(t, m.crash(keyOf(1000+n), incarnation), "seed %d", seed)
 			case 2: // a connection is reset, and the endpoint lives on
 				if m.Check(ctx, keyOf(1), false) == nil {
-					m.Survived(ctx, m.Begin(ctx, keyOf(1), false, incarnation))
+					m.Survived(ctx, m.Begin(ctx, keyOf(1), false, incarnation), quarantine.EvidenceNotDelivered)
 				}
 			default:
 				if m.crash(keyOf(1), incarnation) {
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -45,6 +45,8 @@
 // concurrent use. Use NewRecords.
 type Records struct {
 	clock clock.Clock
+	// onCleared is called with mu held for each endpoint that is cleared; nil for no call.
+	onCleared func(clearance)
 	// count is the number of requests. It is read without the lock, since it is 0 most
 	// of the time.
 	count atomic.Int64
@@ -145,6 +147,29 @@
 	return true
 }
 
+// clear records that an endpoint did not end under a request.
+func (records *Records) clear(c clearance) {
+	if records.onCleared != nil && c.attempt.state != StateSurvived {
+		records.onCleared(c)
+	}
+	c.attempt.state = StateSurvived
+}
+
+// Clear records a report that an endpoint survived, and what tells that. It returns whether
+// that changed what is known.
+func (records *Records) Clear(report Report, evidence Evidence) bool {
+	records.mu.Lock()
+	if known, ok := records.requests.Peek(report.Key); ok && records.onCleared != nil {
+		for i := range known.attempts {
+			if attempt := &known.attempts[i]; attempt.id == report.Attempt && attempt.isSuspect() {
+				records.onCleared(clearance{attempt: attempt, key: report.Key, evidence: evidence, observedAt: report.At})
+			}
+		}
+	}
+	records.mu.Unlock()
+	return records.Add(report, SourceOwn)
+}
+
 // updateCount publishes the number of requests.
 func (records *Records) updateCount() { records.count.Store(int64(records.requests.Len())) }
 
@@ -193,10 +218,11 @@
 	if now.Sub(latest) >= SettleTime {
 		delete(records.unresolved, incarnation)
 	}
-	for _, known := range records.requests.Values() {
+	for _, key := range records.requests.Keys() {
+		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
 			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.isSuspect() && now.Sub(attempt.at) >= SettleTime {
-				attempt.state = StateSurvived
+				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, observedAt: now})
 			}
 		}
 	}
@@ -294,12 +320,15 @@
 		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
 			attempt := &known.attempts[i]
-			if !attempt.resolve(presence, now) {
-				continue
-			}
+			hasCrashed, evidence := attempt.resolve(presence, now)
 			report := attempt.report(key)
-			if !records.recordCrash(report) {
-				attempt.state = StateSurvived
+			if hasCrashed && !records.recordCrash(report) {
+				hasCrashed, evidence = false, EvidenceEarlierCrash
+			}
+			if !hasCrashed {
+				if evidence != evidenceNone {
+					records.clear(clearance{attempt: attempt, key: key, evidence: evidence, observedAt: now})
+				}
 				continue
 			}
 			if attempt.source == SourceOwn {
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -123,10 +123,11 @@
 }
 
 // resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
-// true if the endpoint has crashed. An endpoint that drained before it left has not.
-func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
+// whether the endpoint has crashed, or what it is cleared by. An endpoint that drained before
+// it left has not crashed.
+func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) (hasCrashed bool, evidence Evidence) {
 	if attempt.state == StateCrashed || attempt.state == StateSurvived {
-		return false
+		return false, evidenceNone
 	}
 	isDue := now.Sub(attempt.at) >= unresolvedTimeout
 	switch presence(attempt.incarnation, attempt.at) {
@@ -136,13 +137,16 @@
 		// The instance that sent the request reports how it ended, if it lives.
 		if !attempt.isLeaving && (attempt.state != StateTrying || isDue) {
 			attempt.state = StateCrashed
-			return true
+			return true, evidenceNone
 		}
 	}
-	if isDue && attempt.state != StateTrying {
-		attempt.state = StateSurvived
+	switch {
+	case !isDue || attempt.state == StateTrying:
+		return false, evidenceNone
+	case attempt.isLeaving:
+		return false, EvidencePlannedStop
 	}
-	return false
+	return false, EvidenceTimeout
 }
 
 // isHarmless reports whether no endpoint crashed under the request or still may, and no
