quarantine, gateway: an endpoint that drains or left the list counts as ended

Cause: suspect, record and Resolve took an endpoint that was not listed as ready for one that stopped by plan. The list tells what an endpoint was to do, not why an exchange with it broke; a supervisor, a machine reclaimed at short notice and a process about to die look the same.

Change: an endpoint that refuses connections, or has left the list, after an exchange failed has ended under the request, whatever the list said before.

TestPlannedStopsAreNoCrashes demanded the opposite (a fourth endpoint that drains and breaks off is sent the request) and is replaced by TestRequestsOutlastPlannedStops: endpoints that stop and serve what they hold never count, two that break off do not keep the request from the third, and a fourth is not reached.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -148,16 +148,12 @@
 	}
 	liveness := e.Upstream.Probe(ctx, endpoint.Address, settle)
 	state := quarantine.StateUnresolved
-	switch {
-	case liveness != upstream.LivenessRefused:
-		e.Crashes.Unresolved(ctx, send, true)
-		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
-	case e.Endpoints.Presence(endpoint.Incarnation(), e.heardAt) != membership.PresenceListed:
-		state = quarantine.StateSurvived // it was about to stop
-		e.Crashes.Survived(ctx, send, quarantine.EvidencePlannedStop)
-	default:
+	if liveness == upstream.LivenessRefused {
 		state = quarantine.StateCrashed
 		e.Crashes.Crashed(ctx, send, liveness.String())
+	} else {
+		e.Crashes.Unresolved(ctx, send, true)
+		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	}
 	if isConnectionLost(err) {
 		e.logFailure(endpoint, liveness)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -251,31 +251,50 @@
 	}
 }
 
-// Guards against requests counted at endpoints that drain and end with them: a planned stop is no crash.
-func TestPlannedStopsAreNoCrashes(t *testing.T) {
-	b := newCrashFixture(t, 8)
-	i := b.startInstance()
-	for n := range 4 {
-		id := fmt.Sprint("m-", n)
-		// Only this endpoint takes work until the request has reached it.
-		endpoint := platformtest.NewEndpoint("stop-"+id, "model", true)
-		t.Cleanup(endpoint.Close)
-		endpoint.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
-			return platformtest.Behaviour{Crash: func() {
+// Guards against requests refused since endpoints were stopped that served them to the end, or
+// since two endpoints broke off when they stopped; and against a fourth endpoint that stops
+// under a request.
+func TestRequestsOutlastPlannedStops(t *testing.T) {
+	stop := func(b *crashFixture, endpoint *platformtest.Endpoint) {
+		endpoint.Register(b.memory, "a", "draining")
+		time.Sleep(100 * time.Millisecond)
+		endpoint.Crash()
+	}
+	for name, test := range map[string]struct {
+		// broken is the number of endpoints that stop before the response; others serve it.
+		broken int
+		want   []int
+	}{
+		"all serve it":     {0, []int{200, 200, 200, 200}},
+		"two break off":    {2, []int{502, 502, 200, 200}},
+		"all break it off": {4, []int{502, 502, 502, 503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newCrashFixture(t, 0)
+			i := b.startInstance()
+			var statuses []int
+			for n := range test.want {
+				endpoint := platformtest.NewEndpoint(fmt.Sprint("stop-", n), "model", true)
+				t.Cleanup(endpoint.Close)
+				endpoint.EventDelay = 20 * time.Millisecond
+				endpoint.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+					if n < test.broken {
+						return platformtest.Behaviour{Crash: func() { stop(b, endpoint) }}
+					}
+					go stop(b, endpoint)
+					return platformtest.Behaviour{}
+				})
+				endpoint.Register(b.memory, "a", "ready")
+				require.Eventually(t, func() bool {
+					listed := i.Endpoints.Service("model")
+					return len(listed) == 1 && listed[0].ID == endpoint.ID
+				}, 2*time.Second, 5*time.Millisecond)
+				response, _ := i.mustSend(callerRequest{path: "/keep/x", id: fmt.Sprint("r", n), body: "x", header: map[string]string{"X-Program": "p", "X-Session": "p"}})
+				statuses = append(statuses, response.StatusCode)
 				endpoint.Register(b.memory, "a", "draining")
-				time.Sleep(100 * time.Millisecond)
-				endpoint.Crash()
-			}}
+				require.Eventually(t, func() bool { return len(i.Endpoints.Service("model")) == 0 }, 2*time.Second, 5*time.Millisecond)
+			}
+			assert.Equal(t, test.want, statuses)
 		})
-		for m := range 8 {
-			(&platformtest.Endpoint{ID: fmt.Sprint("m-", m), Service: "model", Slots: 12, Public: "127.0.0.1:1"}).Register(b.memory, "a", "draining")
-		}
-		endpoint.Register(b.memory, "a", "ready")
-		require.Eventually(t, func() bool {
-			listed := i.Endpoints.Service("model")
-			return len(listed) == 1 && listed[0].ID == endpoint.ID
-		}, 2*time.Second, 5*time.Millisecond)
-		response, _ := i.mustSend(callerRequest{path: "/keep/x", id: fmt.Sprint("r", n), body: "x", header: map[string]string{"X-Program": "p", "X-Session": "p"}})
-		assert.Equal(t, http.StatusBadGateway, response.StatusCode, "attempt %d", n)
 	}
 }
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -70,14 +70,14 @@
 	if wait := endedAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); result == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
 		result = gateway.judge(ctx, endpoint, endedAt)
 	}
-	gateway.record(ctx, endpoint, send, endedAt, result)
+	gateway.record(ctx, send, result)
 }
 
 // verify records whether the endpoint of an exchange that ended at endedAt lives, and returns
 // that.
 func (gateway *Gateway) verify(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time) health {
 	result := gateway.judge(ctx, endpoint, endedAt)
-	gateway.record(ctx, endpoint, send, endedAt, result)
+	gateway.record(ctx, send, result)
 	return result
 }
 
@@ -91,18 +91,15 @@
 	return result
 }
 
-// record records whether the endpoint crashed under the request. One that was about to stop
-// has not.
-func (gateway *Gateway) record(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time, result health) {
-	switch {
-	case result == healthAlive:
+// record records whether the endpoint crashed under the request.
+func (gateway *Gateway) record(ctx context.Context, send *quarantine.Send, result health) {
+	switch result {
+	case healthAlive:
 		gateway.Crashes.Survived(ctx, send, quarantine.EvidenceHealthCheck)
-	case result == healthUnknown:
+	case healthUnknown:
 		gateway.Crashes.Unresolved(ctx, send, true)
-	case gateway.Endpoints.Presence(endpoint.Incarnation(), endedAt) == membership.PresenceListed:
+	case healthEnded:
 		gateway.Crashes.Crashed(ctx, send, result.String())
-	default:
-		gateway.Crashes.Survived(ctx, send, quarantine.EvidencePlannedStop)
 	}
 }
 
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -22,8 +22,6 @@
 	EvidenceNotDelivered
 	// EvidenceEarlierCrash means that the endpoint had ended before the request was sent.
 	EvidenceEarlierCrash
-	// EvidencePlannedStop means that the endpoint was not listed as ready when it ended.
-	EvidencePlannedStop
 	// EvidenceTimeout means that nothing was heard of the endpoint.
 	EvidenceTimeout
 )
--- a/quarantine/evidence_string.go
+++ b/quarantine/evidence_string.go
@@ -13,13 +13,12 @@
 	_ = x[EvidenceHealthCheck-2]
 	_ = x[EvidenceNotDelivered-3]
 	_ = x[EvidenceEarlierCrash-4]
-	_ = x[EvidencePlannedStop-5]
-	_ = x[EvidenceTimeout-6]
+	_ = x[EvidenceTimeout-5]
 }
 
-const _Evidence_name = "evidenceNoneResponseHealthCheckNotDeliveredEarlierCrashPlannedStopTimeout"
+const _Evidence_name = "evidenceNoneResponseHealthCheckNotDeliveredEarlierCrashTimeout"
 
-var _Evidence_index = [...]uint8{0, 12, 20, 31, 43, 55, 66, 73}
+var _Evidence_index = [...]uint8{0, 12, 20, 31, 43, 55, 62}
 
 func (i Evidence) String() string {
 	idx := int(i) - 0
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -139,7 +139,7 @@
 	}{
 		"listed":        {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceListed)) }, want: [2]int{0, 1}},
 		"left the list": {observe: func(f *fixture) {}, want: [2]int{1, 0}, reports: 1},
-		"drained, left": {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, want: [2]int{0, 1}},
+		"drained, left": {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, want: [2]int{1, 0}, reports: 1},
 		"responded": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
 			f.Responded("e1")
@@ -177,7 +177,7 @@
 			f.clock.Advance(quarantine.SettleTime)
 			f.Responded("e1")
 		}, 0},
-		"it drains": {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 0},
+		"it drains": {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 1},
 		"its entry lapses late": {func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
 			f.Resolve(presence(membership.PresenceListed))
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -14,8 +14,6 @@
 	state       State
 	sentAt, at  time.Time
 	source      Source
-	// isLeaving is set once the endpoint was seen to drain.
-	isLeaving bool
 }
 
 // request is what is known of one request.
@@ -65,9 +63,7 @@
 	if previous.state == StateCrashed || isOutdated && report.State != StateCrashed {
 		return false
 	}
-	isLeaving := previous.isLeaving
 	*previous = newAttempt(report, source)
-	previous.isLeaving = isLeaving
 	return true
 }
 
@@ -123,30 +119,23 @@
 }
 
 // resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
-// whether the endpoint has crashed, or what it is cleared by. An endpoint that drained before
-// it left has not crashed.
+// whether the endpoint has crashed, or what it is cleared by. One that drained before it left
+// has crashed, too: the list tells what an endpoint was to do, and not why an exchange with it
+// failed.
 func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) (hasCrashed bool, evidence Evidence) {
 	if attempt.state == StateCrashed || attempt.state == StateSurvived {
 		return false, evidenceNone
 	}
 	isDue := now.Sub(attempt.at) >= unresolvedTimeout
-	switch presence(attempt.incarnation, attempt.at) {
-	case membership.PresenceLeaving:
-		attempt.isLeaving = true
-	case membership.PresenceGone:
-		// The instance that sent the request reports how it ended, if it lives.
-		if !attempt.isLeaving && (attempt.state != StateTrying || isDue) {
-			attempt.state = StateCrashed
-			return true, evidenceNone
-		}
+	// The instance that sent the request reports how it ended, if it lives.
+	if presence(attempt.incarnation, attempt.at) == membership.PresenceGone && (attempt.state != StateTrying || isDue) {
+		attempt.state = StateCrashed
+		return true, evidenceNone
 	}
-	switch {
-	case !isDue || attempt.state == StateTrying:
-		return false, evidenceNone
-	case attempt.isLeaving:
-		return false, EvidencePlannedStop
+	if isDue && attempt.state != StateTrying {
+		return false, EvidenceTimeout
 	}
-	return false, EvidenceTimeout
+	return false, evidenceNone
 }
 
 // isHarmless reports whether no endpoint crashed under the request or still may, and no
