quarantine, gateway: only what began after an exchange ended and settled clears its endpoint

Cause: a health check begun in the moment of the caller's leaving, and answered at once, cleared the endpoint, since the settling time was counted from the last byte of the endpoint. A response to a request that was sent before counted, too, and after a caller left within 250 ms of the last byte nothing was recorded at all.

Change: times of evidence are those at which the request or check began, and an exchange's are those of its end. An exchange that its caller gives up counts as one that may have ended the endpoint, at this instance, until a response to something that began 250 ms later; where other requests bring none within 500 ms a health check does. A request that was served while its caller had left clears nothing.

A row of TestUnresolvedEndpointsAreResolvedByWhatIsObserved guards the moment.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// minSilence is the time without a byte from an endpoint from which on it may have
-	// crashed when the caller leaves or the deadline passes.
+	// minSilence is the time without a byte from an endpoint from which on it is checked at
+	// once when the caller leaves or the deadline passes.
 	minSilence = 250 * time.Millisecond
 	// failureSettleTime is the time for which a response that reports a failure is held
 	// back while its endpoint is watched.
@@ -73,10 +73,10 @@
 // exchange failed does not tell whether the endpoint lives.
 func (e *exchange) endSend(ctx context.Context, endpoint *membership.Endpoint, outcome balance.Outcome, err error) {
 	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
-	heardAt, endedAt := e.heardAt, e.Clock.Now()
+	endedAt := e.Clock.Now()
 	switch {
-	case outcome == balance.OutcomeServed && !e.failed:
-		e.Crashes.Responded(endpoint.Incarnation())
+	case outcome == balance.OutcomeServed && !e.failed && e.r.Context().Err() == nil:
+		e.Crashes.Responded(endpoint.Incarnation(), e.sentAt)
 		if e.Crashes.Any() {
 			e.Crashes.Served(ctx, e.sendTo(endpoint))
 		}
@@ -84,25 +84,36 @@
 		e.suspect(ctx, endpoint, endedAt, err)
 	case outcome == balance.OutcomeUnreachable && (e.send == nil || !e.send.IsRepeated()):
 		if e.send != nil {
-			e.Crashes.Survived(ctx, e.send, quarantine.EvidenceNotDelivered)
+			e.Crashes.Survived(ctx, e.send, quarantine.EvidenceNotDelivered, endedAt)
 		}
 	case outcome == balance.OutcomeUnreachable:
-		e.verify(ctx, endpoint, e.send, time.Time{}) // it has sent nothing
-	case outcome == balance.OutcomeAbandoned && endedAt.Sub(heardAt) >= minSilence:
-		send := e.sendTo(endpoint)
-		e.Crashes.Unresolved(ctx, send, false)
-		e.inBackground(func() { e.verify(ctx, endpoint, send, heardAt) })
+		// Nothing was sent, so the exposure ended before this exchange began.
+		e.verify(ctx, endpoint, e.send, e.sentAt)
+	case outcome == balance.OutcomeAbandoned:
+		e.abandon(ctx, endpoint, endedAt)
 	case !e.isSettled:
 		send := e.sendTo(endpoint)
 		if send.IsAnnounced() {
 			// Endpoints failed under the request before, so this one counts, too.
-			e.Crashes.Unresolved(ctx, send, true)
+			e.Crashes.Unresolved(ctx, send, endedAt, true)
 			e.logOutcome(endpoint, outcome, quarantine.StateUnresolved)
 		}
 		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	}
 }
 
+// abandon records that the caller left, or the deadline passed, while the endpoint worked on
+// the request. It may do so for a moment more.
+func (e *exchange) abandon(ctx context.Context, endpoint *membership.Endpoint, endedAt time.Time) {
+	send := e.sendTo(endpoint)
+	e.Crashes.Unresolved(ctx, send, endedAt, false)
+	if send.IsAnnounced() {
+		e.logOutcome(endpoint, balance.OutcomeAbandoned, quarantine.StateUnresolved)
+	}
+	isSilent := endedAt.Sub(e.heardAt) >= minSilence
+	e.inBackground(func() { e.settleAbandoned(ctx, endpoint, send, endedAt, isSilent) })
+}
+
 // awaitFailureSettled waits for a moment before the caller receives a response that reports a
 // failure, and records whether the endpoint crashes in it: the caller may send the request
 // again at once.
@@ -134,7 +145,7 @@
 func (e *exchange) heard(endpoint *membership.Endpoint, verdict ResponseInfo) {
 	e.heardAt = e.Clock.Now()
 	if verdict.Stamped {
-		e.Crashes.Responded(endpoint.Incarnation())
+		e.Crashes.Responded(endpoint.Incarnation(), e.sentAt)
 	}
 }
 
@@ -152,7 +163,7 @@
 		state = quarantine.StateCrashed
 		e.Crashes.Crashed(ctx, send, liveness.String())
 	} else {
-		e.Crashes.Unresolved(ctx, send, true)
+		e.Crashes.Unresolved(ctx, send, endedAt, true)
 		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
 	}
 	if isConnectionLost(err) {
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -66,40 +66,64 @@
 	if gateway.Upstream.Watch(ctx, endpoint.Address, quarantine.SettleTime) == upstream.LivenessConnected {
 		return
 	}
-	result := gateway.judge(ctx, endpoint, endedAt)
-	if wait := endedAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); result == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
-		result = gateway.judge(ctx, endpoint, endedAt)
+	verdict := gateway.judge(ctx, endpoint, endedAt)
+	if wait := endedAt.Add(quarantine.SettleTime).Sub(gateway.Clock.Now()); verdict.health == healthUnknown && wait > 0 && clock.Sleep(ctx, wait) {
+		verdict = gateway.judge(ctx, endpoint, endedAt)
 	}
-	gateway.record(ctx, send, result)
+	gateway.record(ctx, send, endedAt, verdict)
+}
+
+// settleAbandoned records whether the endpoint of an exchange that its caller gave up at
+// endedAt lives. The other instances learn of it before that if the endpoint has been silent
+// and does not respond to a health check either.
+func (gateway *Gateway) settleAbandoned(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time, isSilent bool) {
+	if isSilent {
+		if health, _ := gateway.checkHealth(ctx, endpoint); health != healthAlive {
+			gateway.record(ctx, send, endedAt, verdict{health: health})
+			return
+		}
+	}
+	gateway.watchEnd(ctx, endpoint, send, endedAt)
+	// Responses to other requests make most checks needless.
+	wait := endedAt.Add(2 * quarantine.SettleTime).Sub(gateway.Clock.Now())
+	if gateway.Crashes.IsUnresolved(send) && clock.Sleep(ctx, wait) && gateway.Crashes.IsUnresolved(send) {
+		gateway.verify(ctx, endpoint, send, endedAt)
+	}
+}
+
+// verdict is what a health check tells of an exchange, and when the check began.
+type verdict struct {
+	health  health
+	begunAt time.Time
 }
 
 // verify records whether the endpoint of an exchange that ended at endedAt lives, and returns
 // that.
 func (gateway *Gateway) verify(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time) health {
-	result := gateway.judge(ctx, endpoint, endedAt)
-	gateway.record(ctx, send, result)
-	return result
+	verdict := gateway.judge(ctx, endpoint, endedAt)
+	gateway.record(ctx, send, endedAt, verdict)
+	return verdict.health
 }
 
-// judge returns whether the endpoint lives. A response within quarantine.SettleTime after
-// endedAt does not tell that.
-func (gateway *Gateway) judge(ctx context.Context, endpoint *membership.Endpoint, endedAt time.Time) health {
-	result := gateway.checkHealth(ctx, endpoint)
-	if result == healthAlive && gateway.Clock.Now().Sub(endedAt) < quarantine.SettleTime {
-		return healthUnknown
+// judge returns whether the endpoint lives. A response to a check that began within
+// quarantine.SettleTime after endedAt does not tell that.
+func (gateway *Gateway) judge(ctx context.Context, endpoint *membership.Endpoint, endedAt time.Time) verdict {
+	health, begunAt := gateway.checkHealth(ctx, endpoint)
+	if health == healthAlive && begunAt.Sub(endedAt) < quarantine.SettleTime {
+		health = healthUnknown
 	}
-	return result
+	return verdict{health: health, begunAt: begunAt}
 }
 
 // record records whether the endpoint crashed under the request.
-func (gateway *Gateway) record(ctx context.Context, send *quarantine.Send, result health) {
-	switch result {
+func (gateway *Gateway) record(ctx context.Context, send *quarantine.Send, endedAt time.Time, verdict verdict) {
+	switch verdict.health {
 	case healthAlive:
-		gateway.Crashes.Survived(ctx, send, quarantine.EvidenceHealthCheck)
+		gateway.Crashes.Survived(ctx, send, quarantine.EvidenceHealthCheck, verdict.begunAt)
 	case healthUnknown:
-		gateway.Crashes.Unresolved(ctx, send, true)
+		gateway.Crashes.Unresolved(ctx, send, endedAt, true)
 	case healthEnded:
-		gateway.Crashes.Crashed(ctx, send, result.String())
+		gateway.Crashes.Crashed(ctx, send, verdict.health.String())
 	}
 }
 
@@ -129,17 +153,19 @@
 	return len(suspects) > 0
 }
 
-// checkHealth returns whether the endpoint responds itself at its address. It checks again
-// if there is no response, since an endpoint may live and fail some requests.
-func (gateway *Gateway) checkHealth(ctx context.Context, endpoint *membership.Endpoint) health {
+// checkHealth returns whether the endpoint responds itself at its address, and when the check
+// that tells so began. It checks again if there is no response, since an endpoint may live and
+// fail some requests.
+func (gateway *Gateway) checkHealth(ctx context.Context, endpoint *membership.Endpoint) (result health, begunAt time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	for range healthAttempts {
 		gateway.metrics.healthChecks.Inc(1)
+		begunAt = gateway.Clock.Now()
 		response, err := gateway.Upstream.Do(ctx, gateway.healthRequest(endpoint))
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return healthEnded
+			return healthEnded, begunAt
 		case err != nil:
 			continue
 		}
@@ -147,11 +173,11 @@
 		_, _ = io.CopyN(io.Discard, response.Body, maxHealthBody) // so that the connection can be reused
 		response.Close()
 		if isOwn {
-			return healthAlive
+			return healthAlive, begunAt
 		}
-		return healthEnded
+		return healthEnded, begunAt
 	}
-	return healthUnknown
+	return healthUnknown, begunAt
 }
 
 // healthRequest returns a health check of the endpoint.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -243,15 +243,16 @@
 // returned function is called when the attempt has ended, whether or not it succeeded.
 func (guard *Guard) StartKeeping() (end func()) { return guard.keeper.start() }
 
-// Unresolved records that the exchange with the endpoint failed and that the endpoint may
-// have crashed. The other instances are told if isBroken is set: an endpoint that does not
-// respond is far more often slow.
-func (guard *Guard) Unresolved(ctx context.Context, send *Send, isBroken bool) {
-	report := send.report(StateUnresolved, guard.clock.Now())
+// Unresolved records that the exchange with the endpoint ended at endedAt without a response
+// that serves the request, and that the endpoint may have crashed or still crash. The other
+// instances are told if isUrgent is set: an endpoint that does not respond is far more often
+// slow.
+func (guard *Guard) Unresolved(ctx context.Context, send *Send, endedAt time.Time, isUrgent bool) {
+	report := send.report(StateUnresolved, endedAt)
 	changed := guard.Add(report, SourceOwn)
 	switch {
 	case changed && send.isAnnounced:
-	case isBroken && !send.isAnnounced && (changed || guard.isUnresolved(send)):
+	case isUrgent && !send.isAnnounced && (changed || guard.IsUnresolved(send)):
 		send.isAnnounced = true
 	default:
 		return
@@ -259,9 +260,10 @@
 	guard.publish(ctx, report)
 }
 
-// Survived records that the endpoint did not crash, by evidence.
-func (guard *Guard) Survived(ctx context.Context, send *Send, evidence Evidence) {
-	report := send.report(StateSurvived, guard.clock.Now())
+// Survived records that the endpoint did not crash. observedAt is when what the evidence
+// consists of began.
+func (guard *Guard) Survived(ctx context.Context, send *Send, evidence Evidence, observedAt time.Time) {
+	report := send.report(StateSurvived, observedAt)
 	guard.Clear(report, evidence)
 	if send.isAnnounced {
 		guard.startPublishing(ctx, report)
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -223,13 +223,13 @@
 	for n := range 2 {
 		m := f.guards[n]
 		require.NoError(t, m.Check(ctx, keyOf(1), false))
-		m.Unresolved(ctx, m.Begin(ctx, keyOf(1), false, fmt.Sprint("e", n)), false)
+		m.Unresolved(ctx, m.Begin(ctx, keyOf(1), false, fmt.Sprint("e", n)), f.clock.Now(), false)
 		f.lapse(fmt.Sprint("e", n), 0)
 		m.Tick(ctx)
 	}
 	assert.Equal(t, 2, f.guards[2].Assess(keyOf(1), false).Crashed)
 	require.NoError(t, f.guards[2].Check(ctx, keyOf(1), false))
-	f.guards[2].Unresolved(ctx, f.guards[2].Begin(ctx, keyOf(1), false, "e2"), false)
+	f.guards[2].Unresolved(ctx, f.guards[2].Begin(ctx, keyOf(1), false, "e2"), f.clock.Now(), false)
 	var unresolvedErr *quarantine.UnresolvedError
 	assert.ErrorAs(t, f.guards[0].Check(ctx, keyOf(1), false), &unresolvedErr, "its entry has not lapsed yet")
 }
@@ -240,11 +240,11 @@
 	ctx := context.Background()
 	for n := range 100 {
 		m := f.guards[0]
-		m.Unresolved(ctx, m.Begin(ctx, keyOf(n), false, "e1"), false)
+		m.Unresolved(ctx, m.Begin(ctx, keyOf(n), false, "e1"), f.clock.Now(), false)
 	}
 	assert.Zero(t, f.guards[0].published)
 	f.clock.Advance(quarantine.SettleTime)
-	f.guards[0].Responded("e1")
+	f.guards[0].Responded("e1", f.clock.Now())
 	f.guards[0].Tick(ctx)
 	assert.False(t, f.guards[0].Any())
 }
@@ -326,7 +326,7 @@
 				assert.True(t, m.crash(keyOf(1000+n), incarnation), "seed %d", seed)
 			case 2: // a connection is reset, and the endpoint lives on
 				if m.Check(ctx, keyOf(1), false) == nil {
-					m.Survived(ctx, m.Begin(ctx, keyOf(1), false, incarnation), quarantine.EvidenceNotDelivered)
+					m.Survived(ctx, m.Begin(ctx, keyOf(1), false, incarnation), quarantine.EvidenceNotDelivered, f.clock.Now())
 				}
 			default:
 				if m.crash(keyOf(1), incarnation) {
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -20,8 +20,8 @@
 	// unresolvedTimeout is how long it may remain unknown whether an endpoint crashed.
 	// The entry of a crashed endpoint leaves the list within it.
 	unresolvedTimeout = 5 * time.Second
-	// SettleTime is the time after a failed exchange from which on a sign of life of the
-	// endpoint is evidence that it did not crash under the request. A process that
+	// SettleTime is the time after a failed exchange from which on a request has to begin
+	// for its response to be evidence that the endpoint did not crash. A process that
 	// crashes may still respond for a moment.
 	SettleTime = 250 * time.Millisecond
 	// crashTolerance is the time after a crash in which a request may seem to have been
@@ -202,9 +202,10 @@
 	return assessment
 }
 
-// Responded records that an incarnation has responded to some request now, so that it
-// had not crashed under those whose exchanges failed at least SettleTime before.
-func (records *Records) Responded(incarnation string) {
+// Responded records that an incarnation has responded to a request that was sent to it at
+// begunAt, so that it had not crashed under those whose exchanges had ended SettleTime or more
+// before.
+func (records *Records) Responded(incarnation string, begunAt time.Time) {
 	if !records.Any() {
 		return
 	}
@@ -214,22 +215,21 @@
 	if !ok {
 		return
 	}
-	now := records.clock.Now()
-	if now.Sub(latest) >= SettleTime {
+	if begunAt.Sub(latest) >= SettleTime {
 		delete(records.unresolved, incarnation)
 	}
 	for _, key := range records.requests.Keys() {
 		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.isSuspect() && now.Sub(attempt.at) >= SettleTime {
-				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, observedAt: now})
+			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.isSuspect() && begunAt.Sub(attempt.at) >= SettleTime {
+				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, observedAt: begunAt})
 			}
 		}
 	}
 }
 
-// isUnresolved reports whether it is unknown if the endpoint crashed under the sending.
-func (records *Records) isUnresolved(send *Send) bool {
+// IsUnresolved reports whether it is unknown if the endpoint crashed under the sending.
+func (records *Records) IsUnresolved(send *Send) bool {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	known, ok := records.requests.Peek(send.Key)
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -142,13 +142,17 @@
 		"drained, left": {observe: func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, want: [2]int{1, 0}, reports: 1},
 		"responded": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
-			f.Responded("e1")
+			f.Responded("e1", f.clock.Now())
 		}, want: [2]int{0, 0}},
 		"responded at once": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime - 1)
-			f.Responded("e1")
+			f.Responded("e1", f.clock.Now())
 		}, want: [2]int{1, 0}, reports: 1},
-		"other responds": {observe: func(f *fixture) { f.Responded("e2") }, want: [2]int{1, 0}, reports: 1},
+		"responded to an earlier request": {observe: func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime)
+			f.Responded("e1", f.clock.Now().Add(-1))
+		}, want: [2]int{1, 0}, reports: 1},
+		"other responds": {observe: func(f *fixture) { f.Responded("e2", f.clock.Now()) }, want: [2]int{1, 0}, reports: 1},
 		"listed for long": {observe: func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
 			f.Resolve(presence(membership.PresenceListed))
@@ -175,7 +179,7 @@
 		"its entry lapses": {func(*fixture) {}, 1},
 		"it responds": {func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
-			f.Responded("e1")
+			f.Responded("e1", f.clock.Now())
 		}, 0},
 		"it drains": {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 1},
 		"its entry lapses late": {func(f *fixture) {
