quarantine, gateway: an endpoint of which nothing is heard stays one that may have ended

What callers saw: of endpoints that hang for 7 s and then end, each fourth and later one was sent the request 5 s after the first had fallen silent: 5 of 7 attempts.

Cause: after 5 s without a verdict an endpoint that may have ended counted as one that lives, as did one that processes the request for an instance that died. Nothing showed that; a longer time only moves the bound. A verdict that was not sought since too many were sought at a time counted as life, too.

Change: while its entry is listed, only a response clears an endpoint. It is asked for when the request comes back and three may have ended; a request whose deadline passes before the verdict can be had is refused at once, with the time to come back. If an instance does not report the end of an exchange for 5 s, others may check its endpoint. An exchange that ends after its endpoint was cleared counts again. The state Connected of instances of the version before last is read as Unresolved.

Four rows of tests said that silence clears an endpoint (listed for long, lapses late, an outdated list) and now say that it does not; TestSilenceClearsNoEndpoint has the rule. The other error: TestRequestsOfSlowEndpointsAreServed, requests whose callers left three endpoints that live are served as soon as these respond.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -98,7 +98,10 @@
 			e.Crashes.Unresolved(ctx, send, endedAt, true)
 			e.logOutcome(endpoint, outcome, quarantine.StateUnresolved)
 		}
-		e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
+		isWatched := e.inBackground(func() { e.watchEnd(ctx, endpoint, send, endedAt) })
+		if !isWatched && outcome != balance.OutcomeRefused {
+			e.Crashes.Unresolved(ctx, send, endedAt, false)
+		}
 	}
 }
 
--- a/gateway/endpointstop_test.go
+++ b/gateway/endpointstop_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/quarantine"
 )
 
 // stopShape is how an endpoint ends that works on a request: what its entry says, when it
@@ -91,7 +93,7 @@
 // stop ends an endpoint that works on a request.
 func (b *endFixture) stop(endpoint *platformtest.Endpoint, shape stopShape) {
 	if shape.isSilent {
-		endpoint.Silence()
+		endpoint.Silence(nil)
 	}
 	time.Sleep(shape.work)
 	if shape.announce != nil {
@@ -163,3 +165,88 @@
 		}
 	}
 }
+
+// Guards against requests refused since their callers left three endpoints that are slow or
+// were silent for a while, and that live.
+func TestRequestsOfSlowEndpointsAreServed(t *testing.T) {
+	const patience = 350 * time.Millisecond
+	for name, isSilent := range map[string]bool{"slow": false, "silent for a while": true} {
+		for _, path := range []string{"/chat/x", "/keep/x", "/look/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				b := newEndFixture(t, 0, endShape{})
+				responsive := make(chan struct{})
+				var mu sync.Mutex
+				received := 0
+				for n := range 8 {
+					for _, service := range []string{"model", "tool"} {
+						endpoint := platformtest.NewEndpoint(fmt.Sprintf("%s-%d", service, n), service, service == "model")
+						t.Cleanup(endpoint.Close)
+						endpoint.SetBehaviour(func(run *platformtest.ReceivedRequest) platformtest.Behaviour {
+							mu.Lock()
+							defer mu.Unlock()
+							received++
+							if received > maxEnded {
+								return platformtest.Behaviour{}
+							}
+							if isSilent {
+								go endpoint.Silence(responsive)
+							}
+							return platformtest.Behaviour{Hang: true}
+						})
+						endpoint.Register(b.memory, "a", "ready")
+					}
+				}
+				instances := []*instance{b.startInstance(), b.startInstance(), b.startInstance()}
+				for n := range maxEnded {
+					request := crashingRequest(path, fmt.Sprint("r", n), "p")
+					ctx, cancel := context.WithTimeout(context.Background(), patience)
+					request.ctx = ctx
+					_, _, err := instances[n].send(request)
+					assert.Error(t, err)
+					cancel()
+					time.Sleep(2 * retryInterval) // the others learn of an endpoint that is silent
+				}
+				began := time.Now()
+				response, body := instances[0].mustSend(crashingRequest(path, "again", "p"))
+				if !isSilent {
+					assert.Equal(t, http.StatusOK, response.StatusCode, body)
+					assert.Less(t, time.Since(began), 2*time.Second)
+					return
+				}
+				assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, body)
+				assert.NotEmpty(t, response.Header.Get("Retry-After"))
+				close(responsive)
+				response, body = instances[1].mustSend(crashingRequest(path, "once more", "p"))
+				assert.Equal(t, http.StatusOK, response.StatusCode, body)
+			})
+		}
+	}
+}
+
+// Guards against a request that waits for the verdict on endpoints though its deadline passes
+// before.
+func TestRequestIsRefusedAtOnceIfItCannotAwaitTheVerdict(t *testing.T) {
+	b := newFixture(t)
+	i := b.startInstance()
+	request := crashingRequest("/look/x", "r", "p")
+	request.header["X-Deadline-Ms"] = "200"
+	var key quarantine.Key
+	b.tool.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: "no response\r\n", CloseRaw: true}
+	})
+	i.mustSend(request)
+	reports := i.crashes.Reports(1)
+	require.Len(t, reports, 1)
+	key = reports[0].Key
+	now := time.Now()
+	for n := range maxEnded - 1 {
+		i.crashes.Receive([]quarantine.Report{{Key: key, Attempt: uint64(n), Incarnation: fmt.Sprint("e", n), State: quarantine.StateCrashed, SentAt: now, At: now}})
+	}
+	began := time.Now()
+	request.id = "r1"
+	response, _ := i.mustSend(request)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Less(t, time.Since(began), 100*time.Millisecond)
+}
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -46,18 +46,20 @@
 	healthEnded
 )
 
-// inBackground calls f unless too many such calls are in progress.
-func (gateway *Gateway) inBackground(f func()) {
+// inBackground calls f unless too many such calls are in progress. It returns false if there
+// are.
+func (gateway *Gateway) inBackground(f func()) bool {
 	select {
 	case gateway.background <- struct{}{}:
 	default:
 		gateway.metrics.watchesSkipped.Inc(1)
-		return
+		return false
 	}
 	go func() {
 		defer func() { <-gateway.background }()
 		f()
 	}()
+	return true
 }
 
 // watchEnd records whether the endpoint crashes within quarantine.SettleTime after an
@@ -127,11 +129,17 @@
 	}
 }
 
-// verifySuspects waits until a sign of life of the endpoints that may have crashed under the
-// request is evidence, and checks them. It returns false if there are none.
+// verifySuspects waits until a sign of life of the endpoints that may have ended under the
+// request is evidence, and checks them. It returns false at once if there are none, or if the
+// request's deadline passes before.
 func (e *exchange) verifySuspects(ctx context.Context) bool {
 	suspects := e.Crashes.Suspects(e.key(), e.isShared())
 	began := e.Clock.Now()
+	for _, suspect := range suspects {
+		if !suspect.FailedAt.Add(quarantine.SettleTime).Before(e.deadline) {
+			return false
+		}
+	}
 	results := make([]string, len(suspects))
 	var checks sync.WaitGroup
 	for i, suspect := range suspects {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -12,18 +12,14 @@
 
 // Kinds of evidence.
 const (
-	// evidenceNone means that nothing is known.
-	evidenceNone Evidence = iota
 	// EvidenceResponse is a response of the endpoint to another request.
-	EvidenceResponse
+	EvidenceResponse Evidence = iota
 	// EvidenceHealthCheck is a response of the endpoint to a health check.
 	EvidenceHealthCheck
 	// EvidenceNotDelivered means that the endpoint did not receive the request.
 	EvidenceNotDelivered
 	// EvidenceEarlierCrash means that the endpoint had ended before the request was sent.
 	EvidenceEarlierCrash
-	// EvidenceTimeout means that nothing was heard of the endpoint.
-	EvidenceTimeout
 )
 
 // clearance is the decision that an endpoint did not end under a request.
--- a/quarantine/evidence_string.go
+++ b/quarantine/evidence_string.go
@@ -8,17 +8,15 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[evidenceNone-0]
-	_ = x[EvidenceResponse-1]
-	_ = x[EvidenceHealthCheck-2]
-	_ = x[EvidenceNotDelivered-3]
-	_ = x[EvidenceEarlierCrash-4]
-	_ = x[EvidenceTimeout-5]
+	_ = x[EvidenceResponse-0]
+	_ = x[EvidenceHealthCheck-1]
+	_ = x[EvidenceNotDelivered-2]
+	_ = x[EvidenceEarlierCrash-3]
 }
 
-const _Evidence_name = "evidenceNoneResponseHealthCheckNotDeliveredEarlierCrashTimeout"
+const _Evidence_name = "ResponseHealthCheckNotDeliveredEarlierCrash"
 
-var _Evidence_index = [...]uint8{0, 12, 20, 31, 43, 55, 62}
+var _Evidence_index = [...]uint8{0, 8, 19, 31, 43}
 
 func (i Evidence) String() string {
 	idx := int(i) - 0
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -17,9 +17,10 @@
 	// Lifetime is how long a request is remembered after the last report about it. The
 	// attempts of a caller at a request, and the repetitions of a turn, end before.
 	Lifetime = 2 * time.Minute
-	// unresolvedTimeout is how long it may remain unknown whether an endpoint crashed.
-	// The entry of a crashed endpoint leaves the list within it.
-	unresolvedTimeout = 5 * time.Second
+	// reportTimeout is how long an endpoint is avoided that processes another request which
+	// may crash it, and the time after which an instance that has not reported how an
+	// exchange ended may have died.
+	reportTimeout = 5 * time.Second
 	// SettleTime is the time after a failed exchange from which on a request has to begin
 	// for its response to be evidence that the endpoint did not crash. A process that
 	// crashes may still respond for a moment.
@@ -84,6 +85,9 @@
 	if now.Sub(report.At) >= Lifetime {
 		return false
 	}
+	if report.State == StateConnected {
+		report.State = StateUnresolved
+	}
 	if report.State == StateCrashed && !records.recordCrash(report) {
 		// The endpoint had crashed before the request was sent.
 		report.State = StateSurvived
@@ -115,7 +119,7 @@
 		records.trying[report.Incarnation][report.Key] = report.At
 		return
 	}
-	if report.State == StateUnresolved || report.State == StateConnected {
+	if report.State == StateUnresolved {
 		records.unresolved[report.Incarnation] = report.At
 	}
 	delete(records.trying[report.Incarnation], report.Key)
@@ -126,10 +130,9 @@
 
 // expireIndex drops what is kept by incarnation of long ago.
 func (records *Records) expireIndex(now time.Time) {
-	isOld := func(at time.Time) bool { return now.Sub(at) >= unresolvedTimeout }
-	maps.DeleteFunc(records.unresolved, func(_ string, at time.Time) bool { return isOld(at) })
+	maps.DeleteFunc(records.unresolved, func(_ string, at time.Time) bool { return now.Sub(at) >= Lifetime })
 	maps.DeleteFunc(records.trying, func(_ string, requests map[Key]time.Time) bool {
-		maps.DeleteFunc(requests, func(_ Key, at time.Time) bool { return isOld(at) })
+		maps.DeleteFunc(requests, func(_ Key, at time.Time) bool { return now.Sub(at) >= reportTimeout })
 		return len(requests) == 0
 	})
 }
@@ -161,7 +164,7 @@
 	records.mu.Lock()
 	if known, ok := records.requests.Peek(report.Key); ok && records.onCleared != nil {
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.id == report.Attempt && attempt.isSuspect() {
+			if attempt := &known.attempts[i]; attempt.id == report.Attempt && attempt.isUnresolved() {
 				records.onCleared(clearance{attempt: attempt, key: report.Key, evidence: evidence, observedAt: report.At})
 			}
 		}
@@ -195,7 +198,7 @@
 		switch {
 		case attempt.state == StateCrashed:
 			assessment.Crashed++
-		case attempt.isUnresolved(now):
+		case attempt.isUnresolved():
 			assessment.Unresolved++
 		}
 	}
@@ -221,7 +224,7 @@
 	for _, key := range records.requests.Keys() {
 		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.isSuspect() && begunAt.Sub(attempt.at) >= SettleTime {
+			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.state == StateUnresolved && begunAt.Sub(attempt.at) >= SettleTime {
 				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, observedAt: begunAt})
 			}
 		}
@@ -247,9 +250,8 @@
 	if !ok {
 		return time.Time{}, false
 	}
-	now := records.clock.Now()
 	for _, attempt := range known.attempts {
-		if attempt.incarnation == incarnation && attempt.isUnresolved(now) {
+		if attempt.incarnation == incarnation && attempt.isUnresolved() {
 			return attempt.sentAt, true
 		}
 	}
@@ -265,9 +267,8 @@
 		return nil
 	}
 	var incarnations []string
-	now := records.clock.Now()
 	for _, attempt := range known.attempts {
-		if attempt.state == StateCrashed || attempt.isUnresolved(now) {
+		if attempt.state == StateCrashed || attempt.isUnresolved() {
 			incarnations = append(incarnations, attempt.incarnation)
 		}
 	}
@@ -293,9 +294,9 @@
 	now := records.clock.Now()
 	var suspects []Suspect
 	for _, attempt := range known.counted(isShared) {
-		if attempt.state == StateUnresolved && attempt.isUnresolved(now) {
+		if endedAt, ok := attempt.failedAt(now); ok {
 			send := &Send{Key: key, Incarnation: attempt.incarnation, attempt: attempt.id, sentAt: attempt.sentAt, isAnnounced: true}
-			suspects = append(suspects, Suspect{Send: send, FailedAt: attempt.at})
+			suspects = append(suspects, Suspect{Send: send, FailedAt: endedAt})
 		}
 	}
 	return suspects
@@ -320,22 +321,19 @@
 		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
 			attempt := &known.attempts[i]
-			hasCrashed, evidence := attempt.resolve(presence, now)
-			report := attempt.report(key)
-			if hasCrashed && !records.recordCrash(report) {
-				hasCrashed, evidence = false, EvidenceEarlierCrash
+			if !attempt.resolve(presence, now) {
+				continue
 			}
-			if !hasCrashed {
-				if evidence != evidenceNone {
-					records.clear(clearance{attempt: attempt, key: key, evidence: evidence, observedAt: now})
-				}
+			report := attempt.report(key)
+			if !records.recordCrash(report) {
+				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceEarlierCrash, observedAt: now})
 				continue
 			}
 			if attempt.source == SourceOwn {
 				reports = append(reports, report)
 			}
 		}
-		if !now.Before(known.expires) || known.isHarmless(now) {
+		if !now.Before(known.expires) || known.isHarmless() {
 			records.requests.Remove(key)
 		}
 	}
@@ -353,7 +351,7 @@
 	var incarnations map[string]bool
 	for incarnation, requests := range records.trying {
 		for other, at := range requests {
-			if known, ok := records.requests.Peek(other); !ok || other == key || now.Sub(at) >= unresolvedTimeout || known.crashed() < crashes {
+			if known, ok := records.requests.Peek(other); !ok || other == key || now.Sub(at) >= reportTimeout || known.crashed() < crashes {
 				continue
 			}
 			if incarnations == nil {
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -156,7 +156,7 @@
 		"listed for long": {observe: func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
 			f.Resolve(presence(membership.PresenceListed))
-		}, want: [2]int{0, 0}},
+		}, want: [2]int{1, 0}, reports: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
@@ -185,11 +185,11 @@
 		"its entry lapses late": {func(f *fixture) {
 			f.clock.Advance(6 * time.Second)
 			f.Resolve(presence(membership.PresenceListed))
-		}, 0},
+		}, 1},
 	} {
 		f := newFixture()
 		f.add(keyOf(1), "e1", quarantine.StateConnected)
-		assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)), name)
+		assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)), name)
 		test.observe(f)
 		f.Resolve(presence(membership.PresenceGone))
 		assert.Equal(t, [2]int{test.want, 0}, f.counts(keyOf(1)), name)
@@ -217,7 +217,24 @@
 		assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)), state)
 		f.clock.Advance(6 * time.Second)
 		f.Resolve(presence(membership.PresenceUnknown))
-		assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)), state)
+		assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)), state)
+	}
+}
+
+// Guards against endpoints that count as alive since nothing was heard of them, or of the
+// instance that sent the request.
+func TestSilenceClearsNoEndpoint(t *testing.T) {
+	for _, state := range []quarantine.State{quarantine.StateTrying, quarantine.StateUnresolved} {
+		f := newFixture()
+		f.add(keyOf(1), "e1", state)
+		for range 100 {
+			f.clock.Advance(quarantine.Lifetime / 101)
+			f.Resolve(presence(membership.PresenceListed))
+			assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)), state)
+		}
+		suspects := f.Suspects(keyOf(1), false)
+		assert.Len(t, suspects, 1, "it can be checked")
+		assert.Equal(t, "e1", suspects[0].Incarnation)
 	}
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -12,9 +12,8 @@
 	// StateTrying means that the endpoint processes the request. It is reported only
 	// for requests under which an endpoint failed before.
 	StateTrying State = iota
-	// StateConnected means that the connection failed, and that the endpoint's address
-	// accepts others. The endpoint has survived unless its entry lapses soon: another one
-	// may have taken its address. Only instances of earlier versions report it.
+	// StateConnected means the same as StateUnresolved. Only instances of earlier versions
+	// report it.
 	StateConnected
 	// StateUnresolved means that the connection failed, or that the endpoint did not
 	// respond, and that the endpoint may have crashed.
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -58,7 +58,7 @@
 	previous := &known.attempts[i]
 	isOutdated := previous.sentAt.After(report.SentAt)
 	if previous.id == report.Attempt {
-		isOutdated = previous.state >= report.State
+		isOutdated = previous.state >= report.State && !previous.isReopenedBy(report)
 	}
 	if previous.state == StateCrashed || isOutdated && report.State != StateCrashed {
 		return false
@@ -67,6 +67,11 @@
 	return true
 }
 
+// isReopenedBy reports whether the exchange ended after its endpoint was cleared.
+func (attempt *attempt) isReopenedBy(report Report) bool {
+	return attempt.state == StateSurvived && report.State == StateUnresolved && report.At.After(attempt.at)
+}
+
 // makeRoom drops an attempt whose endpoint has not crashed, preferably one whose endpoint
 // survived. It returns false if there is none.
 func (known *request) makeRoom() bool {
@@ -109,41 +114,39 @@
 }
 
 // isUnresolved reports whether the endpoint may have crashed, or still crash.
-func (attempt *attempt) isUnresolved(now time.Time) bool {
-	return (attempt.state == StateUnresolved || attempt.state == StateTrying) && now.Sub(attempt.at) < unresolvedTimeout
+func (attempt *attempt) isUnresolved() bool {
+	return attempt.state == StateUnresolved || attempt.state == StateTrying
 }
 
-// isSuspect reports whether the exchange has failed and the endpoint may have crashed.
-func (attempt *attempt) isSuspect() bool {
-	return attempt.state == StateUnresolved || attempt.state == StateConnected
+// failedAt returns when the exchange ended, as far as is known, and false while it may be in
+// progress. Nobody reports the end of an exchange whose instance died.
+func (attempt *attempt) failedAt(now time.Time) (time.Time, bool) {
+	switch attempt.state {
+	case StateUnresolved:
+		return attempt.at, true
+	case StateTrying:
+		endedAt := attempt.at.Add(reportTimeout)
+		return endedAt, !now.Before(endedAt)
+	}
+	return time.Time{}, false
 }
 
-// resolve decides on an unresolved attempt by whether its endpoint is listed. It returns
-// whether the endpoint has crashed, or what it is cleared by. One that drained before it left
-// has crashed, too: the list tells what an endpoint was to do, and not why an exchange with it
-// failed.
-func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) (hasCrashed bool, evidence Evidence) {
-	if attempt.state == StateCrashed || attempt.state == StateSurvived {
-		return false, evidenceNone
-	}
-	isDue := now.Sub(attempt.at) >= unresolvedTimeout
-	// The instance that sent the request reports how it ended, if it lives.
-	if presence(attempt.incarnation, attempt.at) == membership.PresenceGone && (attempt.state != StateTrying || isDue) {
-		attempt.state = StateCrashed
-		return true, evidenceNone
-	}
-	if isDue && attempt.state != StateTrying {
-		return false, EvidenceTimeout
+// resolve decides on an unresolved attempt by whether its endpoint is listed. It returns true
+// if the endpoint has crashed. One that drained before it left has crashed, too: the list tells
+// what an endpoint was to do, and not why an exchange with it failed. While it is listed, only
+// a response tells that it lives.
+func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
+	if _, hasEnded := attempt.failedAt(now); !hasEnded || presence(attempt.incarnation, attempt.at) != membership.PresenceGone {
+		return false
 	}
-	return false, evidenceNone
+	attempt.state = StateCrashed
+	return true
 }
 
-// isHarmless reports whether no endpoint crashed under the request or still may, and no
+// isHarmless reports whether no endpoint crashed under the request or may have, and no
 // earlier report about it has to be ignored.
-func (known *request) isHarmless(now time.Time) bool {
-	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
-		return attempt.state != StateSurvived && (attempt.state != StateTrying || attempt.isUnresolved(now))
-	})
+func (known *request) isHarmless() bool {
+	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool { return attempt.state != StateSurvived })
 }
 
 // crashed returns the number of endpoints that crashed under the request.
