quarantine, gateway: what cleared an endpoint holds for the moment at which it was observed

What callers saw: endpoints that start again under their ID, and ones that end 0.8 s after their caller left, ended four and five times under one request.

Cause: that an endpoint survived was final. A response tells that it lived at that moment; one that bears its ID may be the next incarnation's, before the list names that, and an endpoint may still work on a request that its caller gave up.

Change: for 5 s after the exchange (the entry of an endpoint that has ended leaves the list within it) a cleared endpoint counts as ended once the list no longer has the incarnation, and as one that may have ended unless it responded within the last 250 ms: before a fourth endpoint it is checked again.

Two rows of tests took an endpoint for alive that left the list right after it responded; they now leave 5 s later, a new row has the other case, and TestSlowEndpointsCauseNoMessages looks 5 s later.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -21,6 +21,9 @@
 	// failureSettleTime is the time for which a response that reports a failure is held
 	// back while its endpoint is watched.
 	failureSettleTime = 25 * time.Millisecond
+	// verifyRounds bounds the checks of the endpoints of a request before it is sent. What was
+	// known of some may be outdated once others have settled.
+	verifyRounds = 2
 	// isolationCrashes is the number of endpoints that crashed under a request from
 	// which on other requests avoid the endpoint that processes it.
 	isolationCrashes = 2
@@ -38,7 +41,10 @@
 	err := e.Crashes.Check(ctx, e.key(), e.isShared())
 	var crashedErr *quarantine.CrashedError
 	var unresolvedErr *quarantine.UnresolvedError
-	if errors.As(err, &unresolvedErr) && e.verifySuspects(ctx) {
+	for range verifyRounds {
+		if !errors.As(err, &unresolvedErr) || !e.verifySuspects(ctx) {
+			break
+		}
 		err = e.Crashes.Check(ctx, e.key(), e.isShared())
 	}
 	var reason Reason
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -167,15 +167,15 @@
 func (guard *Guard) Check(ctx context.Context, key Key, isShared bool) error {
 	guard.refresh(ctx)
 	assessment := guard.Assess(key, isShared)
-	if assessment.Crashed+assessment.Unresolved >= MaxCrashes && assessment.Unresolved > 0 {
+	if assessment.total() >= MaxCrashes && assessment.Crashed < MaxCrashes {
 		guard.ResolveByList(ctx)
 		assessment = guard.Assess(key, isShared)
 	}
 	switch {
 	case assessment.Crashed >= MaxCrashes:
 		return &CrashedError{crashes: assessment.Crashed, remaining: assessment.Remaining}
-	case assessment.Crashed+assessment.Unresolved >= MaxCrashes:
-		return &UnresolvedError{crashes: assessment.Crashed, unresolved: assessment.Unresolved}
+	case assessment.total() >= MaxCrashes:
+		return &UnresolvedError{crashes: assessment.Crashed, unresolved: assessment.total() - assessment.Crashed}
 	}
 	return nil
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -245,7 +245,9 @@
 	assert.Zero(t, f.guards[0].published)
 	f.clock.Advance(quarantine.SettleTime)
 	f.guards[0].Responded("e1", f.clock.Now())
+	f.clock.Advance(5 * time.Second)
 	f.guards[0].Tick(ctx)
+	assert.Zero(t, f.guards[0].published)
 	assert.False(t, f.guards[0].Any())
 }
 
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -29,6 +29,9 @@
 	// sent though it was sent before: reports of several instances about one crash take
 	// different times to arrive.
 	crashTolerance = 250 * time.Millisecond
+	// confirmTimeout is how long after an exchange the end of an endpoint counts that was
+	// cleared. The entry of an endpoint that has ended leaves the list within it.
+	confirmTimeout = 5 * time.Second
 	// maxRequests bounds the requests remembered, and maxAttempts the endpoints of each.
 	maxRequests = 1 << 12
 	maxAttempts = 8
@@ -36,12 +39,18 @@
 
 // Assessment is the number of endpoints that ended under a request.
 type Assessment struct {
-	// Crashed endpoints have ended; Unresolved ones may have, or process the request.
-	Crashed, Unresolved int
+	// Crashed endpoints have ended; Unresolved ones may have, or process the request; Cleared
+	// ones have survived it and may have ended since.
+	Crashed, Unresolved, Cleared int
 	// Remaining is how long the request is remembered.
 	Remaining time.Duration
 }
 
+// total returns the number of endpoints that have ended or may have.
+func (assessment Assessment) total() int {
+	return assessment.Crashed + assessment.Unresolved + assessment.Cleared
+}
+
 // Records holds what is known of requests under which endpoints failed. It is safe for
 // concurrent use. Use NewRecords.
 type Records struct {
@@ -155,7 +164,7 @@
 	if records.onCleared != nil && c.attempt.state != StateSurvived {
 		records.onCleared(c)
 	}
-	c.attempt.state = StateSurvived
+	c.attempt.state, c.attempt.at = StateSurvived, c.observedAt
 }
 
 // Clear records a report that an endpoint survived, and what tells that. It returns whether
@@ -200,6 +209,8 @@
 			assessment.Crashed++
 		case attempt.isUnresolved():
 			assessment.Unresolved++
+		case attempt.isOutdated(now):
+			assessment.Cleared++
 		}
 	}
 	return assessment
@@ -283,7 +294,7 @@
 }
 
 // Suspects returns the sendings of a request whose exchanges have failed and whose
-// endpoints may have crashed.
+// endpoints may have crashed, also since they were cleared.
 func (records *Records) Suspects(key Key, isShared bool) []Suspect {
 	records.mu.Lock()
 	defer records.mu.Unlock()
@@ -333,7 +344,7 @@
 				reports = append(reports, report)
 			}
 		}
-		if !now.Before(known.expires) || known.isHarmless() {
+		if !now.Before(known.expires) || known.isHarmless(now) {
 			records.requests.Remove(key)
 		}
 	}
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -143,7 +143,13 @@
 		"responded": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
 			f.Responded("e1", f.clock.Now())
+			f.clock.Advance(5 * time.Second)
 		}, want: [2]int{0, 0}},
+		"responded, left soon after": {observe: func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime)
+			f.Responded("e1", f.clock.Now())
+			f.clock.Advance(time.Second)
+		}, want: [2]int{1, 0}, reports: 1},
 		"responded at once": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime - 1)
 			f.Responded("e1", f.clock.Now())
@@ -180,6 +186,7 @@
 		"it responds": {func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
 			f.Responded("e1", f.clock.Now())
+			f.clock.Advance(5 * time.Second)
 		}, 0},
 		"it drains": {func(f *fixture) { f.Resolve(presence(membership.PresenceLeaving)) }, 1},
 		"its entry lapses late": {func(f *fixture) {
@@ -238,6 +245,28 @@
 	}
 }
 
+// Guards against a fourth endpoint that receives a request since earlier ones were cleared a
+// while ago and have ended since.
+func TestClearedEndpointsAreCheckedAgain(t *testing.T) {
+	f := newFixture()
+	for n := range 3 {
+		f.add(keyOf(1), fmt.Sprint("e", n), quarantine.StateUnresolved)
+	}
+	f.clock.Advance(quarantine.SettleTime)
+	for n := range 3 {
+		f.Responded(fmt.Sprint("e", n), f.clock.Now())
+	}
+	assert.Equal(t, quarantine.Assessment{Remaining: f.Assess(keyOf(1), false).Remaining}, f.Assess(keyOf(1), false), "all live at this moment")
+	assert.Empty(t, f.Suspects(keyOf(1), false))
+	f.clock.Advance(quarantine.SettleTime)
+	assert.Equal(t, 3, f.Assess(keyOf(1), false).Cleared)
+	assert.Len(t, f.Suspects(keyOf(1), false), 3)
+	f.clock.Advance(5 * time.Second)
+	assert.Zero(t, f.Assess(keyOf(1), false).Cleared)
+	f.Resolve(presence(membership.PresenceListed))
+	assert.False(t, f.Any())
+}
+
 // Guards against requests that are refused for ever.
 func TestRequestsAreForgotten(t *testing.T) {
 	f := newFixture()
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -13,7 +13,9 @@
 	incarnation string
 	state       State
 	sentAt, at  time.Time
-	source      Source
+	// endedAt is when the exchange ended; zero if that is not known.
+	endedAt time.Time
+	source  Source
 }
 
 // request is what is known of one request.
@@ -58,18 +60,23 @@
 	previous := &known.attempts[i]
 	isOutdated := previous.sentAt.After(report.SentAt)
 	if previous.id == report.Attempt {
-		isOutdated = previous.state >= report.State && !previous.isReopenedBy(report)
+		isOutdated = previous.state >= report.State && !previous.isRevisedBy(report)
 	}
 	if previous.state == StateCrashed || isOutdated && report.State != StateCrashed {
 		return false
 	}
-	*previous = newAttempt(report, source)
+	updated := newAttempt(report, source)
+	if updated.endedAt.IsZero() && previous.id == report.Attempt {
+		updated.endedAt = previous.endedAt
+	}
+	*previous = updated
 	return true
 }
 
-// isReopenedBy reports whether the exchange ended after its endpoint was cleared.
-func (attempt *attempt) isReopenedBy(report Report) bool {
-	return attempt.state == StateSurvived && report.State == StateUnresolved && report.At.After(attempt.at)
+// isRevisedBy reports whether the report tells of a later moment than the one at which the
+// endpoint was cleared: that it responded again, or that the exchange ended only then.
+func (attempt *attempt) isRevisedBy(report Report) bool {
+	return attempt.state == StateSurvived && (report.State == StateUnresolved || report.State == StateSurvived) && report.At.After(attempt.at)
 }
 
 // makeRoom drops an attempt whose endpoint has not crashed, preferably one whose endpoint
@@ -88,7 +95,11 @@
 
 // newAttempt returns the attempt that a report tells of.
 func newAttempt(report Report, source Source) attempt {
-	return attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, source: source}
+	created := attempt{id: report.Attempt, incarnation: report.Incarnation, state: report.State, sentAt: report.SentAt, at: report.At, source: source}
+	if report.State == StateUnresolved {
+		created.endedAt = report.At
+	}
+	return created
 }
 
 // report returns the report of the attempt's state.
@@ -118,25 +129,40 @@
 	return attempt.state == StateUnresolved || attempt.state == StateTrying
 }
 
+// isCleared reports whether the endpoint has survived the exchange, and its end would still
+// count: it may have ended a moment after it responded, or another incarnation responded in
+// its place, and the list tells either later.
+func (attempt *attempt) isCleared(now time.Time) bool {
+	return attempt.state == StateSurvived && !attempt.endedAt.IsZero() && now.Sub(attempt.endedAt) < confirmTimeout
+}
+
+// isOutdated reports whether the endpoint was cleared by something observed long enough ago
+// that it may have ended since.
+func (attempt *attempt) isOutdated(now time.Time) bool {
+	return attempt.isCleared(now) && now.Sub(attempt.at) >= SettleTime
+}
+
 // failedAt returns when the exchange ended, as far as is known, and false while it may be in
-// progress. Nobody reports the end of an exchange whose instance died.
+// progress, or if the endpoint is known to have crashed or to live. Nobody reports the end of
+// an exchange whose instance died.
 func (attempt *attempt) failedAt(now time.Time) (time.Time, bool) {
-	switch attempt.state {
-	case StateUnresolved:
-		return attempt.at, true
-	case StateTrying:
+	switch {
+	case attempt.state == StateUnresolved || attempt.isOutdated(now):
+		return attempt.endedAt, true
+	case attempt.state == StateTrying:
 		endedAt := attempt.at.Add(reportTimeout)
 		return endedAt, !now.Before(endedAt)
 	}
 	return time.Time{}, false
 }
 
-// resolve decides on an unresolved attempt by whether its endpoint is listed. It returns true
-// if the endpoint has crashed. One that drained before it left has crashed, too: the list tells
-// what an endpoint was to do, and not why an exchange with it failed. While it is listed, only
-// a response tells that it lives.
+// resolve decides on an attempt by whether its endpoint is listed. It returns true if the
+// endpoint has crashed. One that drained before it left has crashed, too: the list tells what
+// an endpoint was to do, and not why an exchange with it failed. While it is listed, only a
+// response tells that it lives.
 func (attempt *attempt) resolve(presence PresenceFunc, now time.Time) bool {
-	if _, hasEnded := attempt.failedAt(now); !hasEnded || presence(attempt.incarnation, attempt.at) != membership.PresenceGone {
+	_, isSuspect := attempt.failedAt(now)
+	if !isSuspect && !attempt.isCleared(now) || presence(attempt.incarnation, attempt.at) != membership.PresenceGone {
 		return false
 	}
 	attempt.state = StateCrashed
@@ -145,8 +171,10 @@
 
 // isHarmless reports whether no endpoint crashed under the request or may have, and no
 // earlier report about it has to be ignored.
-func (known *request) isHarmless() bool {
-	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool { return attempt.state != StateSurvived })
+func (known *request) isHarmless(now time.Time) bool {
+	return known.servedAt.IsZero() && !slices.ContainsFunc(known.attempts, func(attempt attempt) bool {
+		return attempt.state != StateSurvived || attempt.isCleared(now)
+	})
 }
 
 // crashed returns the number of endpoints that crashed under the request.
