--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -234,6 +234,20 @@
 	assert.ErrorAs(t, f.guards[0].Check(ctx, keyOf(1), false), &unresolvedErr, "its entry has not lapsed yet")
 }
 
+// Guards against a request refused for a moment at a time although its endpoints have left the
+// list, and the list is looked at only now and then.
+func TestRequestIsCheckedAgainstTheList(t *testing.T) {
+	f := newFleet(1)
+	ctx := context.Background()
+	for n := range quarantine.MaxCrashes {
+		incarnation := fmt.Sprint("e", n)
+		f.guards[0].Unresolved(ctx, f.guards[0].Begin(ctx, keyOf(1), false, incarnation), f.clock.Now(), false)
+		f.lapse(incarnation, 0)
+	}
+	var crashedErr *quarantine.CrashedError
+	assert.ErrorAs(t, f.guards[0].Check(ctx, keyOf(1), false), &crashedErr)
+}
+
 // Guards against messages about requests that only wait for slow endpoints.
 func TestSlowEndpointsCauseNoMessages(t *testing.T) {
 	f := newFleet(3)
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -145,6 +145,10 @@
 			f.Responded("e1", f.clock.Now())
 			f.clock.Advance(5 * time.Second)
 		}, want: [2]int{0, 0}},
+		"responded, left at once": {observe: func(f *fixture) {
+			f.clock.Advance(quarantine.SettleTime)
+			f.Responded("e1", f.clock.Now())
+		}, want: [2]int{1, 0}, reports: 1},
 		"responded, left soon after": {observe: func(f *fixture) {
 			f.clock.Advance(quarantine.SettleTime)
 			f.Responded("e1", f.clock.Now())
@@ -258,15 +262,50 @@
 	}
 	assert.Equal(t, quarantine.Assessment{Remaining: f.Assess(keyOf(1), false).Remaining}, f.Assess(keyOf(1), false), "all live at this moment")
 	assert.Empty(t, f.Suspects(keyOf(1), false))
+	f.Resolve(presence(membership.PresenceListed))
 	f.clock.Advance(quarantine.SettleTime)
 	assert.Equal(t, 3, f.Assess(keyOf(1), false).Cleared)
 	assert.Len(t, f.Suspects(keyOf(1), false), 3)
+	now := f.clock.Now()
+	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 1, Incarnation: "e0", State: quarantine.StateSurvived, SentAt: start, At: now}, quarantine.SourceOwn)
+	assert.Equal(t, 2, f.Assess(keyOf(1), false).Cleared, "it responded again")
 	f.clock.Advance(5 * time.Second)
 	assert.Zero(t, f.Assess(keyOf(1), false).Cleared)
 	f.Resolve(presence(membership.PresenceListed))
 	assert.False(t, f.Any())
 }
 
+// Guards against endpoints cleared by what began before an exchange with them had ended and
+// settled, and against ones that are never cleared.
+func TestOnlyLaterResponsesClearEndpoints(t *testing.T) {
+	f := newFixture()
+	f.add(keyOf(1), "e1", quarantine.StateUnresolved)
+	endedAt := f.clock.Now()
+	f.clock.Advance(20 * time.Second)
+	f.Resolve(presence(membership.PresenceListed))
+	f.Responded("e1", endedAt.Add(quarantine.SettleTime-1))
+	assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)))
+	f.Responded("e1", endedAt.Add(quarantine.SettleTime))
+	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)))
+}
+
+// Guards against an endpoint that was cleared for an instance which seemed to have died, and
+// whose exchange ends only afterwards.
+func TestExchangeThatEndsAfterItsEndpointWasClearedCounts(t *testing.T) {
+	f := newFixture()
+	report := func(state quarantine.State, after time.Duration) {
+		f.Add(quarantine.Report{Key: keyOf(1), Attempt: 1, Incarnation: "e1", State: state, SentAt: start, At: start.Add(after)}, quarantine.SourcePeer)
+	}
+	report(quarantine.StateTrying, 0)
+	f.clock.Advance(8 * time.Second)
+	report(quarantine.StateSurvived, 6*time.Second)
+	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)))
+	report(quarantine.StateUnresolved, 5*time.Second)
+	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(1)), "it ended before")
+	report(quarantine.StateUnresolved, 7*time.Second)
+	assert.Equal(t, [2]int{0, 1}, f.counts(keyOf(1)))
+}
+
 // Guards against requests that are refused for ever.
 func TestRequestsAreForgotten(t *testing.T) {
 	f := newFixture()
