quarantine: attempts at a shared request are ordered by when their exchanges ended

What callers saw: nothing yet; found by reading the transitions.

Cause: of a request of no program only attempts count that one caller can have made one after the other. Their order was that of what was last observed, and an endpoint that is seen to have ended 3 s after its exchange overlaps all attempts since: three counted as one. The class of this incident: evidence of another moment.

Change: the order is that of the ends of the exchanges, as far as they are known.

Measured: TestSharedRequestsCountByTheEndOfTheExchange counts 3; 1 before.

--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -130,6 +130,26 @@
 	assert.Equal(t, 3, f.Assess(keyOf(1), true).Crashed, "attempts of one caller follow each other")
 }
 
+// Guards against a request of no program that ends more endpoints than allowed since each is
+// seen to have ended only after the next attempt began.
+func TestSharedRequestsCountByTheEndOfTheExchange(t *testing.T) {
+	f := newFixture()
+	var reports []quarantine.Report
+	for n := range 3 {
+		sentAt := f.clock.Now()
+		f.clock.Advance(100 * time.Millisecond)
+		report := quarantine.Report{Key: keyOf(1), Attempt: uint64(n), Incarnation: fmt.Sprint("e", n), State: quarantine.StateUnresolved, SentAt: sentAt, At: f.clock.Now()}
+		f.Add(report, quarantine.SourceOwn)
+		reports = append(reports, report)
+	}
+	f.clock.Advance(3 * time.Second)
+	for _, report := range reports {
+		report.State, report.At = quarantine.StateCrashed, f.clock.Now()
+		f.Add(report, quarantine.SourceOwn)
+	}
+	assert.Equal(t, 3, f.Assess(keyOf(1), true).Crashed)
+}
+
 // Guards against endpoints that are taken for crashed, or for alive, without an observation that tells so.
 func TestUnresolvedEndpointsAreResolvedByWhatIsObserved(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -113,17 +113,26 @@
 	if !isShared {
 		return known.attempts
 	}
-	ordered := slices.SortedFunc(slices.Values(known.attempts), func(a, b attempt) int { return a.at.Compare(b.at) })
+	ordered := slices.SortedFunc(slices.Values(known.attempts), func(a, b attempt) int { return a.end().Compare(b.end()) })
 	var chain []attempt
 	var end time.Time
 	for _, attempt := range ordered {
 		if attempt.state != StateSurvived && !attempt.sentAt.Before(end) {
-			chain, end = append(chain, attempt), attempt.at
+			chain, end = append(chain, attempt), attempt.end()
 		}
 	}
 	return chain
 }
 
+// end returns when the exchange ended, or the last time at which something was known of it.
+// An endpoint may be seen to have crashed long after its exchange ended.
+func (attempt *attempt) end() time.Time {
+	if attempt.endedAt.IsZero() {
+		return attempt.at
+	}
+	return attempt.endedAt
+}
+
 // isUnresolved reports whether the endpoint may have crashed, or still crash.
 func (attempt *attempt) isUnresolved() bool {
 	return attempt.state == StateUnresolved || attempt.state == StateTrying
