gateway: an endpoint is watched until the deadline of the request that its caller gave up

What callers saw: endpoints that ended 600 ms after their caller had left ended seven of seven times under one request; their entries stay.

Cause: an endpoint was cleared once it responded 250 ms after its caller had left, by the one instance that knew of the exchange, and looked at no more. It was told a deadline, and may work on the request until then: the exposure outlasts the exchange.

Change: the instance watches a connection to the endpoint until that deadline, and checks it when the connection ends, at growing intervals.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -119,8 +119,8 @@
 	if send.IsAnnounced() {
 		e.logOutcome(endpoint, balance.OutcomeAbandoned, quarantine.StateUnresolved)
 	}
-	isSilent := endedAt.Sub(e.heardAt) >= minSilence
-	e.inBackground(func() { e.settleAbandoned(ctx, endpoint, send, endedAt, isSilent) })
+	isSilent, deadline := endedAt.Sub(e.heardAt) >= minSilence, e.deadline
+	e.inBackground(func() { e.settleAbandoned(ctx, endpoint, send, endedAt, deadline, isSilent) })
 }
 
 // awaitFailureSettled waits for a moment before the caller receives a response that reports a
--- a/gateway/endpointstop_test.go
+++ b/gateway/endpointstop_test.go
@@ -35,6 +35,8 @@
 	deadline, patience, interval time.Duration
 	// path is that of the requests; empty for all kinds.
 	path string
+	// isShared is set for requests of no program, which several callers may send.
+	isShared bool
 }
 
 // drains registers the endpoint as draining.
@@ -53,6 +55,12 @@
 	{name: "ends as the caller leaves", work: 600 * time.Millisecond, deadline: 1200 * time.Millisecond, interval: retryInterval, path: "/look/x"},
 	{name: "ends after the caller left", work: 500 * time.Millisecond, patience: 400 * time.Millisecond, interval: 600 * time.Millisecond},
 	{name: "hangs and ends", work: 7 * time.Second, isSilent: true, patience: 1500 * time.Millisecond},
+	{name: "drains 100 ms before, no program", announce: drains, lead: 100 * time.Millisecond, interval: retryInterval, path: "/look/x", isShared: true},
+	{name: "ends as the caller leaves, no program", work: 600 * time.Millisecond, deadline: 1200 * time.Millisecond, interval: retryInterval, path: "/look/x", isShared: true},
+	{name: "ends after the caller left, no program", work: 500 * time.Millisecond, patience: 400 * time.Millisecond, interval: 600 * time.Millisecond, path: "/look/x", isShared: true},
+	{name: "ends late after the caller left, no program", work: time.Second, patience: 400 * time.Millisecond, interval: 1200 * time.Millisecond, path: "/look/x", isShared: true},
+	{name: "ends late after the caller left", work: time.Second, patience: 400 * time.Millisecond, interval: 1200 * time.Millisecond},
+	{name: "hangs and ends, no program", work: 7 * time.Second, isSilent: true, patience: 1500 * time.Millisecond, path: "/look/x", isShared: true},
 	{name: "restarts under its ID", restarts: true, interval: retryInterval},
 	{name: "restarts under its ID late", restarts: true, interval: time.Second},
 }
@@ -141,6 +149,10 @@
 				var statuses []int
 				for n := range attempts {
 					request := crashingRequest(path, fmt.Sprint("r", n), "p")
+					if shape.isShared {
+						delete(request.header, "X-Program")
+						delete(request.header, "X-Session")
+					}
 					if shape.deadline > 0 {
 						request.header["X-Deadline-Ms"] = fmt.Sprint(shape.deadline.Milliseconds())
 					}
--- a/gateway/verify.go
+++ b/gateway/verify.go
@@ -77,8 +77,9 @@
 
 // settleAbandoned records whether the endpoint of an exchange that its caller gave up at
 // endedAt lives. The other instances learn of it before that if the endpoint has been silent
-// and does not respond to a health check either.
-func (gateway *Gateway) settleAbandoned(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt time.Time, isSilent bool) {
+// and does not respond to a health check either. The endpoint may work on the request until
+// the deadline that it was told, and is watched until then.
+func (gateway *Gateway) settleAbandoned(ctx context.Context, endpoint *membership.Endpoint, send *quarantine.Send, endedAt, deadline time.Time, isSilent bool) {
 	if isSilent {
 		if health, _ := gateway.checkHealth(ctx, endpoint); health != healthAlive {
 			gateway.record(ctx, send, endedAt, verdict{health: health})
@@ -91,6 +92,14 @@
 	if gateway.Crashes.IsUnresolved(send) && clock.Sleep(ctx, wait) && gateway.Crashes.IsUnresolved(send) {
 		gateway.verify(ctx, endpoint, send, endedAt)
 	}
+	for pause := quarantine.SettleTime; gateway.Clock.Now().Before(deadline); pause *= 2 {
+		if gateway.Upstream.Watch(ctx, endpoint.Address, deadline.Sub(gateway.Clock.Now())) == upstream.LivenessConnected {
+			return
+		}
+		if gateway.verify(ctx, endpoint, send, endedAt) != healthAlive || !clock.Sleep(ctx, pause) {
+			return
+		}
+	}
 }
 
 // verdict is what a health check tells of an exchange, and when the check began.
