quarantine: rows of the store do not date the end of an endpoint

What callers saw: nothing yet; found by reading the transitions.

Cause: an endpoint that ended before a request was sent did not end under it. When it ended was also taken from rows of the store, which are dated by the clock of the machine that wrote them, seconds off: a request sent in these seconds that ended the endpoint was not counted. The class: evidence of another moment.

Change: a row dates the end of an endpoint no earlier than it was read.

Measured: TestClocksOfOtherMachinesDateNoCrash fails without the change.

--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -97,7 +97,11 @@
 	if report.State == StateConnected {
 		report.State = StateUnresolved
 	}
-	if report.State == StateCrashed && !records.recordCrash(report) {
+	crash := report
+	if source == SourceStore {
+		crash.At = now // rows are dated by the clocks of other machines
+	}
+	if report.State == StateCrashed && !records.recordCrash(crash) {
 		// The endpoint had crashed before the request was sent.
 		report.State = StateSurvived
 	}
--- a/quarantine/records_test.go
+++ b/quarantine/records_test.go
@@ -115,6 +115,18 @@
 	assert.Equal(t, [2]int{0, 0}, f.counts(keyOf(3)))
 }
 
+// Guards against an endpoint that is taken for one that had ended before a request was sent,
+// since the clock of the machine that wrote a row of the store is late.
+func TestClocksOfOtherMachinesDateNoCrash(t *testing.T) {
+	f := newFixture()
+	f.clock.Advance(time.Minute)
+	written := f.clock.Now().Add(-2 * time.Second)
+	f.Add(quarantine.Report{Key: keyOf(1), Attempt: 99, Incarnation: "e1", State: quarantine.StateCrashed, SentAt: written.Add(-time.Second), At: written}, quarantine.SourceStore)
+	now := f.clock.Now()
+	f.Add(quarantine.Report{Key: keyOf(2), Attempt: 1, Incarnation: "e1", State: quarantine.StateCrashed, SentAt: now.Add(-time.Second), At: now}, quarantine.SourceOwn)
+	assert.Equal(t, [2]int{1, 0}, f.counts(keyOf(2)))
+}
+
 // Guards against requests that belong to no program, which many callers send in the same words, and that are refused because their endpoints end at the same time.
 func TestSharedRequestsCountOneAfterTheOther(t *testing.T) {
 	f := newFixture()
