gateway: endpoints that cannot be reached use up no attempts at a request

Cause: an endpoint that did not receive the request counted as one of the three that may, a limit against requests that end what they reach.

Change: up to 16 endpoints that are not reached are tried beside the three.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -22,6 +22,9 @@
 	// maxEndpointsTried bounds how many endpoints receive one request if each
 	// rejects it or fails: all of them may crash soon after.
 	maxEndpointsTried = quarantine.MaxCrashes
+	// maxUnreachable bounds how many further endpoints are tried for one request that did
+	// not receive it. Such a try takes little time and ends nothing, and a rack may be gone.
+	maxUnreachable = 16
 	// maxBufferedBody is how much of a plain response is read before any of it
 	// is relayed. A response that breaks off within this size is detected and
 	// can be retried.
@@ -48,7 +51,7 @@
 // It returns a *refusal if no further endpoint may be tried.
 func (e *exchange) dispatch(ctx context.Context) error {
 	request := e.balanceRequest()
-	for len(e.tried) < maxEndpointsTried {
+	for len(e.tried)-e.unreachable < maxEndpointsTried && e.unreachable < maxUnreachable {
 		if err := e.checkShutdown(); err != nil {
 			return err
 		}
@@ -66,6 +69,9 @@
 		choice.Done(outcome)
 		e.lastError = err
 		e.endSend(ctx, choice.Endpoint(), outcome, err)
+		if outcome == balance.OutcomeUnreachable {
+			e.unreachable++
+		}
 		if outcome == balance.OutcomeServed || outcome == balance.OutcomeFailed {
 			return nil
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -103,10 +103,12 @@
 	queueTime    time.Duration
 
 	// tried lists the IDs of the endpoints tried, and versions the versions of
-	// their software. runs counts those that may have run the request.
-	tried    []string
-	versions []string
-	runs     int
+	// their software. runs counts those that may have run the request, and unreachable
+	// those that did not receive it.
+	tried       []string
+	versions    []string
+	runs        int
+	unreachable int
 	// incarnation identifies the incarnation of the endpoint tried last.
 	incarnation string
 	// origin is where the stream began; nil before its first event. originSource
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -47,11 +47,16 @@
 	mannerFailure   manner = "failure"   // after a whole response that reports a failure
 	mannerAnew      manner = "anew"      // before a response; another endpoint starts at the address
 	mannerAccepts   manner = "accepts"   // before a response; the address accepts connections, and nobody responds
+	mannerDrains    manner = "drains"    // before a response; listed as draining a moment before
+	mannerLeaves    manner = "leaves"    // before a response; its entry is removed a moment before
 )
 
 // endDelay is the time from what an endpoint sends to its end.
 const endDelay = 5 * time.Millisecond
 
+// announceTime is the time from the change of an endpoint's entry to its end.
+const announceTime = 100 * time.Millisecond
+
 // sentBeforeEnd holds what endpoints send before they end, by manner.
 var sentBeforeEnd = map[manner]string{
 	mannerGarbage:   "\x00\x01 no response\r\n\r\n",
@@ -85,6 +90,18 @@
 				e.proxy.resetAll(false)
 			})
 		}}
+	case strings.Contains(run.Path, string(mannerDrains)), strings.Contains(run.Path, string(mannerLeaves)):
+		return platformtest.Behaviour{Crash: func() {
+			s.end(e, name, func() {
+				if strings.Contains(run.Path, string(mannerLeaves)) {
+					e.Unregister(s.memory)
+				} else {
+					e.Register(s.memory, e.dataCentre, "draining")
+				}
+				time.Sleep(announceTime)
+				e.proxy.crash()
+			})
+		}}
 	case strings.Contains(run.Path, string(mannerAnew)):
 		return platformtest.Behaviour{Crash: func() { s.end(e, name, func() { s.add(e.Service == "model", e) }) }}
 	case strings.Contains(run.Path, string(mannerReset)):
@@ -275,10 +292,10 @@
 	})
 }
 
-// Guards against a request that ends more endpoints than allowed since they send something before they end, or another one starts at their address.
+// Guards against a request that ends more endpoints than allowed since they send something before they end, are listed as leaving, or another one starts at their address.
 func TestCrashingRequestEndsThreeEndpointsWhateverTheySend(t *testing.T) {
 	var crashers []crasher
-	for n, manner := range []manner{mannerGarbage, mannerUnstamped, mannerFailure, mannerAnew, mannerAccepts} {
+	for n, manner := range []manner{mannerGarbage, mannerUnstamped, mannerFailure, mannerAnew, mannerAccepts, mannerDrains, mannerLeaves} {
 		kinds := []kind{kindChat, kindKeep, kindLook}
 		if !*power {
 			kinds = kinds[n%len(kinds):][:1]
