upstream: a success without a request ID, on a used connection, belongs to no request

What callers saw: 2 of 62 requests on a kept connection got 200 with the body "eHTTP": the end of an extra response and the beginning of the endpoint's own one.

Cause: the ID of a response was compared only if it had one. An extra response that arrives after the next request was sent was taken for its response.

Change: endpoints echo the ID. A success without it, on a connection that has carried a response before, is skipped if its length is known, else the connection is closed. Failures without one are passed on as before: an endpoint that rejects a request may not know its ID.

Tests of heads and bodies that break off after each byte, closed or reset, and of half a head for a health check find no fault: the report as such is not reproduced.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -65,7 +65,8 @@
 	// Content-Length of 0 is sent.
 	HasBody bool
 	// IDHeader is the name of the request header that the response echoes. A
-	// response with another value in it belongs to another request.
+	// response with another value in it belongs to another request, as does a
+	// success without it on a connection that was used before.
 	IDHeader string
 }
 
@@ -116,6 +117,8 @@
 	limit   *limitReader
 	reader  *bufio.Reader // of limit
 	expires time.Time
+	// served is set once a response was read from the connection.
+	served bool
 }
 
 // NewClient returns a Client without connections.
@@ -214,7 +217,8 @@
 		}
 		want := request.Header.Get(request.IDHeader)
 		got := response.Header.Get(request.IDHeader)
-		if got == "" || got == want {
+		if got == want || got == "" && !c.mayBeExtra(response) {
+			c.served = true
 			return &responseHead{status: response.StatusCode, header: response.Header, body: response.Body, closing: response.Close}, nil
 		}
 		mismatched++
@@ -231,6 +235,13 @@
 	}
 }
 
+// mayBeExtra reports whether a response that names no request may be the rest of an earlier
+// exchange on the connection. A failure is passed on, since those that reject a request may not
+// know its ID.
+func (c *conn) mayBeExtra(response *http.Response) bool {
+	return c.served && response.StatusCode < http.StatusMultipleChoices
+}
+
 // encodeHead returns the encoded request line and header of request.
 func encodeHead(request *Request) []byte {
 	var buf bytes.Buffer
