quarantine: a request that is sent to a cleared endpoint again, in vain, counts the first sending

What callers saw: nothing yet; found in the last reading of the transitions.

Cause: an endpoint that was cleared and has ended since refuses the request that is sent to it again; that attempt, which reached nobody, replaced the record of the first.

An endpoint that had ended before its request was sent is decided on once, with one line.

Measured: TestSendToClearedEndpointIsRepeated fails without the change.

--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -248,6 +248,19 @@
 	assert.ErrorAs(t, f.guards[0].Check(ctx, keyOf(1), false), &crashedErr)
 }
 
+// Guards against an endpoint that was cleared, has ended since, and is not counted since the
+// request was sent to it again and did not reach it.
+func TestSendToClearedEndpointIsRepeated(t *testing.T) {
+	f := newFleet(1)
+	ctx := context.Background()
+	guard := f.guards[0]
+	guard.Unresolved(ctx, guard.Begin(ctx, keyOf(1), false, "e1"), f.clock.Now(), false)
+	f.clock.Advance(quarantine.SettleTime)
+	guard.Responded("e1", f.clock.Now())
+	assert.True(t, guard.Begin(ctx, keyOf(1), false, "e1").IsRepeated())
+	assert.False(t, guard.Begin(ctx, keyOf(1), false, "e2").IsRepeated())
+}
+
 // Guards against messages about requests that only wait for slow endpoints.
 func TestSlowEndpointsCauseNoMessages(t *testing.T) {
 	f := newFleet(3)
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -213,7 +213,7 @@
 			assessment.Crashed++
 		case attempt.isUnresolved():
 			assessment.Unresolved++
-		case attempt.isOutdated(now):
+		case attempt.isStale(now):
 			assessment.Cleared++
 		}
 	}
@@ -256,8 +256,8 @@
 	})
 }
 
-// suspectSince returns when a request was sent to an incarnation that may have crashed
-// under it. It returns false if there is none.
+// suspectSince returns when a request was sent to an incarnation that may have crashed under
+// it, also since it was cleared. It returns false if there is none.
 func (records *Records) suspectSince(key Key, incarnation string) (sentAt time.Time, ok bool) {
 	records.mu.Lock()
 	defer records.mu.Unlock()
@@ -265,8 +265,9 @@
 	if !ok {
 		return time.Time{}, false
 	}
+	now := records.clock.Now()
 	for _, attempt := range known.attempts {
-		if attempt.incarnation == incarnation && attempt.isUnresolved() {
+		if attempt.incarnation == incarnation && (attempt.isUnresolved() || attempt.isCleared(now)) {
 			return attempt.sentAt, true
 		}
 	}
@@ -342,6 +343,7 @@
 			report := attempt.report(key)
 			if !records.recordCrash(report) {
 				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceEarlierCrash, observedAt: now})
+				attempt.endedAt = time.Time{} // its end does not count
 				continue
 			}
 			if attempt.source == SourceOwn {
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -145,9 +145,9 @@
 	return attempt.state == StateSurvived && !attempt.endedAt.IsZero() && now.Sub(attempt.endedAt) < confirmTimeout
 }
 
-// isOutdated reports whether the endpoint was cleared by something observed long enough ago
-// that it may have ended since.
-func (attempt *attempt) isOutdated(now time.Time) bool {
+// isStale reports whether the endpoint was cleared by something observed long enough ago that
+// it may have ended since.
+func (attempt *attempt) isStale(now time.Time) bool {
 	return attempt.isCleared(now) && now.Sub(attempt.at) >= SettleTime
 }
 
@@ -156,7 +156,7 @@
 // an exchange whose instance died.
 func (attempt *attempt) failedAt(now time.Time) (time.Time, bool) {
 	switch {
-	case attempt.state == StateUnresolved || attempt.isOutdated(now):
+	case attempt.state == StateUnresolved || attempt.isStale(now):
 		return attempt.endedAt, true
 	case attempt.state == StateTrying:
 		endedAt := attempt.at.Add(reportTimeout)
