gateway: a response that was served clears a request whether or not its caller still listens

Cause: a condition on the caller's connection, added with the moments of evidence, is reached only if the caller leaves between the end of the response and the record of it, and no test can hold that moment.

A test that a request is tried at 16 endpoints at most that cannot be reached.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -81,7 +81,7 @@
 	ctx = context.WithoutCancel(ctx) // the caller may leave because the endpoint crashed
 	endedAt := e.Clock.Now()
 	switch {
-	case outcome == balance.OutcomeServed && !e.failed && e.r.Context().Err() == nil:
+	case outcome == balance.OutcomeServed && !e.failed:
 		e.Crashes.Responded(endpoint.Incarnation(), e.sentAt)
 		if e.Crashes.Any() {
 			e.Crashes.Served(ctx, e.sendTo(endpoint))
--- a/gateway/oddentry_test.go
+++ b/gateway/oddentry_test.go
@@ -78,3 +78,23 @@
 		require.Equal(t, http.StatusOK, response.StatusCode, "request %d: %s", n, body)
 	}
 }
+
+// Guards against a request that is tried at each endpoint of a service none of which can be
+// reached.
+func TestUnreachableEndpointsAreTriedWithinABound(t *testing.T) {
+	b := newFixture(t)
+	b.tool.Unregister(b.memory)
+	for n := range 60 {
+		b.putEntry(fmt.Sprint("nobody", n), entryWith(fmt.Sprintf("127.0.0.1:%d", n+1), ""))
+	}
+	var logs lockedBuffer
+	b.logs = &logs
+	i := b.startInstance()
+	response, _ := i.mustSend(callerRequest{path: "/look/x", id: "r"})
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	for line := range strings.Lines(logs.String()) {
+		if strings.Contains(line, "msg=request ") {
+			assert.Equal(t, 16, strings.Count(line, "nobody"), line)
+		}
+	}
+}
