quarantine: responses of a cleared endpoint to other requests keep it cleared

A check of a cleared endpoint waits for a slot there, so a request that failed at three full endpoints would be refused although all of them serve others.

Cause: only the first response after an exchange was recorded, so that each cleared endpoint had to be checked 250 ms later.

Change: for 5 s each response to a request sent 250 ms or more after the exchange renews what is known, as of its arrival.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -27,12 +27,12 @@
 	attempt  *attempt
 	key      Key
 	evidence Evidence
-	// observedAt is when what the evidence consists of began.
-	observedAt time.Time
+	// begunAt is when what the evidence consists of began.
+	begunAt time.Time
 }
 
 // logClearance writes one line about an endpoint that was cleared.
 func (guard *Guard) logClearance(c clearance) {
 	guard.log.Info("endpoint cleared under a request", "identity", c.key, "incarnation", c.attempt.incarnation, "evidence", c.evidence.String(),
-		"from", c.attempt.state.String(), "source", c.attempt.source.String(), "since_sent", c.observedAt.Sub(c.attempt.sentAt), "since_failed", c.observedAt.Sub(c.attempt.at))
+		"from", c.attempt.state.String(), "source", c.attempt.source.String(), "since_sent", c.begunAt.Sub(c.attempt.sentAt), "since_failed", c.begunAt.Sub(c.attempt.at))
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -260,10 +260,10 @@
 	guard.publish(ctx, report)
 }
 
-// Survived records that the endpoint did not crash. observedAt is when what the evidence
-// consists of began.
-func (guard *Guard) Survived(ctx context.Context, send *Send, evidence Evidence, observedAt time.Time) {
-	report := send.report(StateSurvived, observedAt)
+// Survived records that the endpoint did not crash. begunAt is when what the evidence consists
+// of began.
+func (guard *Guard) Survived(ctx context.Context, send *Send, evidence Evidence, begunAt time.Time) {
+	report := send.report(StateSurvived, begunAt)
 	guard.Clear(report, evidence)
 	if send.isAnnounced {
 		guard.startPublishing(ctx, report)
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -168,7 +168,7 @@
 	if records.onCleared != nil && c.attempt.state != StateSurvived {
 		records.onCleared(c)
 	}
-	c.attempt.state, c.attempt.at = StateSurvived, c.observedAt
+	c.attempt.state, c.attempt.at = StateSurvived, records.clock.Now()
 }
 
 // Clear records a report that an endpoint survived, and what tells that. It returns whether
@@ -178,7 +178,7 @@
 	if known, ok := records.requests.Peek(report.Key); ok && records.onCleared != nil {
 		for i := range known.attempts {
 			if attempt := &known.attempts[i]; attempt.id == report.Attempt && attempt.isUnresolved() {
-				records.onCleared(clearance{attempt: attempt, key: report.Key, evidence: evidence, observedAt: report.At})
+				records.onCleared(clearance{attempt: attempt, key: report.Key, evidence: evidence, begunAt: report.At})
 			}
 		}
 	}
@@ -221,8 +221,8 @@
 }
 
 // Responded records that an incarnation has responded to a request that was sent to it at
-// begunAt, so that it had not crashed under those whose exchanges had ended SettleTime or more
-// before.
+// begunAt, so that it lives now, and had not crashed under those whose exchanges had ended
+// SettleTime or more before.
 func (records *Records) Responded(incarnation string, begunAt time.Time) {
 	if !records.Any() {
 		return
@@ -233,14 +233,17 @@
 	if !ok {
 		return
 	}
-	if begunAt.Sub(latest) >= SettleTime {
+	if begunAt.Sub(latest) >= confirmTimeout {
 		delete(records.unresolved, incarnation)
 	}
+	now := records.clock.Now()
 	for _, key := range records.requests.Keys() {
 		known, _ := records.requests.Peek(key)
 		for i := range known.attempts {
-			if attempt := &known.attempts[i]; attempt.incarnation == incarnation && attempt.state == StateUnresolved && begunAt.Sub(attempt.at) >= SettleTime {
-				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, observedAt: begunAt})
+			attempt := &known.attempts[i]
+			isSuspect := attempt.state == StateUnresolved || attempt.isCleared(now)
+			if attempt.incarnation == incarnation && isSuspect && begunAt.Sub(attempt.endedAt) >= SettleTime {
+				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceResponse, begunAt: begunAt})
 			}
 		}
 	}
@@ -342,7 +345,7 @@
 			}
 			report := attempt.report(key)
 			if !records.recordCrash(report) {
-				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceEarlierCrash, observedAt: now})
+				records.clear(clearance{attempt: attempt, key: key, evidence: EvidenceEarlierCrash, begunAt: now})
 				attempt.endedAt = time.Time{} // its end does not count
 				continue
 			}
