--- a/gateway/endpointstop_test.go
+++ b/gateway/endpointstop_test.go
@@ -263,31 +263,18 @@
 	assert.Less(t, time.Since(began), 100*time.Millisecond)
 }
 
-// Guards against a failed exchange that is forgotten since too many endpoints are watched.
+// Guards against a failed exchange that is forgotten since too many endpoints are watched, and
+// against refusals that count for the same reason.
 func TestFailedExchangeCountsIfItsEndpointIsNotWatched(t *testing.T) {
-	const abandoned = 300
-	b := newFixture(t)
-	b.tool.Slots = 4 * abandoned
-	b.tool.Register(b.memory, "a", "ready")
-	b.tool.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour { return platformtest.Behaviour{Hang: true} })
-	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
-		return platformtest.Behaviour{Raw: "HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n"}
-	})
-	i := b.startInstance()
-	ctx, cancel := context.WithCancel(context.Background())
-	var callers sync.WaitGroup
-	for n := range abandoned {
-		callers.Go(func() {
-			request := crashingRequest("/look/x", fmt.Sprint("r", n), fmt.Sprint("p", n))
-			request.ctx = ctx
-			_, _, _ = i.send(request)
-		})
+	for raw, want := range map[string]int{
+		"HTTP/1.1 500 Internal Server Error\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n": 1,
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n":        0,
+	} {
+		b := newFixture(t)
+		b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour { return platformtest.Behaviour{Raw: raw} })
+		i := b.startInstance()
+		i.OccupyWatches()
+		i.mustSend(crashingRequest("/keep/x", "r", "p"))
+		assert.Equal(t, want, i.crashes.Len(), raw)
 	}
-	require.Eventually(t, func() bool { return len(b.tool.ReceivedRequests()) == abandoned }, time.Second, time.Millisecond)
-	cancel()
-	callers.Wait()
-	require.Eventually(t, func() bool { return i.crashes.Len() == abandoned }, time.Second, time.Millisecond)
-	response, _ := i.mustSend(crashingRequest("/keep/x", "failed", "p"))
-	assert.Equal(t, http.StatusInternalServerError, response.StatusCode)
-	assert.Equal(t, abandoned+1, i.crashes.Len())
 }
