archive, gateway: a turn that is not found or not stored says why in its request's line

Callers saw 404, 503 or a stream that breaks off; the log said "no turn ID" or the last error of the store. It was unknown which partitions were read and with what outcome, whether another instance's memory was asked, which ancestor is missing, and how often and how long a write was tried.

The errors of Archive.Chain carry a Lookup, which the request's line prints as lookup.*, and those of Archive.Save are a SaveError with the partitions and the number of attempts; the line has store_time beside it. A Lookup is never part of what a caller is told: that another organisation has a turn stays hidden.

The store calls are the same as before.

--- a/archive/archive.go
+++ b/archive/archive.go
@@ -36,15 +36,6 @@
 	parallelReads = 8
 )
 
-// UnknownTurnError is returned for a turn that the store doesn't hold, or that
-// belongs to another organisation.
-type UnknownTurnError struct {
-	id string
-}
-
-// Error returns a message with the ID of the turn.
-func (e *UnknownTurnError) Error() string { return "no turn " + e.id }
-
 // TurnConflictError is returned for a turn whose ID another turn already has.
 type TurnConflictError struct {
 	id string
@@ -79,36 +70,45 @@
 // cached, Chain first requests the turns from the instance holder, which may
 // have them in memory and is empty if unknown, and reads the remaining ones from
 // the store. Chain returns an *UnknownTurnError if the store holds no such turn
-// of the organisation, and the *store.Error if reading fails.
+// of the organisation, and a *ReadError if reading fails.
 func (archive *Archive) Chain(ctx context.Context, organisation, id, holder string) ([]*history.Turn, error) {
-	archive.fetch(ctx, id, holder)
+	fetched := archive.fetch(ctx, id, holder)
+	chain, err := archive.chain(ctx, organisation, id)
+	if lookup := FailedLookup(err); lookup != nil {
+		lookup.peer = fetched
+	}
+	return chain, err
+}
+
+// chain returns the turn id and its ancestors from the cache and the store.
+func (archive *Archive) chain(ctx context.Context, organisation, id string) ([]*history.Turn, error) {
 	last, err := archive.turn(ctx, id)
 	if err != nil {
 		return nil, err
 	}
 	if last.Organisation != organisation {
-		return nil, &UnknownTurnError{id: id}
+		return nil, &UnknownTurnError{lookup: &Lookup{turn: id, result: ResultOtherOrganisation}}
 	}
 	chain := make([]*history.Turn, len(last.Ancestors)+1)
 	chain[len(last.Ancestors)] = last
-	if err := archive.ancestors(ctx, last.Ancestors, chain); err != nil {
+	if err := archive.ancestors(ctx, last, chain); err != nil {
 		return nil, err
 	}
 	return chain, nil
 }
 
-// ancestors sets chain[i] to the turn ids[i] for all ids, reading up to
-// parallelReads turns at a time. It returns the first error.
-func (archive *Archive) ancestors(ctx context.Context, ids []string, chain []*history.Turn) error {
+// ancestors sets chain[i] to the ancestor i of last for all its ancestors, reading
+// up to parallelReads turns at a time. It returns the first error.
+func (archive *Archive) ancestors(ctx context.Context, last *history.Turn, chain []*history.Turn) error {
 	type result struct {
 		index int
 		turn  *history.Turn
 		err   error
 	}
-	results := make(chan result, len(ids))
+	results := make(chan result, len(last.Ancestors))
 	slots := make(chan struct{}, parallelReads)
 	pending := 0
-	for i, id := range ids {
+	for i, id := range last.Ancestors {
 		if turn := archive.cache.get(id); turn != nil {
 			archive.hits.Inc(1)
 			chain[i] = turn
@@ -127,10 +127,12 @@
 		got := <-results
 		if got.err != nil && firstErr == nil {
 			firstErr = got.err
-			if unknown, ok := firstErr.(*UnknownTurnError); ok {
+			lookup := FailedLookup(firstErr)
+			lookup.descendant = last.ID
+			if lookup.result == ResultNotStored {
 				// A turn is written only after its ancestors, so a missing
 				// ancestor is a fault of the stored data, not of the caller.
-				firstErr = store.NewError(store.FailureInvalid, "read turn", "ancestor missing: "+unknown.id)
+				firstErr = &ReadError{lookup: lookup, cause: store.NewError(store.FailureInvalid, "read turn", "ancestor missing: "+lookup.turn)}
 			}
 		}
 		chain[got.index] = got.turn
@@ -139,22 +141,23 @@
 }
 
 // turn returns a turn from the cache or the store. It returns an
-// *UnknownTurnError if the store has no rows of the turn.
+// *UnknownTurnError if the store has no rows of the turn, and a *ReadError if
+// reading or decoding them fails.
 func (archive *Archive) turn(ctx context.Context, id string) (*history.Turn, error) {
 	if turn := archive.cache.get(id); turn != nil {
 		archive.hits.Inc(1)
 		return turn, nil
 	}
-	values, err := archive.rows(ctx, id)
+	values, reads, err := archive.rows(ctx, id)
 	if err != nil {
-		return nil, err
+		return nil, &ReadError{lookup: &Lookup{turn: id, result: ResultUnread, reads: reads}, cause: err}
 	}
 	if len(values) == 0 {
-		return nil, &UnknownTurnError{id: id}
+		return nil, &UnknownTurnError{lookup: &Lookup{turn: id, result: ResultNotStored, reads: reads}}
 	}
 	turn, err := history.Decode(id, values)
 	if err != nil {
-		return nil, store.NewError(store.FailureInvalid, "read turn", err.Error())
+		return nil, &ReadError{lookup: &Lookup{turn: id, result: ResultInvalid, reads: reads}, cause: store.NewError(store.FailureInvalid, "read turn", err.Error())}
 	}
 	archive.read.Inc(1)
 	archive.cache.put(turn)
@@ -162,22 +165,24 @@
 }
 
 // rows returns the values of a turn's rows, in order, from its primary partition
-// or else from its secondary one. It returns no rows and no error only if it
-// read both partitions.
-func (archive *Archive) rows(ctx context.Context, id string) ([][]byte, error) {
+// or else from its secondary one, and the outcome of each read. It returns no rows
+// and no error only if it read both partitions.
+func (archive *Archive) rows(ctx context.Context, id string) ([][]byte, []partitionRead, error) {
 	primary, secondary := turnPartitions(id)
 	values, err := archive.rowsIn(ctx, primary, id)
+	reads := []partitionRead{{partition: primary, rows: len(values), err: err}}
 	if err == nil && len(values) > 0 {
-		return values, nil
+		return values, reads, nil
 	}
 	secondaryValues, secondaryErr := archive.rowsIn(ctx, secondary, id)
+	reads = append(reads, partitionRead{partition: secondary, rows: len(secondaryValues), err: secondaryErr})
 	if secondaryErr != nil {
-		return nil, secondaryErr
+		return nil, reads, secondaryErr
 	}
 	if len(secondaryValues) > 0 {
-		return secondaryValues, nil
+		return secondaryValues, reads, nil
 	}
-	return nil, err
+	return nil, reads, err
 }
 
 // rowsIn returns the values of a turn's rows in one partition, in order.
@@ -203,36 +208,37 @@
 
 // Save makes turn durable. It retries until ctx ends, since a turn that isn't
 // stored is lost to its caller. Retries are idempotent: an attempt whose response
-// was lost may have been applied. Save returns a *TurnConflictError if the ID
-// belongs to another turn, a *history.TooLargeError if the turn doesn't fit, and
-// otherwise the last error of the store.
+// was lost may have been applied. Save returns a *history.TooLargeError if the turn
+// doesn't fit, and otherwise a *SaveError: its cause is a *TurnConflictError if the
+// ID belongs to another turn, or the last error of the store.
 func (archive *Archive) Save(ctx context.Context, turn *history.Turn) error {
 	values, err := turn.Encode(archive.rowBytes)
 	if err != nil {
 		return err
 	}
+	primary, secondary := turnPartitions(turn.ID)
 	backoff := retry.Backoff{Initial: initialWriteDelay, Max: maxWriteDelay}
-	for {
-		primary, secondary := turnPartitions(turn.ID)
+	for attempt := 1; ; attempt++ {
 		err := archive.write(ctx, primary, turn.ID, values)
 		if store.Unserved(err) {
 			// Some partitions may be unavailable while others are served.
 			err = archive.write(ctx, secondary, turn.ID, values)
 		}
+		isFinal := store.Is(err, store.FailureInvalid)
+		if store.Is(err, store.FailureConflict) {
+			err, isFinal = archive.verifyStored(ctx, turn.ID, values), true
+		}
 		if err == nil {
 			archive.kept.Inc(1)
 			archive.cache.put(turn)
 			return nil
 		}
-		if store.Is(err, store.FailureConflict) {
-			return archive.verifyStored(ctx, turn, values)
-		}
-		if store.Is(err, store.FailureInvalid) {
-			return err
+		if !isFinal {
+			archive.retried.Inc(1)
+			isFinal = !clock.Sleep(ctx, initialWriteDelay/2+backoff.Next())
 		}
-		archive.retried.Inc(1)
-		if !clock.Sleep(ctx, initialWriteDelay/2+backoff.Next()) {
-			return err
+		if isFinal {
+			return &SaveError{id: turn.ID, attempts: attempt, primary: primary, secondary: secondary, cause: err}
 		}
 	}
 }
@@ -248,18 +254,16 @@
 	return err
 }
 
-// verifyStored returns nil if the stored rows with the ID of turn equal values,
-// and a *TurnConflictError if they differ.
-func (archive *Archive) verifyStored(ctx context.Context, turn *history.Turn, values [][]byte) error {
-	stored, err := archive.rows(ctx, turn.ID)
+// verifyStored returns nil if the stored rows of the turn id equal values, and a
+// *TurnConflictError if they differ.
+func (archive *Archive) verifyStored(ctx context.Context, id string, values [][]byte) error {
+	stored, _, err := archive.rows(ctx, id)
 	if err != nil {
 		return err
 	}
 	if !slices.EqualFunc(stored, values, bytes.Equal) {
-		return &TurnConflictError{id: turn.ID}
+		return &TurnConflictError{id: id}
 	}
-	archive.kept.Inc(1)
-	archive.cache.put(turn)
 	return nil
 }
 
--- a/archive/peer.go
+++ b/archive/peer.go
@@ -68,11 +68,11 @@
 }
 
 // fetch requests the turn id and its ancestors from the instance holder and adds
-// the turns received to the cache. The caller reads missing turns from the
-// store.
-func (archive *Archive) fetch(ctx context.Context, id, holder string) {
+// the turns received to the cache. It returns the outcome. The caller reads missing
+// turns from the store.
+func (archive *Archive) fetch(ctx context.Context, id, holder string) peerFetch {
 	if holder == "" || archive.cache.get(id) != nil {
-		return
+		return peerFetch{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -80,7 +80,7 @@
 	if err != nil || len(received) == 0 {
 		archive.missed.Inc(1)
 		archive.log.Debug("no turns from another instance; reading them from the store", "turn", id, "instance", holder, "err", err)
-		return
+		return peerFetch{instance: holder, err: err}
 	}
 	for _, kept := range received {
 		turn, err := history.Decode(kept.ID, kept.Rows)
@@ -91,4 +91,5 @@
 		archive.fetched.Inc(1)
 		archive.cache.put(turn)
 	}
+	return peerFetch{instance: holder, turns: len(received)}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/wagtaildrum/wagtaildrum/archive"
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/membership"
 	"github.com/wagtaildrum/wagtaildrum/quarantine"
@@ -26,6 +27,9 @@
 	if e.route != nil {
 		attrs = append(attrs, slog.String("route", e.route.Name), slog.Uint64("configuration", e.table.Version()), slog.Time("until", e.deadline))
 	}
+	if reason == ReasonNoRoute {
+		attrs = append(attrs, slog.Uint64("configuration", e.table.Version()), slog.String("host", abbreviate(e.r.Host)), slog.String("path", abbreviate(e.path())))
+	}
 	if len(e.tried) > 0 {
 		attrs = append(attrs, slog.Any("endpoints", e.tried), slog.Any("software", e.versions), slog.Int("runs", e.runs))
 	}
@@ -51,6 +55,12 @@
 	if e.call != nil && e.call.Previous != "" {
 		attrs = append(attrs, slog.String("previous", e.call.Previous))
 	}
+	if lookup := archive.FailedLookup(err); lookup != nil {
+		attrs = append(attrs, slog.Any("lookup", lookup))
+	}
+	if reason == ReasonNotKept {
+		attrs = append(attrs, slog.Duration("store_time", e.storeTime))
+	}
 	attrs = append(attrs, e.identityAttrs()...)
 	if e.lastError != nil {
 		attrs = append(attrs, slog.Any("last_error", e.lastError))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -80,8 +80,10 @@
 	// memoryUsed is the number of bytes reserved for the body, the prompt and
 	// what is kept of the response, and responseMemory the last of these.
 	memoryUsed, responseMemory int64
-	// chain holds the earlier turns of the conversation, the oldest first.
-	chain []*history.Turn
+	// chain holds the earlier turns of the conversation, the oldest first, and
+	// storeTime is how long storing the turn took.
+	chain     []*history.Turn
+	storeTime time.Duration
 	// reservation is the budget reserved for the turn; nil for a request that
 	// spends none.
 	reservation *account.Reservation
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -10,12 +10,16 @@
 	"github.com/wagtaildrum/wagtaildrum/route"
 )
 
+// errIsolated is the cause of a refusal of a retained turn by an instance that
+// reaches neither the store nor another instance.
+var errIsolated = errors.New("neither the store nor another instance is reachable")
+
 // rebuild sets the prompt to the conversation so far followed by the new input.
 func (e *exchange) rebuild(ctx context.Context) error {
 	e.prompt = e.body
 	if e.route.KeepsHistory && e.partitioned() {
 		// The turn could not be stored, and the engine's work would be lost.
-		return e.storeUnavailable(nil)
+		return e.storeUnavailable(errIsolated)
 	}
 	if !e.route.KeepsHistory || e.call.Previous == "" {
 		return nil
@@ -66,7 +70,8 @@
 	}
 	began := e.Clock.Now()
 	err := e.runWithKeepAlive(ctx, func(ctx context.Context) error { return e.Archive.Save(ctx, turn) })
-	e.metrics.storeTurn.RecordDuration(e.Clock.Now().Sub(began))
+	e.storeTime = e.Clock.Now().Sub(began)
+	e.metrics.storeTurn.RecordDuration(e.storeTime)
 	if err != nil {
 		return refuse(ReasonNotKept, http.StatusBadGateway, 0, err)
 	}
