archive: a Save whose stored turn can't be read back is tried again

Callers saw a stream break off (NotKept) though the turn was stored and time was left. The response to a write got lost, the repeat failed on its condition, and the read that tells one's own turn from another's was made once: if it failed, Save gave up. A store that loses answers or turns single partitions away does both at once.

Save now tries again, with the same back-off, while that read is not served.

--- a/archive/archive.go
+++ b/archive/archive.go
@@ -226,7 +226,8 @@
 		}
 		isFinal := store.Is(err, store.FailureInvalid)
 		if store.Is(err, store.FailureConflict) {
-			err, isFinal = archive.verifyStored(ctx, turn.ID, values), true
+			err = archive.verifyStored(ctx, turn.ID, values)
+			isFinal = !store.Unserved(err)
 		}
 		if err == nil {
 			archive.kept.Inc(1)
