--- a/store/store.go
+++ b/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"time"
 )
 
@@ -44,6 +45,45 @@
 	Deletes    []Key
 }
 
+// Limits of a transaction. A store rejects a larger one with FailureInvalid.
+const (
+	// MaxTransactionEntries bounds the number of conditions, puts and deletes.
+	MaxTransactionEntries = 100
+	// MaxTransactionBytes bounds the encoded size, as returned by Size.
+	MaxTransactionBytes = 1_000_000
+)
+
+// entryBytes is the size of an entry of an encoded transaction, or of a row of a
+// page, beside its names and its value.
+const entryBytes = 80
+
+// Entries returns the number of conditions, puts and deletes of the transaction.
+func (tx *Transaction) Entries() int { return len(tx.Conditions) + len(tx.Puts) + len(tx.Deletes) }
+
+// Size returns an upper bound of the encoded size of the transaction, in bytes.
+// Values are encoded in base64.
+func (tx *Transaction) Size() int {
+	size := entryBytes
+	for _, condition := range tx.Conditions {
+		size += condition.Key.size()
+	}
+	for _, put := range tx.Puts {
+		size += put.Size()
+	}
+	for _, key := range tx.Deletes {
+		size += key.size()
+	}
+	return size
+}
+
+// Size returns an upper bound of what the put adds to the encoded size of a
+// transaction, in bytes.
+func (put *Put) Size() int { return put.Key.size() + base64.StdEncoding.EncodedLen(len(put.Value)) }
+
+// size returns an upper bound of the encoded size of an entry with the key and
+// without a value.
+func (key *Key) size() int { return entryBytes + len(key.Table) + len(key.Partition) + len(key.Name) }
+
 // firstKey returns the key of the first row of the transaction, and the zero Key
 // if it has none.
 func (tx *Transaction) firstKey() Key {
--- a/store/storetest/memory.go
+++ b/store/storetest/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -66,6 +67,12 @@
 	LoseRequest
 )
 
+// Limits of a page.
+const (
+	maxPageRows  = 500
+	maxPageBytes = 1_000_000
+)
+
 // New returns an empty store that injects no faults.
 func New() *Memory {
 	return &Memory{rows: map[partitionKey]map[string]store.Row{}, changed: make(chan struct{}), fault: func(string, string) Fault { return None }}
@@ -135,9 +142,12 @@
 }
 
 // apply applies tx and returns its version. It fails with FailureConflict if a
-// condition does not hold and with FailureInvalid if a put has no value. The
-// caller holds mu.
+// condition does not hold and with FailureInvalid if a put has no value or the
+// transaction exceeds a limit of transactions. The caller holds mu.
 func (memory *Memory) apply(tx store.Transaction) (uint64, error) {
+	if tx.Entries() > store.MaxTransactionEntries || tx.Size() > store.MaxTransactionBytes {
+		return 0, store.NewError(store.FailureInvalid, "commit", fmt.Sprintf("transaction too large: %d entries, %d bytes", tx.Entries(), tx.Size()))
+	}
 	var current []store.Row
 	satisfied := true
 	for _, put := range tx.Puts {
@@ -209,12 +219,26 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b store.Row) int { return strings.Compare(a.Key.Name, b.Key.Name) })
-	if r.Limit > 0 && len(page.Rows) > r.Limit {
-		page.Rows, page.More = page.Rows[:r.Limit], true
+	if n := pageRows(page.Rows, r.Limit); n < len(page.Rows) {
+		page.Rows, page.More = page.Rows[:n], true
 	}
 	return page, nil
 }
 
+// pageRows returns how many of rows fit into a page, and at least one if there are
+// any. A limit of 0 is that of the store.
+func pageRows(rows []store.Row, limit int) int {
+	size := 0
+	for n, row := range rows {
+		put := store.Put{Key: row.Key, Value: row.Value}
+		size += put.Size()
+		if n > 0 && size > maxPageBytes || n == maxPageRows || limit > 0 && n == limit {
+			return n
+		}
+	}
+	return len(rows)
+}
+
 // Watch implements store.Store, subject to injected faults.
 func (memory *Memory) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
 	timer := time.NewTimer(wait)
