archive, history, gateway: turns larger than a transaction are stored

Callers saw a retained turn run to its end and then break off (NotKept) if its input compresses to more than some 700 KB: its rows, up to 255, went into one transaction, of which the store takes 1 MB with values in base64. Each repeat of the turn ran and broke off again.

What fits into one transaction is written as before, by one call. Of a larger turn the last rows are staged by earlier transactions, each on condition that the turn has no first row and that the rows are as last seen (mostly: absent). The final transaction writes the first row, without which readers of all versions ignore the others, on condition that the staged rows are as they were staged. So rows of an abandoned Save are invisible, a repeat uses them, a turn with the same ID and other content replaces them, and a transaction applied late fails or stages what a writer replaces. A reader takes as many rows as the first one counts.

Weighed against refusing such a turn at once: 700 KB is well within the usual limit of a body (4 MB), and a 413 ends the program. A turn has 99 rows at most now (4.5 MB compressed; the final transaction has an entry for each); an input that exceeds this, less six rows for the response, is answered 413 before an endpoint runs it. Rows keep their names and headers: earlier versions read them, and theirs are read. One limit: if a large turn is abandoned and then a shorter one with the same ID is stored, an instance of an earlier version may take a left-over row for one of it and answer 503; it needs a caller that uses an ID twice.

Store calls: one for turns of up to 700 KB, as before; 2 for 0.8 MB, 3 for 1.6 MB, 6 for 4 MB that do not compress.

--- a/archive/archive.go
+++ b/archive/archive.go
@@ -185,7 +185,9 @@
 	return nil, reads, err
 }
 
-// rowsIn returns the values of a turn's rows in one partition, in order.
+// rowsIn returns the values of a turn's rows in one partition, in order. It returns
+// none if the first row is missing, and ignores rows beyond those that the first row
+// counts, since a writer may have abandoned them.
 func (archive *Archive) rowsIn(ctx context.Context, partition, id string) ([][]byte, error) {
 	var values [][]byte
 	from := rowName(id, 0)
@@ -198,6 +200,9 @@
 			if row.Key.Name == rowName(id, len(values)) {
 				values = append(values, row.Value)
 			}
+			if len(values) > 0 && len(values) == history.RowCount(values[0]) {
+				return values, nil
+			}
 			from = row.Key.Name + " "
 		}
 		if !page.More || len(page.Rows) == 0 {
@@ -206,6 +211,12 @@
 	}
 }
 
+// CheckInput returns a *history.TooLargeError if a turn with the given input is too
+// large to be stored.
+func (archive *Archive) CheckInput(id string, input []byte) error {
+	return history.CheckInput(id, input, archive.rowBytes)
+}
+
 // Save makes turn durable. It retries until ctx ends, since a turn that isn't
 // stored is lost to its caller. Retries are idempotent: an attempt whose response
 // was lost may have been applied. Save returns a *history.TooLargeError if the turn
@@ -217,12 +228,13 @@
 		return err
 	}
 	primary, secondary := turnPartitions(turn.ID)
+	primaryWriter, secondaryWriter := newWriter(archive.store, turn.ID, primary, values), newWriter(archive.store, turn.ID, secondary, values)
 	backoff := retry.Backoff{Initial: initialWriteDelay, Max: maxWriteDelay}
 	for attempt := 1; ; attempt++ {
-		err := archive.write(ctx, primary, turn.ID, values)
+		err := primaryWriter.write(ctx)
 		if store.Unserved(err) {
 			// Some partitions may be unavailable while others are served.
-			err = archive.write(ctx, secondary, turn.ID, values)
+			err = secondaryWriter.write(ctx)
 		}
 		isFinal := store.Is(err, store.FailureInvalid)
 		if store.Is(err, store.FailureConflict) {
@@ -244,17 +256,6 @@
 	}
 }
 
-// write stores the rows of a turn in one partition. It fails with
-// store.FailureConflict if the partition already has a turn with this ID.
-func (archive *Archive) write(ctx context.Context, partition, id string, values [][]byte) error {
-	tx := store.Transaction{Conditions: []store.Condition{{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, 0)}}}}
-	for i, value := range values {
-		tx.Puts = append(tx.Puts, store.Put{Key: store.Key{Table: table, Partition: partition, Name: rowName(id, i)}, Value: value})
-	}
-	_, err := archive.store.Commit(ctx, tx)
-	return err
-}
-
 // verifyStored returns nil if the stored rows of the turn id equal values, and a
 // *TurnConflictError if they differ.
 func (archive *Archive) verifyStored(ctx context.Context, id string, values [][]byte) error {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -292,7 +292,10 @@
 	// A caller that does not read must not hold the request forever.
 	// Connections without write deadlines end when the caller closes them.
 	_ = http.NewResponseController(e.w).SetWriteDeadline(e.deadline.Add(writeGrace))
-	return e.readBody()
+	if err := e.readBody(); err != nil {
+		return err
+	}
+	return e.checkTurnSize()
 }
 
 // awaitStartup waits until the configuration, the list of endpoints and the crashes under
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -41,6 +41,21 @@
 	return e.reserveMemory(int64(len(e.prompt)))
 }
 
+// checkTurnSize refuses a turn that is too large to be stored, before an endpoint runs
+// it.
+func (e *exchange) checkTurnSize() error {
+	if !e.storesTurn() {
+		return nil
+	}
+	if err := e.Archive.CheckInput(e.call.ID, e.body); err != nil {
+		return refuse(ReasonTooLarge, http.StatusRequestEntityTooLarge, 0, err)
+	}
+	return nil
+}
+
+// storesTurn reports whether a response to the request is stored as a turn.
+func (e *exchange) storesTurn() bool { return e.route.KeepsHistory && e.route.Kind == route.KindStream }
+
 // previousInstance returns the instance that served the previous turn, or "" if
 // it is this one or unknown. While the store is unavailable it returns "", so
 // that the turn waits for the store before an engine runs it and not after; the
@@ -61,7 +76,7 @@
 // to a turn that could be lost. Held-back events are sent meanwhile to keep the
 // caller connected.
 func (e *exchange) storeTurn(ctx context.Context) error {
-	if !e.route.KeepsHistory || e.status != http.StatusOK || e.route.Kind != route.KindStream {
+	if !e.storesTurn() || e.status != http.StatusOK {
 		return nil
 	}
 	turn := &history.Turn{ID: e.call.ID, Organisation: e.organisationName(), Input: e.body, Events: e.eventData}
--- a/history/turn.go
+++ b/history/turn.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
 // Turn is one turn of a conversation.
@@ -79,9 +80,9 @@
 // the index of the row and one for the index of the last row.
 const rowHeaderBytes = 2
 
-// maxRows is the maximum number of rows of one turn. It is the range of the row
-// header and allows for turns far above the body limit of any deployment.
-const maxRows = 255
+// maxRows is the maximum number of rows of one turn. The transaction that makes a
+// turn visible has an entry for each of its rows, and one more.
+const maxRows = store.MaxTransactionEntries - 1
 
 // maxUncompressedBytes bounds the encoding of a turn before compression. It is
 // four times the largest input accepted if the configuration sets no limit.
@@ -89,6 +90,23 @@
 // the memory of a small instance.
 const maxUncompressedBytes = 16 << 20
 
+// responseRows is the number of rows that CheckInput leaves for the response.
+const responseRows = 6
+
+// CheckInput returns a *TooLargeError if a turn with the given input cannot be encoded
+// in rows of at most rowBytes, whatever its response is.
+func CheckInput(id string, input []byte, rowBytes int) error {
+	if len(input) <= (maxRows-responseRows-1)*(rowBytes-rowHeaderBytes) {
+		return nil // even if it cannot be compressed
+	}
+	turn := Turn{ID: id, Input: input}
+	rows, err := turn.Encode(rowBytes)
+	if err == nil && len(rows) > maxRows-responseRows {
+		err = &TooLargeError{id: id, size: len(rows), unit: "rows"}
+	}
+	return err
+}
+
 // TooLargeError is returned for a turn that is too large to be stored or
 // decoded.
 type TooLargeError struct {
@@ -145,6 +163,15 @@
 // Error returns a message with the ID of the turn.
 func (e *IncompleteError) Error() string { return "turn " + e.id + ": rows missing" }
 
+// RowCount returns the number of rows of a turn, given its first row; 0 if that is
+// invalid.
+func RowCount(first []byte) int {
+	if len(first) < rowHeaderBytes {
+		return 0
+	}
+	return int(first[1]) + 1
+}
+
 // Decode returns the turn encoded in the values of its rows, which must be in
 // order. It returns an *IncompleteError if rows are missing, a *TooLargeError
 // if the encoding is longer than maxUncompressedBytes, and another error if the
