--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -49,8 +49,9 @@
 	handed, bounds := map[string]int64{}, map[string]int64{}
 	for id, a := range book.attempts {
 		a.checkAnswer(runs[id], tell)
-		if a.previous != "" && a.status == http.StatusNotFound && book.attempts[a.previous].whole {
-			tell("lost: %s was told that its turn %s does not exist, which was answered whole", id, a.previous)
+		gone := a.status == http.StatusNotFound || a.status == http.StatusGone
+		if a.previous != "" && gone && book.attempts[a.previous].whole {
+			tell("lost: %s was told by %d that its turn %s does not exist, which was answered whole", id, a.status, a.previous)
 		}
 		if a.kind.isTurn() {
 			handed[a.program] += int64(len(a.events)) * eventTokens
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,7 +94,7 @@
 }
 
 // checkRecovered checks that after the last fault every turn that was
-// answered whole can be continued, that all kinds of requests are served at
+// answered whole can be continued, by its program while its budget holds that, that all kinds of requests are served at
 // every front by the newest configuration, and that a leaving endpoint gets
 // no work.
 func (s *site) checkRecovered(b *book, seed uint64) {
@@ -118,8 +118,9 @@
 		if i >= 100 {
 			break
 		}
-		a := c.turn(ctx, previous.program+"-again", kindKeep, usualBudget, 99, previous)
-		if !assert.NotNil(s.t, a, "turn %s cannot be continued", previous.id) {
+		program := s.goesOnAs(b, previous)
+		a := c.turn(ctx, program, kindKeep, usualBudget, 99, previous)
+		if !assert.NotNil(s.t, a, "turn %s cannot be continued by program %s", previous.id, program) {
 			break
 		}
 	}
