gateway: a turn that continues another is not answered 404 for want of a route

Callers saw 404 for a turn whose previous turn had been answered whole, from an instance that stood still or was cut off while the turn's route was added. For a turn that continues another, 404 says that no such turn exists, and ends its program; an instance that cannot be certain has to answer 503. That an instance's configuration is out of date can't be told from its side: after a suspension it takes requests before it has read anything.

Such a turn is now refused with 503 and a short Retry-After; another instance serves it. Requests that continue nothing get 404 as before. A route that was removed for good costs its turns two more attempts.

Whether the reported case was this one isn't known: it needs a program on a route that was added while it or just before it ran.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -274,7 +274,7 @@
 	}
 	e.route = e.table.Match(e.r.Host, e.path())
 	if e.route == nil {
-		return refuse(ReasonNoRoute, http.StatusNotFound, 0, nil)
+		return e.refuseWithoutRoute()
 	}
 	e.eventBuffer = newEventBuffer(e.arrived, e.eventTimeout())
 	if err := e.authenticate(); err != nil {
@@ -298,6 +298,16 @@
 	return e.checkTurnSize()
 }
 
+// refuseWithoutRoute returns the refusal of a request that matches no route. For a
+// turn that continues another, 404 would mean that the other one does not exist, while
+// this instance may only not know the route yet; its program would end.
+func (e *exchange) refuseWithoutRoute() *refusal {
+	if e.call.Previous != "" {
+		return refuse(ReasonNoRoute, http.StatusServiceUnavailable, otherInstanceRetryAfter, nil)
+	}
+	return refuse(ReasonNoRoute, http.StatusNotFound, 0, nil)
+}
+
 // awaitStartup waits until the configuration, the list of endpoints and the crashes under
 // requests were read, for at most startupWait.
 func (e *exchange) awaitStartup() {
--- a/soak/turns_test.go
+++ b/soak/turns_test.go
@@ -6,11 +6,15 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 )
@@ -158,3 +162,49 @@
 	}
 	return budget - used
 }
+
+// Guards against a turn that is answered 404 by an instance which stood still while its
+// route was added, though its previous turn was answered whole elsewhere.
+func TestTurnOnNewRouteGoesOnAtOutdatedInstance(t *testing.T) {
+	s := newSite(t, *first)
+	b := &book{attempts: map[string]*attempt{}}
+	c := newCaller(s, b, *first, 1)
+	ends := map[int]int{}
+	for n := range 2 * frontCount {
+		outdated, current := s.fronts[n%frontCount], s.fronts[(n+1)%frontCount]
+		path := fmt.Sprintf("new%d", n)
+		s.check(outdated.Signal(syscall.SIGSTOP))
+		s.addRoute(path)
+		c.front = current
+		var previous *attempt
+		require.Eventually(t, func() bool {
+			previous = newTurn("on-"+path, kindKeep, usualBudget, 0, nil)
+			previous.route = path
+			c.send(context.Background(), previous)
+			return previous.status == http.StatusOK && previous.whole
+		}, 10*time.Second, 50*time.Millisecond, "the route is not in force")
+		next := newTurn(previous.program, kindKeep, usualBudget, 1, previous)
+		next.route = path
+		c.front = outdated
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			c.send(context.Background(), next)
+		}()
+		time.Sleep(50 * time.Millisecond) // the request waits in the socket
+		s.check(outdated.Signal(syscall.SIGCONT))
+		<-sent
+		ends[next.status]++
+	}
+	t.Log("statuses:", ends)
+	assert.Empty(t, b.broken(s.runsByID(), false))
+}
+
+// addRoute puts a configuration in force that has one more route for retained turns.
+func (s *site) addRoute(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := fmt.Sprintf(`"routes":[{"name":%q,"host":"desk.example","path-prefix":"/%s/","kind":"stream","timeout-ms":3000,"slo-ms":200,"priority":1,"backend":"model","attempts":1,"retain":true,"retain-s":60,"sticky":true,"gap-aim-ms":200},`, path, path)
+	platformtest.PutConfiguration(s.memory, []byte(strings.Replace(string(platformtest.Configuration(s.version)), `"routes":[`, route, 1)))
+}
