--- a/archive/writer.go
+++ b/archive/writer.go
@@ -33,12 +33,14 @@
 // eight, and each may have to replace rows of other writers.
 const maxTransactions = 32
 
+// newWriter returns a writer of the rows values of the turn id.
 func newWriter(s store.Store, id, partition string, values [][]byte) *writer {
 	w := &writer{store: s, id: id, partition: partition, values: values, lead: len(values), versions: make([]uint64, len(values)), staged: make([]bool, len(values))}
 	if tx := w.final(); fits(&tx) {
 		return w
 	}
-	// A put of a staged row replaces its condition, which is shorter.
+	// As few rows as possible are staged: each row that the final transaction puts
+	// makes it larger.
 	w.lead = 1
 	for w.lead < len(values) {
 		w.lead++
