--- a/archive/archive.go
+++ b/archive/archive.go
@@ -228,12 +228,16 @@
 		return err
 	}
 	primary, secondary := turnPartitions(turn.ID)
-	primaryWriter, secondaryWriter := newWriter(archive.store, turn.ID, primary, values), newWriter(archive.store, turn.ID, secondary, values)
+	primaryWriter := newWriter(archive.store, turn.ID, primary, values)
+	var secondaryWriter *writer
 	backoff := retry.Backoff{Initial: initialWriteDelay, Max: maxWriteDelay}
 	for attempt := 1; ; attempt++ {
 		err := primaryWriter.write(ctx)
 		if store.Unserved(err) {
 			// Some partitions may be unavailable while others are served.
+			if secondaryWriter == nil {
+				secondaryWriter = newWriter(archive.store, turn.ID, secondary, values)
+			}
 			err = secondaryWriter.write(ctx)
 		}
 		isFinal := store.Is(err, store.FailureInvalid)
--- a/archive/writer.go
+++ b/archive/writer.go
@@ -36,6 +36,9 @@
 // newWriter returns a writer of the rows values of the turn id.
 func newWriter(s store.Store, id, partition string, values [][]byte) *writer {
 	w := &writer{store: s, id: id, partition: partition, values: values, lead: len(values), versions: make([]uint64, len(values)), staged: make([]bool, len(values))}
+	if len(values) == 1 {
+		return w
+	}
 	if tx := w.final(); fits(&tx) {
 		return w
 	}
@@ -85,6 +88,9 @@
 // next returns the next transaction and the rows that it stages, none for the final
 // one.
 func (w *writer) next() (store.Transaction, []int) {
+	if w.lead == len(w.values) {
+		return w.final(), nil
+	}
 	tx := store.Transaction{Conditions: []store.Condition{w.condition(0)}}
 	var staging []int
 	for i := w.lead; i < len(w.values); i++ {
