upstream: bound the lines of a response's head

Callers saw: connections that end, all at once, as their instance is killed: an endpoint that sends heads of many short header fields makes it exceed its memory.

Cause: a head was bounded by its bytes alone. 64 KiB of fields of six bytes take some 2 MB once they are parsed and copied, for as long as the response lasts, and no memory is counted for them.

Evidence: one instance as a process, 150 requests at a time whose responses have such a head and then stay silent: 193 MB at the peak on (136 MB at 60), of the 154 that the smallest site gives; 33 to 36 MB now.

Why it works: a head, interim responses included, has 256 lines at most, and the parser is given no more than a buffer beyond them. Endpoints send fewer than 20. Bodies that are skipped don't count.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -42,6 +42,9 @@
 	// including interim responses. It is also the largest head of a request that callers
 	// may send.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the same: a short header field takes thirty times
+	// its length in memory.
+	maxHeadLines = 256
 	// maxSkippedBytes bounds the body of a response to an earlier request that is
 	// skipped.
 	maxSkippedBytes = 1 << 20
@@ -202,10 +205,10 @@
 // readHead reads the head of the response to request. It skips interim (1xx)
 // responses and up to maxMismatched responses to earlier requests. It returns a
 // *ResponseMismatchError for one that it cannot skip, and a *HeadTooLongError if more than
-// maxHeadBytes come without a head.
+// maxHeadBytes or maxHeadLines come without a head.
 func (c *conn) readHead(request *Request) (*responseHead, error) {
 	mismatched := 0
-	c.limit.remaining = maxHeadBytes
+	c.limit.remaining, c.limit.lines = maxHeadBytes, maxHeadLines
 	defer func() { c.limit.remaining = unlimited }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -225,13 +228,14 @@
 		if mismatched > maxMismatched || response.Close || response.ContentLength < 0 || response.ContentLength > maxSkippedBytes {
 			return nil, &ResponseMismatchError{want: want, got: got}
 		}
-		c.limit.remaining += response.ContentLength
+		c.limit.remaining, c.limit.lines = c.limit.remaining+response.ContentLength, unlimited
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
 		if err := response.Body.Close(); err != nil {
 			return nil, err
 		}
+		c.limit.lines = maxHeadLines
 	}
 }
 
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -14,26 +15,28 @@
 // its response is complete.
 type HeadTooLongError struct{}
 
-// Error returns the limit.
+// Error returns the limits.
 func (e *HeadTooLongError) Error() string {
-	return fmt.Sprintf("no response head within %d bytes", maxHeadBytes)
+	return fmt.Sprintf("no response head within %d bytes and %d lines", maxHeadBytes, maxHeadLines)
 }
 
-// limitReader reads from reader until no bytes remain, and then returns a
-// *HeadTooLongError, unlike io.LimitReader, which returns io.EOF as a complete body would.
+// limitReader reads from reader until no bytes remain, or more lines than remain were
+// read, and then returns a *HeadTooLongError, unlike io.LimitReader, which returns io.EOF as a
+// complete body would. Lines count only while the bytes are limited.
 type limitReader struct {
-	reader    io.Reader
-	remaining int64
+	reader           io.Reader
+	remaining, lines int64
 }
 
 // Read implements io.Reader.
 func (limited *limitReader) Read(p []byte) (int, error) {
-	if limited.remaining <= 0 {
+	if limited.remaining <= 0 || limited.remaining != unlimited && limited.lines < 0 {
 		return 0, &HeadTooLongError{}
 	}
 	n, err := limited.reader.Read(p[:min(int64(len(p)), limited.remaining)])
 	if limited.remaining != unlimited {
 		limited.remaining -= int64(n)
+		limited.lines -= int64(bytes.Count(p[:n], []byte{'\n'}))
 	}
 	return n, err
 }
