eventstream: bound the ID of an event

Callers saw: connections that end, all at once, as their instance is killed: an endpoint sends events with IDs of up to 1 MiB.

Cause: an instance keeps the ID of the last event of each stream, to resume it at another endpoint. Its length was bounded by that of an event, and its memory is not counted.

Why it works: an event whose ID is longer than 16 KiB is no event, and the stream breaks off. No caller could send such an ID back within the head of a request.

TestOverlongIDRejected failed before.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -24,15 +24,15 @@
 // ErrTruncated is returned when a stream ends within an event.
 var ErrTruncated = errors.New("event stream ended within an event")
 
-// TooLongError is returned when an event, or what comes without data, exceeds the maximum
-// length.
+// TooLongError is returned when an event, its ID, or what comes without data, exceeds the
+// maximum length.
 type TooLongError struct {
 	limit int
 }
 
 // Error returns the maximum length.
 func (e *TooLongError) Error() string {
-	return fmt.Sprintf("event, or events without data, exceed the maximum length of %d bytes", e.limit)
+	return fmt.Sprintf("event, its ID, or events without data, exceed the maximum length of %d bytes", e.limit)
 }
 
 // MaxEvent is the maximum length of an event in bytes: a thousand times what
@@ -40,6 +40,9 @@
 const MaxEvent = 1 << 20
 
 const (
+	// maxID bounds the ID of an event, which a caller sends back in the head of a
+	// request to resume the stream.
+	maxID = 16 << 10
 	// maxWithoutData bounds the bytes of events without data between two that have
 	// some.
 	maxWithoutData = 64 << 10
@@ -70,8 +73,8 @@
 
 // Next returns the next event. At the end of the stream it returns io.EOF, or
 // ErrTruncated if the last event is incomplete. It returns a *TooLongError for
-// an event of more than MaxEvent bytes, or if more than maxWithoutData bytes come in
-// events without data, and otherwise the error of the stream.
+// an event of more than MaxEvent bytes or with an ID of more than maxID, or if more than
+// maxWithoutData bytes come in events without data, and otherwise the error of the stream.
 // No part of an incomplete event is returned.
 func (reader *Reader) Next() (Event, error) {
 	raw, err := reader.next()
@@ -79,6 +82,9 @@
 		return Event{}, err
 	}
 	event := parse(raw)
+	if len(event.ID) > maxID {
+		return Event{}, &TooLongError{limit: maxID}
+	}
 	reader.withoutData += len(raw)
 	if event.HasData {
 		reader.withoutData = 0
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -118,3 +118,13 @@
 	require.ErrorIs(t, err, full)
 	assert.Zero(t, reserved)
 }
+
+// Guards against streams that each keep an ID of the length of an event.
+func TestOverlongIDRejected(t *testing.T) {
+	for length, isRead := range map[int]bool{16 << 10: true, 16<<10 + 1: false} {
+		events, err := readAll(strings.NewReader("id: " + strings.Repeat("x", length) + "\ndata: x\n\n"))
+		var tooLong *eventstream.TooLongError
+		assert.Equal(t, !isRead, errors.As(err, &tooLong), "%d bytes: %v", length, err)
+		assert.Equal(t, isRead, len(events) == 1)
+	}
+}
