gateway: count the memory of events until their callers have read them

Callers saw: connections that end, all at once, as their instance is killed: an endpoint sends events of 900 KiB without end, within the 1 MiB that an event may have, and many callers get them at a time.

Cause: four, of one kind: memory was counted while an event arrives, and not before or after. An event that is written to a caller who does not read was not counted; its data was copied beside its bytes; the buffer of events kept what was sent until the next event; and an event was read into a buffer that grows, which takes six times its length until it is collected.

Why it works: twice the length of an event is reserved until it is written; data is not copied where no turn is kept; what was sent is released at once; long events are read in parts that all streams share, and joined once. What exceeds the instance's memory for bodies breaks off, NoMemory, as before.

Guards were taken out one by one in a scratch copy; no unit test fails if the data of a retained turn's event is kept as a part of the event.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 )
 
 // Event is one event of a stream.
@@ -15,8 +17,8 @@
 	Raw []byte
 	// ID is the value of the last id field, and "" if there is none.
 	ID string
-	// Data joins the values of the data fields by line feeds. HasData tells an
-	// event with empty data from one without a data field.
+	// Data joins the values of the data fields by line feeds, and may be a part of Raw.
+	// HasData tells an event with empty data from one without a data field.
 	Data    []byte
 	HasData bool
 }
@@ -57,6 +59,8 @@
 	reserve func(bytes int64) error
 	// withoutData is the length of the events since the last one with data.
 	withoutData int
+	// discardsData is set if events are returned without Data.
+	discardsData bool
 }
 
 // NewReader returns a Reader of the stream r.
@@ -71,6 +75,10 @@
 	return reader
 }
 
+// DiscardData makes Next return events without Data, which takes memory beside Raw. HasData is
+// set all the same.
+func (reader *Reader) DiscardData() { reader.discardsData = true }
+
 // Next returns the next event. At the end of the stream it returns io.EOF, or
 // ErrTruncated if the last event is incomplete. It returns a *TooLongError for
 // an event of more than MaxEvent bytes or with an ID of more than maxID, or if more than
@@ -81,7 +89,7 @@
 	if err != nil {
 		return Event{}, err
 	}
-	event := parse(raw)
+	event := parse(raw, reader.discardsData)
 	if len(event.ID) > maxID {
 		return Event{}, &TooLongError{limit: maxID}
 	}
@@ -95,34 +103,93 @@
 	return event, nil
 }
 
+// parts holds buffers of reserveStep bytes, so that those of long events do not wait for a
+// garbage collection.
+var parts = sync.Pool{New: func() any { return new([reserveStep]byte) }}
+
+// longEvent is the part of a long event that was read so far. It is read in parts, since a
+// buffer that grows takes several times its length.
+type longEvent struct {
+	parts []*[reserveStep]byte
+	// used is the length of the last part, and length that of all.
+	used, length int
+}
+
+// add appends bytes.
+func (event *longEvent) add(data []byte) {
+	event.length += len(data)
+	for len(data) > 0 {
+		if len(event.parts) == 0 || event.used == reserveStep {
+			event.parts, event.used = append(event.parts, parts.Get().(*[reserveStep]byte)), 0
+		}
+		n := copy(event.parts[len(event.parts)-1][event.used:], data)
+		event.used, data = event.used+n, data[n:]
+	}
+}
+
+// appendTo appends all bytes to raw.
+func (event *longEvent) appendTo(raw []byte) []byte {
+	for remaining := event.parts; len(remaining) > 0; remaining = remaining[1:] {
+		if len(remaining) == 1 {
+			return append(raw, remaining[0][:event.used]...)
+		}
+		raw = append(raw, remaining[0][:]...)
+	}
+	return raw
+}
+
+// release lets other events use the parts.
+func (event *longEvent) release() {
+	for _, part := range event.parts {
+		parts.Put(part)
+	}
+}
+
 // next returns the bytes of the next event.
 func (reader *Reader) next() ([]byte, error) {
-	var raw []byte
+	var raw []byte // up to reserveStep bytes, the rest of the event follows in long
+	var long longEvent
+	endsLine := false
 	var reserved int64
-	defer func() { _ = reader.reserveMemory(-reserved) }() // never fails
+	defer func() {
+		long.release()
+		_ = reader.reserveMemory(-reserved) // never fails
+	}()
 	for {
 		line, err := reader.buffered.ReadSlice('\n')
-		if int64(len(raw)+len(line)) > reserved+reserveStep {
+		length := len(raw) + long.length + len(line)
+		if int64(length) > reserved+reserveStep {
 			if err := reader.reserveMemory(reserveStep); err != nil {
 				return nil, err
 			}
 			reserved += reserveStep
 		}
-		raw = append(raw, line...)
-		if len(raw) > MaxEvent {
+		if long.length == 0 && len(raw)+len(line) <= reserveStep {
+			raw = append(raw, line...)
+		} else {
+			long.add(line)
+		}
+		if length > MaxEvent {
 			return nil, &TooLongError{limit: MaxEvent}
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
+			endsLine = false
 			continue
-		case err == io.EOF && len(raw) > 0:
+		case err == io.EOF && length > 0:
 			return nil, ErrTruncated
 		case err != nil:
 			return nil, err
-		}
-		if endsEvent(raw) {
+		case endsLine && isEmptyLine(line) && long.length == 0:
 			return raw, nil
+		case endsLine && isEmptyLine(line):
+			if err := reader.reserveMemory(int64(length)); err != nil {
+				return nil, err
+			}
+			reserved += int64(length)
+			return long.appendTo(append(make([]byte, 0, length), raw...)), nil
 		}
+		endsLine = true
 	}
 }
 
@@ -134,15 +201,12 @@
 	return reader.reserve(bytes)
 }
 
-// endsEvent reports whether raw, which ends in a line feed, ends in an empty
-// line that follows at least one other line.
-func endsEvent(raw []byte) bool {
-	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n"))
-}
+// isEmptyLine reports whether a line has nothing but its end.
+func isEmptyLine(line []byte) bool { return string(line) == "\n" || string(line) == "\r\n" }
 
-// parse returns the event of the given bytes. Fields other than id and data are
-// kept in Raw only.
-func parse(raw []byte) Event {
+// parse returns the event of the given bytes, without Data if discardsData is set. Fields
+// other than id and data are kept in Raw only.
+func parse(raw []byte, discardsData bool) Event {
 	event := Event{Raw: raw}
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
@@ -152,10 +216,13 @@
 		case "id":
 			event.ID = string(value)
 		case "data":
-			if event.HasData {
-				event.Data = append(event.Data, '\n')
+			switch {
+			case discardsData:
+			case !event.HasData:
+				event.Data = value[:len(value):len(value)]
+			default:
+				event.Data = append(append(slices.Grow(event.Data, len(raw)-len(event.Data)), '\n'), value...)
 			}
-			event.Data = append(event.Data, value...)
 			event.HasData = true
 		}
 	}
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -104,7 +105,7 @@
 		require.NoError(t, err)
 		assert.Zero(t, reserved)
 	}
-	assert.Greater(t, peak, int64(280<<10))
+	assert.Greater(t, peak, int64(2*280<<10), "its parts, and the event")
 	full := errors.New("full")
 	reader = eventstream.NewMeteredReader(strings.NewReader(long), func(bytes int64) error {
 		reserved += bytes
@@ -119,6 +120,43 @@
 	assert.Zero(t, reserved)
 }
 
+// Guards against long events that are changed, joined or split where their parts end.
+func TestLongEventsPreserveBytes(t *testing.T) {
+	for _, around := range []int{4 << 10, 16 << 10, 32 << 10} {
+		for length := around - 12; length <= around+12; length++ {
+			for _, end := range []string{"\n", "\r\n"} {
+				text := "data: " + strings.Repeat("x", length-len("data: ")-len(end)) + end + end
+				more := "id: 1" + end + text
+				events, err := readAll(strings.NewReader(text + more + text))
+				require.ErrorIs(t, err, io.EOF)
+				require.Len(t, events, 3)
+				for n, want := range []string{text, more, text} {
+					require.Equal(t, want, string(events[n].Raw))
+					require.Len(t, events[n].Data, length-len("data: ")-len(end))
+				}
+			}
+		}
+	}
+}
+
+// Guards against a long event that takes many times its length, by a buffer that grows and by copies of its fields.
+func TestMemoryOfLongEvent(t *testing.T) {
+	line := "data: " + strings.Repeat("x", 500<<10) + "\n"
+	for lines, text := range []string{line + line[6:] + "\n", line + line + "\n"} {
+		reader := eventstream.NewReader(strings.NewReader(text))
+		reader.DiscardData()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		event, err := reader.Next()
+		runtime.ReadMemStats(&after)
+		require.NoError(t, err)
+		assert.Equal(t, len(text), len(event.Raw))
+		assert.True(t, event.HasData)
+		assert.Nil(t, event.Data)
+		assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(5*len(text)/2), "%d more lines of data", lines)
+	}
+}
+
 // Guards against streams that each keep an ID of the length of an event.
 func TestOverlongIDRejected(t *testing.T) {
 	for length, isRead := range map[int]bool{16 << 10: true, 16<<10 + 1: false} {
--- a/gateway/event_buffer.go
+++ b/gateway/event_buffer.go
@@ -36,8 +36,9 @@
 	return &eventBuffer{maxSilence: time.Duration(maxSilenceShare * float64(maxWait)), lastSent: arrived}
 }
 
-// add appends an event.
+// add appends an event without its Data, which may be a copy.
 func (eventBuffer *eventBuffer) add(event eventstream.Event) {
+	event.Data = nil
 	eventBuffer.events = append(eventBuffer.events, event)
 }
 
@@ -81,7 +82,8 @@
 		return nil
 	}
 	taken := eventBuffer.events[:count:count]
-	eventBuffer.events = eventBuffer.events[count:]
+	// A slice of the same array would keep the events taken in memory.
+	eventBuffer.events = append([]eventstream.Event(nil), eventBuffer.events[count:]...)
 	eventBuffer.lastSent = now
 	return taken
 }
--- a/gateway/event_buffer_test.go
+++ b/gateway/event_buffer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/stretchr/testify/assert"
 
@@ -50,3 +52,24 @@
 	assert.Equal(t, []string{"1"}, ids(buffer.takeDue(arrived.Add(time.Second))))
 	assert.Equal(t, []string{"2"}, ids(buffer.takeAll(arrived.Add(time.Second))))
 }
+
+// Guards against events that stay in memory after they were sent, while the stream waits for the next one.
+func TestTakenEventsAreReleased(t *testing.T) {
+	for _, remaining := range []int{0, 1} {
+		buffer := newEventBuffer(time.Unix(0, 0), time.Second)
+		raw, data := make([]byte, 1<<20), make([]byte, 1<<20)
+		taken, dropped := weak.Make(&raw[0]), weak.Make(&data[0])
+		buffer.add(eventstream.Event{Raw: raw, Data: data})
+		raw, data = nil, nil
+		runtime.GC()
+		assert.NotNil(t, taken.Value())
+		assert.Nil(t, dropped.Value())
+		for range remaining {
+			buffer.add(eventstream.Event{ID: "1"})
+		}
+		assert.Len(t, buffer.take(1, time.Unix(0, 0)), 1)
+		runtime.GC()
+		assert.Nil(t, taken.Value(), "%d remain", remaining)
+		assert.Len(t, buffer.takeAll(time.Unix(0, 0)), remaining)
+	}
+}
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -74,6 +74,27 @@
 	assert.Eventually(t, func() bool { return i.bodyBytes() == 0 }, 3*time.Second, 5*time.Millisecond, "the memory of ended requests is released")
 }
 
+// Guards against an instance that is killed for its memory because callers do not read large
+// events: an event was not counted once it was complete.
+func TestUnreadEventsTakeMemory(t *testing.T) {
+	const size, samples = 900 << 10, 100
+	b := newFixture(t)
+	i := b.startInstance()
+	b.model.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: responseHead + "\r\n", Endless: "data: " + strings.Repeat("x", size) + "\n\n"}
+	})
+	conn := i.sendWithoutReading("/chat/x", "slow")
+	counted := 0 // in succession, since an event takes memory while it arrives
+	assert.Eventually(t, func() bool {
+		if counted++; i.bodyBytes() < size {
+			counted = 0
+		}
+		return counted >= samples
+	}, time.Second, time.Millisecond)
+	require.NoError(t, conn.Close())
+	assert.Eventually(t, func() bool { return i.bodyBytes() == 0 }, 3*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a caller that keeps its request's memory for ever by reading
 // nothing: the request ends a second after its deadline.
 func TestCallerThatNeverReadsIsDisconnected(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -39,6 +40,9 @@
 // one.
 func (e *exchange) relayStream(ctx context.Context, response *upstream.Response, choice *balance.Choice) (balance.Outcome, error) {
 	reader := eventstream.NewMeteredReader(response.Body, e.reserveResponseMemory)
+	if !e.route.KeepsHistory {
+		reader.DiscardData()
+	}
 	began, receivedBefore := e.Clock.Now(), e.received
 	var relaying time.Duration
 	for {
@@ -61,16 +65,30 @@
 		e.heardAt = received
 		e.setFirstResponse(response)
 		e.recordOrigin(ctx)
-		if err := e.ensureBudget(ctx, event); err != nil {
-			return balance.OutcomeAbandoned, err
-		}
-		if err := e.relayEvent(event); err != nil {
+		if err := e.relayWithinMemory(ctx, event); err != nil {
 			return balance.OutcomeAbandoned, err
 		}
 		relaying += e.Clock.Now().Sub(received)
 	}
 }
 
+// relayWithinMemory waits for the event's budget and relays it. The event takes memory
+// until its caller has read it, and as much again is counted for its data or for what is not
+// collected yet of earlier events.
+func (e *exchange) relayWithinMemory(ctx context.Context, event eventstream.Event) error {
+	size := 2 * int64(len(event.Raw))
+	if err := e.reserveResponseMemory(size); err != nil {
+		return err
+	}
+	if err := e.ensureBudget(ctx, event); err != nil {
+		return err
+	}
+	if err := e.relayEvent(event); err != nil {
+		return err
+	}
+	return e.reserveResponseMemory(-size)
+}
+
 // exceedsMaxTokens reports whether the event is more than the request's tokens allow, of
 // which each event has one at least.
 func (e *exchange) exceedsMaxTokens(event eventstream.Event) bool {
@@ -220,7 +238,7 @@
 			if err := e.reserveResponseMemory(int64(len(event.Data))); err != nil {
 				return err
 			}
-			e.eventData = append(e.eventData, event.Data)
+			e.eventData = append(e.eventData, bytes.Clone(event.Data))
 		}
 	}
 	if event.ID != "" {
