--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -114,7 +114,9 @@
 }
 
 // move goes on at another front, as the balancer sends a new connection.
-func (caller *caller) move() { caller.front = caller.site.fronts[caller.rng.IntN(frontCount)] }
+func (caller *caller) move() {
+	caller.front = caller.site.fronts[caller.rng.IntN(len(caller.site.fronts))]
+}
 
 // play plays programs until ctx ends, and keeps its connections open.
 func (caller *caller) play(ctx context.Context, n int) {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -96,6 +98,13 @@
 	eventDelay time.Duration
 	// perService is the number of endpoints of each service, 0 for the usual ones.
 	perService int
+	// grace is the grace period of the instances; 0 for that of the stand-ins.
+	grace time.Duration
+	// links, unless nil, carry the calls between the instances.
+	links *peerLinks
+	// instances is the number of instances, all of one data centre; 0 for frontCount in
+	// several.
+	instances int
 }
 
 // newSiteOf returns a site with the given options.
@@ -111,8 +120,12 @@
 		s.add(n < models, nil)
 	}
 	s.dir = t.TempDir()
-	for n := range frontCount {
-		s.fronts = append(s.fronts, s.newFront(fmt.Sprintf("front-%d", n+1), dataCentres[n%len(dataCentres)]))
+	for n := range cmp.Or(options.instances, frontCount) {
+		dataCentre := dataCentres[0]
+		if options.instances == 0 {
+			dataCentre = dataCentres[n%len(dataCentres)]
+		}
+		s.fronts = append(s.fronts, s.newFront(fmt.Sprintf("front-%d", n+1), dataCentre))
 	}
 	for _, f := range s.fronts {
 		require.Eventually(t, f.IsReady, 10*time.Second, 10*time.Millisecond, "%s: %s", f.Name, f.ReadLog())
@@ -125,11 +138,21 @@
 	s.t.Helper()
 	door := platformtest.NewStoreServer(s.memory)
 	s.t.Cleanup(door.Close)
-	p, err := newProxy(door.Address())
+	address := door.Address()
+	if s.links != nil {
+		address = s.links.serveStore(s.t, name, address)
+	}
+	p, err := newProxy(address)
 	require.NoError(s.t, err)
 	s.t.Cleanup(p.close)
 	process, err := platformtest.NewFrontProcess(s.dir, name, dataCentre, p.address())
 	require.NoError(s.t, err)
+	if s.grace > 0 {
+		data, err := os.ReadFile(process.Settings)
+		require.NoError(s.t, err)
+		changed := strings.Replace(string(data), "grace-s = 8", fmt.Sprintf("grace-s = %g", s.grace.Seconds()), 1)
+		require.NoError(s.t, os.WriteFile(process.Settings, []byte(changed), 0o600))
+	}
 	f := &front{FrontProcess: process, door: door, proxy: p}
 	require.NoError(s.t, f.Start())
 	s.t.Cleanup(f.Kill)
