gateway: record the origins of streams that broke off before another version was known

Callers saw: a stream that broke off as a release began could not be resumed: UnknownOrigin at every instance, although endpoints of its version served.

Cause: while a service has one version, the origin of a stream is kept by the instance that serves it. Others are told with the next event after that instance learns of a second version. A stream without a further event was never told of; those that resume it elsewhere know of both versions and ask two instances of each data centre.

Why it works: the instance keeps the origin of a stream that broke off for the timeout of the route, 256 of them at most, and records it once the service has several versions by what it knows. That adds what is true to records that never change, so nothing is resumed at another version by it.

TestBrokenStreamIsRecordedOnceServiceHasSeveralVersions failed without it.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -125,6 +125,7 @@
 		}, done)
 	})
 	p.goroutine(workCtx, f.versions.Run(checkpointInterval, f.writesCheckpoints))
+	p.goroutine(workCtx, f.origins.Run)
 	p.goroutine(workCtx, f.directStore.Run)
 	p.goroutine(workCtx, f.store.Run)
 	p.goroutine(workCtx, f.accounts.Sweep)
@@ -170,6 +171,8 @@
 	// whether this instance is one of those that write checkpoints of them.
 	versions          *discovery.Versions
 	writesCheckpoints func() bool
+	// origins holds where streams began.
+	origins *resumption.Registry
 	// guard holds the requests under which endpoints crashed; crashes keeps them in the
 	// store, and crashTable reads those of other instances.
 	guard      *quarantine.Guard
@@ -211,20 +214,20 @@
 	tables := entrypeer.NewTableReader(guard, peers, clk, p.log, scope)
 	f.endpoints = discovery.NewFollower(tables, discovery.Endpoints(platform.EndpointTable, platform.DecodeEndpoint, list, f.dropConnections, clk, p.log), clk, p.log, scope)
 	f.versions = discovery.NewVersions(list, f.endpoints, guard, platform.DecodeEndpoint, clk, p.log)
-	origins := resumption.NewRegistry(resumption.NewRecords(clk), peers, f.versions, scope)
+	f.origins = resumption.NewRegistry(resumption.NewRecords(clk), peers, f.versions, scope)
 	f.guard = quarantine.NewGuard(quarantine.NewRecords(clk), peers, list.Presence, clk, p.log, scope)
 	f.crashes = discovery.NewCrashes(f.guard, guard, s.Instance, clk, p.log)
 	f.crashTable = discovery.NewFollower(tables, f.crashes.Source(), clk, p.log, scope)
 	loads := overload.NewMeter(clk)
 	controller := overload.NewController(loads, fleetSize{endpoints: list, instances: directory}, f.accounts, clk, rand.Float64)
 	rejected := scope.Counter("overload_rejected")
-	f.peers = &entrypeer.Server{Crashes: f.guard, Client: peers, Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Witness: f.accounts, Turns: turns, Quotas: f.quotas, Origins: origins, Directory: directory, Log: p.log}
+	f.peers = &entrypeer.Server{Crashes: f.guard, Client: peers, Programs: controller, Loads: loads, Rejected: rejected, Store: directStore, Lender: f.accounts, Witness: f.accounts, Turns: turns, Quotas: f.quotas, Origins: f.origins, Directory: directory, Log: p.log}
 	self, _ := directory.Members()
 	f.gateway = gateway.New(gateway.Config{
 		Instance: self, DataCentre: s.DataCentre, Dialect: platform.Dialect{}, Routes: current, Endpoints: list, Picker: f.picker, Upstream: f.client,
 		Accounts:    f.accounts,
 		Archive:     turns,
-		Origins:     origins,
+		Origins:     f.origins,
 		Crashes:     f.guard,
 		Quotas:      f.quotas,
 		Programs:    overload.NewAdmitter(controller, loads, peers.ProgramPeers(loads, rejected, p.log), scope),
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -109,3 +109,17 @@
 		}
 	}
 }
+
+// deferOrigin has the origin of a stream that broke off recorded once the service has several
+// versions, which this instance may learn a moment after the caller resumes the stream at another
+// one.
+func (e *exchange) deferOrigin() {
+	if e.origin == nil || e.received == 0 || e.originRecorded || !e.route.Resumable {
+		return
+	}
+	for _, attempt := range []string{e.call.ID, e.call.Resumes} {
+		if attempt != "" {
+			e.Origins.RecordLater(resumption.NewKey(e.organisationName(), attempt), *e.origin, e.originPeriod(), e.Clock.Now().Add(e.route.Timeout))
+		}
+	}
+}
--- a/gateway/origin_test.go
+++ b/gateway/origin_test.go
@@ -421,3 +421,24 @@
 	assert.Equal(t, 200, response.StatusCode)
 	assert.Contains(t, body, "by v1")
 }
+
+// Guards against a stream that is refused to be resumed although its version serves: it broke off at an instance that heard of another version later, and that the others do not ask.
+func TestBrokenStreamIsRecordedOnceServiceHasSeveralVersions(t *testing.T) {
+	b := newVersionFixture(t, 1, "v1")
+	b.followedFor = time.Hour
+	first := b.startInstance()
+	second := b.startInstance()
+	b.breakStreams()
+	b.begin(first, "r1")
+	first.Origins.RecordDeferred(t.Context(), time.Now())
+	assert.Zero(t, b.peers.recorded.Load(), "the service has one version")
+	b.peers.remove(first.Origins)
+	b.add("i-new", "v2")
+	assert.Eventually(t, func() bool {
+		first.Origins.RecordDeferred(t.Context(), time.Now())
+		return b.peers.recorded.Load() > 0
+	}, 2*time.Second, 5*time.Millisecond)
+	status, versions := b.resume(second, "r2", "r1")
+	assert.Equal(t, 200, status)
+	assert.Equal(t, []string{"v1", "v1"}, versions)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -403,6 +403,7 @@
 	if rejection == nil {
 		return
 	}
+	e.deferOrigin()
 	if e.headWritten || reason == ReasonCallerGone {
 		// Abort the connection, so that the partial response does not look
 		// complete.
--- a/resumption/registry.go
+++ b/resumption/registry.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/clock"
 )
 
 // Finding is what an instance knows of the origin of an attempt.
@@ -107,8 +111,27 @@
 	recorded, unrecorded tally.Counter
 	found                [SourceSoleVersion + 1]tally.Counter
 	unknown              tally.Counter
+
+	mu       sync.Mutex
+	deferred []deferredRecord
+}
+
+// deferredRecord is an origin that is recorded once the service has several versions.
+type deferredRecord struct {
+	key    Key
+	origin Origin
+	period time.Duration
+	until  time.Time
 }
 
+const (
+	// maxDeferred bounds the origins that are recorded later, which an instance tells to
+	// three others at once.
+	maxDeferred = 256
+	// deferredInterval is the interval at which they are looked at.
+	deferredInterval = 100 * time.Millisecond
+)
+
 // NewRegistry returns a Registry that holds origins in records, which other
 // instances may read, too. It reports the metrics origins_recorded,
 // origins_unrecorded (at no other instance), origins_found by source and
@@ -145,6 +168,43 @@
 	return true
 }
 
+// RecordLater records the origin of a stream that broke off, as Record does, if the service
+// is found to have had another version in the period before now. Until then nobody needs the
+// record. The origin is dropped at the given time, when no caller resumes the stream any more, or
+// if there are too many.
+func (registry *Registry) RecordLater(key Key, origin Origin, period time.Duration, until time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if len(registry.deferred) < maxDeferred {
+		registry.deferred = append(registry.deferred, deferredRecord{key: key, origin: origin, period: period, until: until})
+	}
+}
+
+// Run records origins that RecordLater left until ctx ends, then sends nil to done.
+func (registry *Registry) Run(ctx context.Context, done chan<- error) {
+	clock.Every(ctx, deferredInterval, func(now time.Time) { registry.RecordDeferred(ctx, now) }, done)
+}
+
+// RecordDeferred records the origins that RecordLater left for services that have several
+// versions by now, and drops those whose time is over.
+func (registry *Registry) RecordDeferred(ctx context.Context, now time.Time) {
+	registry.mu.Lock()
+	var due []deferredRecord
+	registry.deferred = slices.DeleteFunc(registry.deferred, func(record deferredRecord) bool {
+		isDue := !registry.IsSole(record.origin.Service, record.period)
+		if isDue {
+			due = append(due, record)
+		}
+		return isDue || !now.Before(record.until)
+	})
+	registry.mu.Unlock()
+	var recording sync.WaitGroup
+	for _, record := range due {
+		recording.Go(func() { registry.Record(ctx, record.key, record.origin) })
+	}
+	recording.Wait()
+}
+
 // Find returns the origin of a stream, how it was found, and how old that knowledge
 // is. It returns an *UnknownOriginError if the origin is not known for certain.
 func (registry *Registry) Find(ctx context.Context, query Query) (Origin, Source, time.Duration, error) {
--- a/resumption/registry_test.go
+++ b/resumption/registry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -179,6 +180,39 @@
 	assert.True(t, records.Get(resumption.NewKey("", fmt.Sprint(streams-1))).Found, "the latest are kept")
 }
 
+// Guards against origins of broken streams that are recorded needlessly, twice or without bound, or kept after no caller can resume them.
+func TestDeferredOrigins(t *testing.T) {
+	peers, versions := &lockedPeers{}, &fakeVersions{sole: "v1"}
+	registry := resumption.NewRegistry(resumption.NewRecords(clock.NewFake(start)), peers, versions, tally.NoopScope)
+	ctx, origin := context.Background(), resumption.Origin{Service: "model", Version: "v1"}
+	registry.RecordLater(resumption.NewKey("", "old"), origin, time.Minute, start.Add(time.Second))
+	registry.RecordLater(resumption.NewKey("", "new"), origin, time.Minute, start.Add(3*time.Second))
+	registry.RecordDeferred(ctx, start.Add(2*time.Second))
+	assert.Zero(t, peers.recorded.Load(), "the service has one version")
+	versions.sole = ""
+	for range 2 {
+		registry.RecordDeferred(ctx, start.Add(2*time.Second))
+		assert.EqualValues(t, 1, peers.recorded.Load())
+	}
+	assert.True(t, registry.Answer(resumption.Query{Key: resumption.NewKey("", "new")}).Found)
+	for n := range 1000 {
+		registry.RecordLater(resumption.NewKey("", fmt.Sprint(n)), origin, time.Minute, start.Add(3*time.Second))
+	}
+	registry.RecordDeferred(ctx, start)
+	assert.EqualValues(t, 1+256, peers.recorded.Load())
+}
+
+// lockedPeers implements resumption.Peers for concurrent calls, and counts the recorded origins.
+type lockedPeers struct {
+	fakePeers
+	recorded atomic.Int64
+}
+
+func (peers *lockedPeers) RecordOrigin(context.Context, resumption.Key, resumption.Origin) error {
+	peers.recorded.Add(1)
+	return nil
+}
+
 // A stream that began at version v1 is resumed there, also if the service has
 // other versions by then.
 func ExampleRegistry_Find() {
