soak: a stream that a short grace period cuts

Cause: a process aborts responses 1.2 s before its grace ends, whatever its length.

All known settings have 8 s, where it is whole.

--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -327,6 +327,17 @@
 	require.NotZero(t, after)
 }
 
+// lengthenTimeouts puts a configuration in force at an instance whose routes have longTimeout.
+func (s *site) lengthenTimeouts(f *front) {
+	version := s.configure() + 1
+	document := platformtest.Configuration(version)
+	for _, timeout := range []string{`"timeout-ms":3000`, `"timeout-ms":2000`} {
+		document = bytes.ReplaceAll(document, []byte(timeout), fmt.Appendf(nil, `"timeout-ms":%d`, longTimeout.Milliseconds()))
+	}
+	platformtest.PutConfiguration(s.memory, document)
+	require.Eventually(s.t, func() bool { return strings.Contains(f.state(), fmt.Sprintf(`"configuration": %d`, version)) }, 10*time.Second, time.Millisecond)
+}
+
 // playLate stops one instance while callers of all shapes send requests to it.
 func playLate(t *testing.T, seed uint64, variant *stopVariant) {
 	s := newSiteOf(t, seed, siteOptions{slots: lateSlots, events: streamEvents, eventDelay: 2 * slowEvent, grace: variant.grace})
@@ -335,18 +346,12 @@
 	for _, e := range s.all() {
 		e.SetBehaviour(play.behave(rng, mu))
 	}
-	version := s.configure() + 1
-	document := platformtest.Configuration(version)
-	for _, timeout := range []string{`"timeout-ms":3000`, `"timeout-ms":2000`} {
-		document = bytes.ReplaceAll(document, []byte(timeout), fmt.Appendf(nil, `"timeout-ms":%d`, longTimeout.Milliseconds()))
-	}
-	platformtest.PutConfiguration(s.memory, document)
 	f := s.fronts[int(seed)%len(s.fronts)]
 	if variant.isYoung {
 		s.restart(f, syscall.SIGKILL, 0)
 		require.Eventually(t, f.IsReady, 10*time.Second, time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return strings.Contains(f.state(), fmt.Sprintf(`"configuration": %d`, version)) }, 10*time.Second, time.Millisecond)
+	s.lengthenTimeouts(f)
 	var callers sync.WaitGroup
 	for n := range lateCallers {
 		callers.Go(func() { play.call(n, f) })
@@ -439,3 +444,40 @@
 	require.NotZero(t, answered)
 	assert.Zero(t, unanswered)
 }
+
+const (
+	// shortGrace is a grace period of which a fixed time to release state is a large part.
+	shortGrace = 5 * time.Second
+	// beforeLastSixth is how long an endpoint pauses in a stream that ends before the last
+	// sixth of shortGrace.
+	beforeLastSixth = 3400 * time.Millisecond
+)
+
+// Guards against a stream of before the stop that a process with a short grace period cuts before the last sixth of it, although the stream would have ended.
+func TestStreamEndsWithinShortGrace(t *testing.T) {
+	s := newSiteOf(t, *first, siteOptions{events: streamEvents, eventDelay: 2 * slowEvent, grace: shortGrace})
+	for _, e := range s.all() {
+		e.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+			return platformtest.Behaviour{StallAfterFirst: beforeLastSixth}
+		})
+	}
+	f := s.fronts[0]
+	s.lengthenTimeouts(f)
+	kept, err := dialLate(f)
+	require.NoError(t, err)
+	request := &lateRequest{id: "r", shape: &lateShape{path: "/chat/", isTurn: true, timeout: longTimeout}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		kept.send(request)
+	}()
+	time.Sleep(latePause)
+	f.life.Lock()
+	defer f.life.Unlock()
+	stopped := time.Now()
+	require.NoError(t, f.Signal(syscall.SIGTERM))
+	<-ended
+	_, err = f.Wait()
+	require.NoError(t, err)
+	assert.NoError(t, request.err, "%d, %s after the signal", request.status, request.ended.Sub(stopped))
+}
