account, budget: refused budgets tell what lost instances hold

A turn that is refused as Spent told nothing of the accounts that hold the budget, so a budget that is spent could not be told from one that was granted to an instance that has terminated. Both refusals name the accounts now, also if another instance decided, and lost: what accounts hold whose owners have terminated or have not responded for 2 s.

No decision changes.

--- a/account/errors.go
+++ b/account/errors.go
@@ -7,20 +7,24 @@
 // SpentError is returned when the remaining budget of a program is too small
 // for a turn and no other instance can release enough of it.
 type SpentError struct {
-	program     string
-	used, total int64
+	program string
+	total   int64
+	holders string
 }
 
-// Error names the program, its budget and the tokens used through this
-// instance.
+// Error names the program, its budget and the accounts that hold it.
 func (e *SpentError) Error() string {
-	return fmt.Sprintf("program %s: budget of %d tokens is spent (%d used through this instance)", e.program, e.total, e.used)
+	return fmt.Sprintf("program %s: budget of %d tokens is spent: %s", e.program, e.total, e.holders)
 }
 
+// Holders describes the accounts that hold the budget and the tokens of each,
+// as the deciding instance last read them; empty if it did not tell.
+func (e *SpentError) Holders() string { return e.holders }
+
 // NewSpentError returns a SpentError for a refusal that another instance
-// reported.
-func NewSpentError(program string, total int64) *SpentError {
-	return &SpentError{program: program, total: total}
+// reported, with that instance's description of the holders.
+func NewSpentError(program string, total int64, holders string) *SpentError {
+	return &SpentError{program: program, total: total, holders: holders}
 }
 
 // NewHeldError returns a HeldError for a refusal that another instance
--- a/account/grant.go
+++ b/account/grant.go
@@ -57,6 +57,7 @@
 		return turn, err
 	}
 	removed = removed || takenOver
+	manager.updateLost(p, unanswered)
 	terminated := manager.allHoldersTerminated(p)
 	partial := decision == budget.DecisionWait && !turn.Rest && p.mayBeginPartially()
 	if partial {
@@ -261,7 +262,7 @@
 func (manager *Manager) rejection(p *program, decision budget.Decision, turn budget.Turn, total int64) error {
 	if decision == budget.DecisionSpent {
 		manager.countSpent(p, turn)
-		return &SpentError{program: p.id, used: p.used(), total: total}
+		return &SpentError{program: p.id, total: total, holders: p.holders()}
 	}
 	manager.held.Inc(1)
 	return &HeldError{program: p.id, holders: p.holders()}
--- /dev/null
+++ b/account/lost.go
@@ -0,0 +1,80 @@
+package account
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// lostTimeout is how long the owner of an account may not respond to requests to
+	// release tokens before the account counts as lost. An instance that is
+	// suspended or cut off for a moment keeps what it holds.
+	lostTimeout = 2 * time.Second
+	// maxUnresponsive bounds the owners recorded as unresponsive: the incarnations of
+	// some hundred instances that terminated lately. Of further ones it is not
+	// known how long they have not responded.
+	maxUnresponsive = 1 << 10
+)
+
+// unresponsiveOwners holds since when the owners of accounts have not responded to
+// requests to release tokens. Its zero value is ready for use.
+type unresponsiveOwners struct {
+	mu    sync.Mutex
+	since map[string]time.Time // by owner
+}
+
+// record records which of the accounts that were requested to release tokens got no
+// response.
+func (owners *unresponsiveOwners) record(requested, unanswered []string, now time.Time) {
+	owners.mu.Lock()
+	defer owners.mu.Unlock()
+	silent := map[string]bool{}
+	for _, account := range unanswered {
+		silent[accountOwner(account)] = true
+	}
+	for _, account := range requested {
+		owner := accountOwner(account)
+		_, known := owners.since[owner]
+		switch {
+		case !silent[owner]:
+			delete(owners.since, owner)
+		case !known && len(owners.since) < maxUnresponsive:
+			if owners.since == nil {
+				owners.since = map[string]time.Time{}
+			}
+			owners.since[owner] = now
+		}
+	}
+}
+
+// isLost reports whether the owner of an account has not responded for lostTimeout.
+func (owners *unresponsiveOwners) isLost(account string, now time.Time) bool {
+	owners.mu.Lock()
+	defer owners.mu.Unlock()
+	since, ok := owners.since[accountOwner(account)]
+	return ok && now.Sub(since) >= lostTimeout
+}
+
+// accountOwner returns the incarnation that owns an account.
+func accountOwner(account string) string {
+	return account[:max(strings.LastIndexByte(account, '.'), 0)]
+}
+
+// updateLost records which accounts of p's budget are lost, after the owners of
+// unanswered did not respond to a request to release tokens, and reports whether there
+// are any.
+func (manager *Manager) updateLost(p *program, unanswered []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, holders := manager.clock.Now(), p.usage.Holders()
+	manager.unresponsive.record(holders, unanswered, now)
+	var lost []string
+	for _, account := range holders {
+		if manager.holders.OwnerTerminated(account) || manager.unresponsive.isLost(account, now) {
+			lost = append(lost, account)
+		}
+	}
+	p.usage.SetLost(lost)
+	return len(lost) > 0
+}
--- /dev/null
+++ b/account/lost_test.go
@@ -0,0 +1,61 @@
+package account_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wagtaildrum/wagtaildrum/account"
+	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
+)
+
+// Guards against refusals that do not tell whether the budget is spent or was granted to an
+// instance that has terminated.
+func TestRefusalTellsLostTokens(t *testing.T) {
+	ctx := context.Background()
+	cluster := &testCluster{store: storetest.New(), clock: clock.Real{}, detectsReplacement: true}
+	a, b := cluster.start("a", "b"), cluster.start("b", "a")
+	program := programWithHome(0, "a", "a", "b")
+	turn, err := reserveInFull(ctx, a.Manager, program, 600, 1000)
+	require.NoError(t, err)
+	turn.Settle(600)
+	a.up = false
+	cluster.start("a", "b")
+	turn, err = reserveInFull(ctx, b.Manager, program, 200, 1000)
+	require.NoError(t, err)
+	turn.Settle(200)
+	_, err = reserveInFull(ctx, b.Manager, program, 900, 1000)
+	var spent *account.SpentError
+	require.ErrorAs(t, err, &spent)
+	assert.Contains(t, spent.Holders(), "lost=7")
+	assert.Contains(t, err.Error(), spent.Holders())
+}
+
+// Guards against tokens taken for lost while their owner does not respond for a moment, and
+// against owners that are gone for good and never count as lost.
+func TestSilentOwnersAreLostAfterTimeout(t *testing.T) {
+	ctx := context.Background()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	cluster := &testCluster{store: storetest.New(), clock: clk}
+	a, b := cluster.start("a"), cluster.start("b") // each is the home in its own member list
+	program := "p"
+	turn, err := reserveInFull(ctx, a.Manager, program, 600, 3000)
+	require.NoError(t, err)
+	turn.Settle(600)
+	a.up = false
+	holders := func() string {
+		_, err := reserveInFull(ctx, b.Manager, program, 2000, 3000)
+		var held *account.HeldError
+		require.ErrorAs(t, err, &held)
+		return held.Holders()
+	}
+	assert.Contains(t, holders(), "lost=0")
+	clk.Advance(1900 * time.Millisecond)
+	assert.Contains(t, holders(), "lost=0")
+	clk.Advance(200 * time.Millisecond)
+	assert.Contains(t, holders(), "lost=1400")
+}
--- a/account/manager.go
+++ b/account/manager.go
@@ -39,9 +39,11 @@
 	// of its accounts.
 	owner   string
 	holders Owners
-	lenders Lenders
-	loans   *loans
-	escrows escrows
+	// unresponsive holds which owners of accounts did not respond lately.
+	unresponsive unresponsiveOwners
+	lenders      Lenders
+	loans        *loans
+	escrows      escrows
 	// witnesses is nil if escrows have no witnesses. health holds which of them did not
 	// answer lately.
 	witnesses Witnesses
@@ -87,7 +89,7 @@
 	}
 	if manager.foundSpentRecently(p, turn) {
 		manager.spent.Inc(1)
-		return nil, &SpentError{program: id, used: p.used(), total: total}
+		return nil, &SpentError{program: id, total: total, holders: p.holders()}
 	}
 	borrowing := Borrowing{Turn: fullTurn, Total: total, Parts: segments}
 	if reservation, err := manager.borrow(ctx, p, borrowing); reservation != nil || err != nil {
@@ -121,7 +123,7 @@
 	}
 	if !turn.Rest && manager.foundSpentRecently(p, turn.Most) {
 		manager.spent.Inc(1)
-		return nil, &SpentError{program: p.id, used: p.used(), total: total}
+		return nil, &SpentError{program: p.id, total: total, holders: p.holders()}
 	}
 	if !turn.Rest && p.hasEscrow() {
 		return manager.reserveFromEscrow(ctx, p, turn, total, segments)
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -57,6 +57,9 @@
 	// grants, and witnessed is the number of tokens that it has recorded.
 	hasWitness bool
 	witnessed  int64
+	// lost holds the accounts of other owners that can't release what they did not
+	// use.
+	lost map[string]bool
 }
 
 // NewUsage returns the usage of the account owner, which must never have been
@@ -84,7 +87,28 @@
 
 // String describes the usage for logs: the local counts and the row.
 func (usage *Usage) String() string {
-	return fmt.Sprintf("own settled=%d promised=%d most=%d, row version=%d %s", usage.settled, usage.promised, usage.worstCase, usage.version, usage.ledger)
+	return fmt.Sprintf("own settled=%d promised=%d most=%d, lost=%d, row version=%d %s", usage.settled, usage.promised, usage.worstCase, usage.Lost(), usage.version, usage.ledger)
+}
+
+// SetLost records which accounts of other owners are lost: their owners have
+// terminated, so that nobody knows what they used of their grants, nor can
+// release the remainder.
+func (usage *Usage) SetLost(accounts []string) {
+	usage.lost = map[string]bool{}
+	for _, account := range accounts {
+		usage.lost[account] = account != usage.owner
+	}
+}
+
+// Lost returns the number of tokens granted to lost accounts, as of the row.
+func (usage *Usage) Lost() int64 {
+	var tokens int64
+	for name, account := range usage.ledger.Accounts {
+		if usage.lost[name] {
+			tokens += account.Granted + account.Reserved
+		}
+	}
+	return tokens
 }
 
 // Idle reports whether no turn is in flight at this instance.
--- a/entrypeer/entrypeer_test.go
+++ b/entrypeer/entrypeer_test.go
@@ -63,7 +63,7 @@
 	case program == "unknown":
 		return account.Loan{}, store.NewError(store.FailureRefused, "commit", "test")
 	case borrowing.Turn.Most > borrowing.Total:
-		return account.Loan{}, account.NewSpentError(program, borrowing.Total)
+		return account.Loan{}, account.NewSpentError(program, borrowing.Total, "holders")
 	}
 	return account.Loan{ID: 7, Places: []account.Place{{Part: borrowing.Parts[0], Endpoint: "e1", Tokens: 5000}}}, nil
 }
--- a/entrypeer/lending.go
+++ b/entrypeer/lending.go
@@ -36,8 +36,8 @@
 }
 
 // borrowResponse is the decision on a borrowRequest. Loan is set with
-// verdictLent; Detail holds the holders of the tokens with verdictHeld and the
-// text of the error with verdictUnknown and verdictStopped.
+// verdictLent; Detail holds the holders of the tokens with verdictSpent and
+// verdictHeld, and the text of the error with verdictUnknown and verdictStopped.
 type borrowResponse struct {
 	Verdict verdict
 	Loan    account.Loan
@@ -98,7 +98,7 @@
 	case verdictLent:
 		return response.Loan, nil
 	case verdictSpent:
-		return account.Loan{}, account.NewSpentError(program, borrowing.Total)
+		return account.Loan{}, account.NewSpentError(program, borrowing.Total, response.Detail)
 	case verdictHeld:
 		return account.Loan{}, account.NewHeldError(program, response.Detail)
 	case verdictStopped:
@@ -144,7 +144,7 @@
 	case errors.As(err, &stopped):
 		response.Verdict, response.Detail = verdictStopped, err.Error()
 	case errors.As(err, &spent):
-		response.Verdict = verdictSpent
+		response.Verdict, response.Detail = verdictSpent, spent.Holders()
 	case errors.As(err, &held):
 		response.Verdict, response.Detail = verdictHeld, held.Holders()
 	case err != nil:
