account, budget: what a lost instance was granted may exceed the budget by one turn

Cause: what an incarnation was granted counts as spent once it is lost, since nobody else can account for it. Evidence: every refusal named lost=908 of a budget of 1,105 of which 405 were spent.

"Granted, and nobody can tell" and "spent" are told apart now. An account that is written while no turn is in flight is marked settled: what it used is what it spent, so it is neither lost nor asked for a release.

--- a/account/grant.go
+++ b/account/grant.go
@@ -57,23 +57,28 @@
 		return turn, err
 	}
 	removed = removed || takenOver
-	manager.updateLost(p, unanswered)
+	manager.recordUnresponsive(p, unanswered)
 	terminated := manager.allHoldersTerminated(p)
 	partial := decision == budget.DecisionWait && !turn.Rest && p.mayBeginPartially()
 	if partial {
 		turn = budget.InitialPart(turn.Most)
 	}
-	if partial || removed || !terminated {
+	if partial || removed || !terminated || p.canGrant(turn, total) {
 		decision, err = manager.tryGrant(ctx, p, turn, total)
 		if err != nil || decision == budget.DecisionServe {
 			return turn, err
 		}
 	}
-	if terminated || !turn.Rest && manager.isLost(p, turn, total) {
+	switch {
+	case terminated || !turn.Rest && !p.fits(turn, total):
 		// If such turns are told to wait for lost tokens, a program that loops
 		// retries about 80 times, with a read or two each, until its deadline:
 		// 38 programs sent 3,100 such turns in 20 s after a power loss.
 		decision = budget.DecisionSpent
+	case len(unanswered) > 0:
+		// A caller takes a spent budget as the program's end, so that is said only
+		// if it is certain.
+		decision = budget.DecisionWait
 	}
 	return turn, manager.rejection(p, decision, turn, total)
 }
@@ -137,14 +142,6 @@
 	}
 }
 
-// isLost reports whether p's budget is too small for the turn because
-// terminated incarnations hold some of it, which nobody can release any more.
-func (manager *Manager) isLost(p *program, turn budget.Turn, total int64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.usage.Fits(turn, total, manager.holders.OwnerTerminated)
-}
-
 // allHoldersTerminated reports whether other incarnations hold tokens of p's
 // budget and all of these have terminated for good, so that no tokens will be
 // released.
--- a/account/lost.go
+++ b/account/lost.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -61,20 +62,21 @@
 	return account[:max(strings.LastIndexByte(account, '.'), 0)]
 }
 
-// updateLost records which accounts of p's budget are lost, after the owners of
-// unanswered did not respond to a request to release tokens, and reports whether there
-// are any.
-func (manager *Manager) updateLost(p *program, unanswered []string) bool {
+// recordUnresponsive records which accounts of p's budget are lost or silent, after the
+// owners of unanswered did not respond to a request to release tokens.
+func (manager *Manager) recordUnresponsive(p *program, unanswered []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, holders := manager.clock.Now(), p.usage.Holders()
 	manager.unresponsive.record(holders, unanswered, now)
-	var lost []string
+	var lost, silent []string
 	for _, account := range holders {
-		if manager.holders.OwnerTerminated(account) || manager.unresponsive.isLost(account, now) {
+		switch {
+		case manager.holders.OwnerTerminated(account) || manager.unresponsive.isLost(account, now):
 			lost = append(lost, account)
+		case slices.Contains(unanswered, account):
+			silent = append(silent, account)
 		}
 	}
-	p.usage.SetLost(lost)
-	return len(lost) > 0
+	p.usage.SetUnresponsive(lost, silent)
 }
--- a/account/program.go
+++ b/account/program.go
@@ -164,6 +164,20 @@
 	return p.usage.Escrowed()
 }
 
+// canGrant reports whether the account grants the turn, or can by a row.
+func (p *program) canGrant(turn budget.Turn, total int64) bool {
+	decision, _ := p.decide(turn, total)
+	return decision == budget.DecisionServe || decision == budget.DecisionGrant
+}
+
+// fits reports whether the budget may cover the turn once the owners of other accounts
+// have released what they can.
+func (p *program) fits(turn budget.Turn, total int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.Fits(turn, total)
+}
+
 // heldByOthers reports whether other accounts are granted tokens that they may
 // release.
 func (p *program) heldByOthers() bool {
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -247,3 +248,105 @@
 		require.LessOrEqual(t, promised, total, "seed %d", seed)
 	}
 }
+
+// Guards against programs handed more than their budget and one turn's maximum: instances
+// crash one after the other, and each time the others may grant what these have not used.
+func TestLostAccountsExceedBudgetByOneTurnAtMost(t *testing.T) {
+	for seed := range uint64(1500) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		total := int64(600 + rng.IntN(2000))
+		r := &row{}
+		usage, names := newUsage(t, "i.0", r), []string{"i.0"}
+		var delivered, inFlight, largest int64
+		for range 200 {
+			if rng.IntN(6) == 0 { // a crash: what was in flight may have been delivered
+				delivered, inFlight = delivered+rng.Int64N(inFlight+1), 0
+				lost := slices.Clone(names)
+				names = append(names, fmt.Sprint("i.", len(names)))
+				usage = newUsage(t, names[len(names)-1], r)
+				if rng.IntN(4) > 0 {
+					usage.SetUnresponsive(lost, nil)
+				}
+				continue
+			}
+			turn := budget.FullTurn(int64(50 + rng.IntN(300)))
+			decision, ledger := usage.Decide(turn, total)
+			if decision == budget.DecisionGrant {
+				require.True(t, r.write(t, ledger, usage.Version()))
+				usage.SetRow(ledger, r.version)
+				decision, _ = usage.Decide(turn, total)
+			}
+			if decision == budget.DecisionServe {
+				usage.Begin(turn)
+				largest, inFlight = max(largest, turn.Part), turn.Part
+				if rng.IntN(3) > 0 {
+					spent := rng.Int64N(turn.Part + 1)
+					usage.End(turn, spent)
+					delivered, inFlight = delivered+spent, 0
+				} else if ledger := usage.Release(false); ledger != nil {
+					require.True(t, r.write(t, ledger, usage.Version()))
+					usage.SetRow(ledger, r.version)
+				}
+			}
+			require.LessOrEqual(t, delivered+inFlight, total+largest, "seed %d", seed)
+			if inFlight > 0 {
+				usage.End(turn, inFlight)
+				delivered, inFlight = delivered+inFlight, 0
+			}
+		}
+	}
+}
+
+// Guards against a program that is refused for good since the instance that was granted
+// its budget is lost, and against headroom taken from what may exceed the budget.
+func TestGrantOfLostAccountDoesNotEndProgram(t *testing.T) {
+	const turn, total = 567, 1105
+	r := &row{}
+	lost := newUsage(t, "a.1", r)
+	grant(t, lost, r, turn, total)
+	lost.End(budget.FullTurn(turn), 81)
+	next := newUsage(t, "b.1", r)
+	require.NotEqual(t, budget.DecisionGrant, decide(next, turn, total), "a may still run")
+	next.SetUnresponsive([]string{"a.1"}, nil)
+	grant(t, next, r, turn, total)
+	assert.EqualValues(t, turn, next.Granted())
+	assert.True(t, next.Fits(budget.Turn{}, total))
+	assert.Equal(t, budget.DecisionSpent, decide(newUsageWithLost(t, "c.1", r, "a.1"), turn, total), "the allowance is for one turn")
+}
+
+// newUsageWithLost returns a usage to which an account is lost.
+func newUsageWithLost(t *testing.T, owner string, r *row, lost string) *budget.Usage {
+	t.Helper()
+	usage := newUsage(t, owner, r)
+	usage.SetUnresponsive([]string{lost}, nil)
+	return usage
+}
+
+// Guards against a budget that is exceeded for the grant of a lost instance which had
+// recorded what it spent, and against callers that wait for a release by it.
+func TestSettledAccountIsNotLost(t *testing.T) {
+	const turn, total = 567, 1105
+	r := &row{}
+	settled := newUsage(t, "a.1", r)
+	grant(t, settled, r, turn, total)
+	assert.False(t, settled.NeedsSettling(), "a turn is in flight")
+	settled.End(budget.FullTurn(turn), 405)
+	require.True(t, settled.NeedsSettling())
+	ledger := settled.Release(false)
+	assert.True(t, settled.NeedsSettling(), "the row is not written yet")
+	require.True(t, r.write(t, ledger, settled.Version()))
+	settled.SetRow(ledger, r.version)
+	assert.False(t, settled.NeedsSettling())
+
+	next := newUsageWithLost(t, "b.1", r, "a.1")
+	assert.Zero(t, next.Lost())
+	assert.Empty(t, next.Holders())
+	assert.Equal(t, budget.DecisionSpent, decide(next, 701, total))
+	assert.False(t, next.Fits(budget.FullTurn(701), total))
+	next.SetUnresponsive(nil, []string{"a.1"})
+	assert.False(t, next.Fits(budget.FullTurn(701), total))
+	grant(t, next, r, 700, total)
+
+	grant(t, settled, &row{data: r.data, version: settled.Version()}, 100, 3000)
+	assert.False(t, settled.NeedsSettling(), "a turn is in flight again")
+}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -30,6 +30,9 @@
 	// accounts.
 	Stopped  bool  `cbor:"s,omitempty"`
 	Reserved int64 `cbor:"r,omitempty"`
+	// Settled is set if no turn of the owner was in flight when the row was written, so
+	// that Used is what it spent. The owner spends nothing more without a new row.
+	Settled bool `cbor:"e,omitempty"`
 }
 
 // Ledger is the durable state of a program's budget. It has an account for each
@@ -66,7 +69,7 @@
 	described := make([]string, 0, maxDescribed)
 	for _, name := range names[:min(len(names), maxDescribed)] {
 		account := ledger.Accounts[name]
-		described = append(described, fmt.Sprintf("%s(granted=%d used=%d reserved=%d)", name, account.Granted, account.Used, account.Reserved))
+		described = append(described, fmt.Sprintf("%s(granted=%d used=%d reserved=%d settled=%t)", name, account.Granted, account.Used, account.Reserved, account.Settled))
 	}
 	return fmt.Sprintf("accounts=%d %s", len(names), strings.Join(described, " "))
 }
@@ -124,13 +127,13 @@
 	}
 }
 
-// Holders returns the sorted owners of accounts with a grant, other than owner.
-// Their recorded use dates from the last write of the row, so turns that have
-// ended since may have left unused tokens.
+// Holders returns the sorted owners of accounts with a grant that is not settled,
+// other than owner. Their recorded use dates from the last write of the row, so turns
+// that have ended since may have left unused tokens.
 func (ledger *Ledger) Holders(owner string) []string {
 	var holders []string
 	for name, account := range ledger.Accounts {
-		if name != owner && account.Granted > 0 {
+		if name != owner && account.Granted > 0 && !account.Settled {
 			holders = append(holders, name)
 		}
 	}
@@ -177,32 +180,33 @@
 	headroomTurns = 12
 )
 
-// decide returns the decision on a turn of a program whose budget is total. The
+// decide returns the decision on a turn of a program whose budget is total, of
+// which the accounts may be granted allowance more together. The
 // account of owner may spend usable tokens of its grant without a row. The turn
 // requires the account of owner to grant need tokens now, and up to
 // worstCase tokens if all its turns in flight spend their maximum. For
 // DecisionServe and DecisionGrant it also returns the resulting grant of the
 // account. A turn whose maximum may exceed the budget is not started. A turn
 // that has started gets its remainder unless that is granted to others.
-func (ledger *Ledger) decide(owner string, usable, need, worstCase int64, turn Turn, total int64) (Decision, int64) {
+func (ledger *Ledger) decide(owner string, usable, need, worstCase int64, turn Turn, total, allowance int64) (Decision, int64) {
 	granted := ledger.Accounts[owner].Granted
 	if need <= usable && worstCase <= usable {
 		return DecisionServe, granted
 	}
 	otherAccounts := ledger.otherAccounts(owner)
-	if otherAccounts.Used+otherAccounts.Reserved+worstCase > total && !turn.Rest {
+	if otherAccounts.Used+otherAccounts.Reserved+worstCase > total+allowance && !turn.Rest {
 		return DecisionSpent, 0
 	}
 	if need <= usable {
 		return DecisionServe, granted
 	}
-	free := total - otherAccounts.Granted
+	free := total + allowance - otherAccounts.Granted
 	if need > free {
 		return DecisionWait, 0
 	}
 	// A written row grants its turns up to their maximum.
 	need = max(need, min(worstCase, free))
-	remaining := free - need
+	remaining := max(free-need-allowance, 0) // the allowance covers turns only
 	accounts := int64(len(ledger.Accounts))
 	if _, hasAccount := ledger.Accounts[owner]; !hasAccount {
 		accounts++
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -58,8 +58,10 @@
 	hasWitness bool
 	witnessed  int64
 	// lost holds the accounts of other owners that can't release what they did not
-	// use.
-	lost map[string]bool
+	// use, and silent those whose owners did not respond for a moment.
+	lost, silent map[string]bool
+	// largest is the largest maximum of a turn that has begun.
+	largest int64
 }
 
 // NewUsage returns the usage of the account owner, which must never have been
@@ -90,27 +92,40 @@
 	return fmt.Sprintf("own settled=%d promised=%d most=%d, lost=%d, row version=%d %s", usage.settled, usage.promised, usage.worstCase, usage.Lost(), usage.version, usage.ledger)
 }
 
-// SetLost records which accounts of other owners are lost: their owners have
-// terminated, so that nobody knows what they used of their grants, nor can
-// release the remainder.
-func (usage *Usage) SetLost(accounts []string) {
-	usage.lost = map[string]bool{}
-	for _, account := range accounts {
+// SetUnresponsive records which accounts of other owners are lost, since their
+// owners have terminated, and which ones have owners that did not respond for a
+// moment. Nobody else knows what a lost account used of its grant.
+func (usage *Usage) SetUnresponsive(lost, silent []string) {
+	usage.lost, usage.silent = map[string]bool{}, map[string]bool{}
+	for _, account := range lost {
 		usage.lost[account] = account != usage.owner
 	}
+	for _, account := range silent {
+		usage.silent[account] = account != usage.owner
+	}
 }
 
 // Lost returns the number of tokens granted to lost accounts, as of the row.
 func (usage *Usage) Lost() int64 {
 	var tokens int64
 	for name, account := range usage.ledger.Accounts {
-		if usage.lost[name] {
+		if usage.lost[name] && !account.Settled {
 			tokens += account.Granted + account.Reserved
 		}
 	}
 	return tokens
 }
 
+// allowance returns by how much all grants together may exceed the budget: what
+// lost accounts hold, up to the maximum of one turn. Lost grants were mostly not
+// spent, and a program that loses instances now and then could not go on if all of
+// them counted as spent for good. Since the allowance is part of the sum of all
+// grants and not added for each loss, no program is handed more than its budget and
+// one turn's maximum.
+func (usage *Usage) allowance(turn Turn) int64 {
+	return min(usage.Lost(), max(usage.largest, turn.Most))
+}
+
 // Idle reports whether no turn is in flight at this instance.
 func (usage *Usage) Idle() bool { return usage.promised == 0 }
 
@@ -182,7 +197,7 @@
 // them, which takes a row even if the account already covers them.
 func (usage *Usage) Decide(turn Turn, total int64) (Decision, *Ledger) {
 	worstCase := usage.settled + usage.worstCase + turn.Most
-	decision, amount := usage.ledger.decide(usage.owner, usage.usable(), usage.Used()+turn.Part, worstCase, turn, total)
+	decision, amount := usage.ledger.decide(usage.owner, usage.usable(), usage.Used()+turn.Part, worstCase, turn, total, usage.allowance(turn))
 	takesReserved := turn.Rest && turn.Most > 0 && !turn.Taken && usage.ledger.otherAccounts(usage.owner).Reserved > 0
 	if decision == DecisionServe && takesReserved {
 		decision = DecisionGrant
@@ -198,20 +213,20 @@
 }
 
 // Fits reports whether the budget total may cover the turn once all other
-// accounts have released their unused tokens. Accounts for which gone returns
-// true can't release any: their grants count as used.
-func (usage *Usage) Fits(turn Turn, total int64, gone func(account string) bool) bool {
+// accounts have released their unused tokens. Lost accounts can't release any, and
+// the owners of silent ones may turn out to have used nothing.
+func (usage *Usage) Fits(turn Turn, total int64) bool {
 	used := usage.settled + usage.worstCase + turn.Most
 	for name, account := range usage.ledger.Accounts {
 		switch {
-		case name == usage.owner:
-		case gone(name):
+		case name == usage.owner || usage.silent[name] && !account.Settled && !account.Stopped:
+		case usage.lost[name]:
 			used += account.Granted + account.Reserved
 		default:
 			used += account.Used + account.Reserved
 		}
 	}
-	return used <= total
+	return used <= total+usage.allowance(turn)
 }
 
 // Release returns the row that releases the unused tokens granted to this
@@ -237,6 +252,7 @@
 		}
 		settled.Stopped = account.Stopped || settled.Reserved > 0
 	}
+	settled.Settled = usage.Idle() && settled.Granted > 0 && settled.Reserved == 0
 	if account == settled && !usage.releasing && !usage.uncertain {
 		return nil
 	}
@@ -246,6 +262,14 @@
 	return ledger
 }
 
+// NeedsSettling reports whether no turn is in flight at this instance, and the row does
+// not show what ended turns have spent.
+func (usage *Usage) NeedsSettling() bool {
+	account := usage.ledger.Accounts[usage.owner]
+	isSettled := account.Settled && account.Granted == usage.settled && !usage.releasing && !usage.uncertain
+	return usage.Idle() && usage.settled > 0 && !isSettled
+}
+
 // withAccount returns a copy of the ledger with the local account set.
 func (usage *Usage) withAccount(account Account) *Ledger {
 	next := usage.ledger.withoutAccount(usage.owner)
@@ -306,6 +330,7 @@
 func (usage *Usage) Begin(turn Turn) {
 	usage.promised += turn.Part
 	usage.worstCase += turn.Most
+	usage.largest = max(usage.largest, turn.Most)
 }
 
 // End settles a turn that used spent tokens, and removes all that was promised
