account: rows of programs at rest tell what they spent

Callers saw turns refused after a loss of instances although no turn of their program was in progress: the home held the 30 % of its escrow, or the headroom of a row, for two minutes after the last turn.

A second after its last turn the row of a program is settled: the unused tokens are released, and the row tells what was spent. A program that continues later than after a second takes a write more; while the store is away it has no headroom then.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -129,6 +129,7 @@
 	p.goroutine(workCtx, f.directStore.Run)
 	p.goroutine(workCtx, f.store.Run)
 	p.goroutine(workCtx, f.accounts.Sweep)
+	p.goroutine(workCtx, f.accounts.SettleRows(f.directory))
 	p.goroutine(workCtx, f.accounts.Repay)
 	p.goroutine(workCtx, f.quotas.Run)
 	p.goroutine(workCtx, f.quotas.Watch)
