account: one lost message about a loan no longer counts as tokens in use

Callers saw a program's turns answered 402 in each try for up to 30 s, and after that less of its budget left than it had, although the budget held the turn.

A request to borrow has a key. If it gets no response, the borrower sends the key with its repayments, and the home settles the loan, or refuses the request if that arrives later. Repayments are sent until the home has received them or the loan has expired, each home in a goroutine of its own: one that does not respond delayed all others by 0.3 s. An older build ignores keys, as before.

TestUnansweredLoanIsCancelled, TestRepaymentIsSentUntilDelivered and TestSilentHomeDelaysNoOtherRepayments failed before.

--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -99,8 +99,7 @@
 func (cluster *testCluster) start(name string, peers ...string) *instance {
 	cluster.incarnations++
 	m := &instance{name: name, owner: fmt.Sprintf("%s-%d", name, cluster.incarnations), up: true, peers: peers, cluster: cluster, callFails: neverFails}
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	m.Manager = account.NewManager(cluster.store, m.owner, m, m, cluster.clock, log, tally.NoopScope)
+	m.Manager = cluster.newManager(m, m)
 	if cluster.hasWitnesses {
 		m.UseWitnesses(m)
 	}
@@ -108,6 +107,12 @@
 	return m
 }
 
+// newManager returns a Manager of an instance that reaches the homes of programs by lenders.
+func (cluster *testCluster) newManager(m *instance, lenders account.Lenders) *account.Manager {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return account.NewManager(cluster.store, m.owner, m, lenders, cluster.clock, log, tally.NoopScope)
+}
+
 // running returns the incarnation of a name that is up, or nil.
 func (cluster *testCluster) running(name string) *instance {
 	for _, m := range cluster.all {
@@ -252,9 +257,11 @@
 }
 
 func (m *instance) Repay(_ context.Context, name string, repayments []account.Repayment) error {
-	if home := m.cluster.running(name); home != nil {
-		home.SettleLoans(repayments)
+	home := m.cluster.running(name)
+	if home == nil || m.callFails() {
+		return errUnreachable
 	}
+	home.SettleLoans(repayments)
 	return nil
 }
 
--- a/account/loan.go
+++ b/account/loan.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +25,11 @@
 	// repayInterval is how long repayments are batched. The next turn of a
 	// program comes 50 ms later or more.
 	repayInterval = 25 * time.Millisecond
-	// repayTimeout bounds one call that sends repayments to a home instance.
-	repayTimeout = 300 * time.Millisecond
+	// repayTimeout bounds one call that sends repayments to a home instance, and
+	// repayRetryInterval is the delay before those that were not delivered are sent
+	// again.
+	repayTimeout       = 300 * time.Millisecond
+	repayRetryInterval = 250 * time.Millisecond
 	// maxPendingRepayments bounds the repayments kept in memory while homes
 	// are unreachable. It is a few seconds' worth of one instance's turns. A
 	// repayment beyond it is dropped, and its loan counts as spent.
@@ -36,6 +41,9 @@
 type Repayment struct {
 	Loan  uint64
 	Spent int64
+	// Key, unless it is 0, is that of a request to borrow that got no response. Its loan,
+	// if one is granted, is not used.
+	Key uint64 `cbor:",omitempty"`
 	// Place is the location of the conversation's cache after the turn.
 	Place Place
 }
@@ -63,8 +71,15 @@
 	// Loan is the ID of the turn's previous loan in a request for a further
 	// part of the turn, and 0 in the first.
 	Loan uint64
+	// Key identifies the request, so that it can be cancelled without a response; 0 for
+	// one that cannot.
+	Key uint64 `cbor:",omitempty"`
 }
 
+// ErrNotLent is matched by errors of Lenders.Borrow after which the home has granted no
+// loan and will not.
+var ErrNotLent = errors.New("no loan was granted")
+
 // Lenders reaches the home instances of programs. The turns of one program
 // come through several instances. If each granted them from an account of its
 // own, each would write the program's row.
@@ -73,11 +88,11 @@
 	// this instance.
 	Home(program string) string
 	// Borrow requests a loan from instance. It returns a *SpentError or a
-	// *HeldError if instance refused the loan, and another error if the result
-	// is unknown or no account was tried.
+	// *HeldError if instance refused the loan, an error that matches ErrNotLent if no
+	// account was tried, and another error if the result is unknown.
 	Borrow(ctx context.Context, instance, program string, borrowing Borrowing) (Loan, error)
-	// Repay reports to instance what was spent of loans. The only consequence
-	// of a failure is that these loans count as spent.
+	// Repay reports to instance what was spent of loans. After a failure it may be called
+	// again: a loan is settled once.
 	Repay(ctx context.Context, instance string, repayments []Repayment) error
 }
 
@@ -88,6 +103,7 @@
 	// covered is the number of tokens that the turn may still request beyond
 	// the loan and that the account has already counted.
 	covered int64
+	key     uint64
 }
 
 // loans holds the loans granted to other instances and the pending repayments
@@ -97,8 +113,13 @@
 	granted map[uint64]grantedLoan
 	lastID  uint64
 	stopped bool
+	// byKey holds the IDs of granted loans by the keys of their requests. cancelled
+	// holds the keys of cancelled requests that have not arrived, and when they were
+	// cancelled.
+	byKey     map[uint64]uint64
+	cancelled map[uint64]time.Time
 	// pending holds the repayments to send, by home.
-	pending      map[string][]Repayment
+	pending      map[string][]pendingRepayment
 	pendingCount int
 	wake         chan struct{}
 }
@@ -108,7 +129,7 @@
 // current loan. Otherwise it would release tokens that the turn of that loan
 // may still spend.
 func newLoans() *loans {
-	return &loans{granted: map[uint64]grantedLoan{}, lastID: rand.Uint64(), pending: map[string][]Repayment{}, wake: make(chan struct{}, 1)}
+	return &loans{granted: map[uint64]grantedLoan{}, lastID: rand.Uint64(), byKey: map[uint64]uint64{}, cancelled: map[uint64]time.Time{}, pending: map[string][]pendingRepayment{}, wake: make(chan struct{}, 1)}
 }
 
 // home returns the home instance of a program, or "" if that is this instance.
@@ -131,6 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	turn := borrowing.Turn
+	borrowing.Key = rand.Uint64()
 	loan, err := manager.lenders.Borrow(ctx, home, p.id, borrowing)
 	var spent *SpentError
 	var held *HeldError
@@ -146,6 +168,11 @@
 		manager.held.Inc(1)
 		return nil, err
 	}
+	if !errors.Is(err, ErrNotLent) {
+		// The home may have granted the loan or grant it later. Until it learns that
+		// the loan is not used, the program lacks these tokens.
+		manager.loans.enqueue(home, Repayment{Key: borrowing.Key}, manager.clock.Now())
+	}
 	// An unreachable home keeps its account unchanged. An account of this
 	// instance may still be granted the remaining tokens.
 	manager.log.Info("loan request to the home failed; granting from a local account", "program", p.id, "home", home, "err", err)
@@ -182,21 +209,35 @@
 		}
 		return Loan{}, &StoppedError{}
 	}
-	manager.lent.Inc(1)
 	covered += reservation.turn.Most - reservation.turn.Part
-	return Loan{ID: manager.loans.add(reservation, covered, manager.clock.Now()), Promised: reservation.turn.Part, Places: reservation.locations}, nil
+	loan, ok := manager.loans.add(grantedLoan{reservation: reservation, grantedAt: manager.clock.Now(), covered: covered, key: borrowing.Key})
+	if !ok {
+		reservation.Settle(0)
+		return Loan{}, &CancelledError{}
+	}
+	manager.lent.Inc(1)
+	return Loan{ID: loan, Promised: reservation.turn.Part, Places: reservation.locations}, nil
 }
 
+// CancelledError is returned for a loan request that its borrower has cancelled.
+type CancelledError struct{}
+
+// Error returns a fixed message.
+func (e *CancelledError) Error() string { return "the request was cancelled" }
+
 // StoppedError is returned for a loan request to an instance that is stopping.
 type StoppedError struct{}
 
 // Error returns a fixed message.
 func (e *StoppedError) Error() string { return "the instance is stopping" }
 
-// SettleLoans settles loans granted here. It ignores unknown loans, which were
-// settled before.
+// SettleLoans settles loans granted here, and cancels requests. It ignores unknown
+// loans, which were settled before.
 func (manager *Manager) SettleLoans(repayments []Repayment) {
 	for _, repayment := range repayments {
+		if repayment.Key != 0 {
+			repayment = Repayment{Loan: manager.loans.cancel(repayment.Key, manager.clock.Now())}
+		}
 		if reservation := manager.loans.remove(repayment.Loan); reservation != nil {
 			reservation.SetCacheLocation(repayment.Place)
 			reservation.Settle(max(repayment.Spent, 0))
@@ -214,44 +255,96 @@
 }
 
 // Repay sends repayments to the homes of programs until ctx ends. It then
-// sends those that are still pending, and nil on done.
+// sends those that are still pending, and nil on done. Each home has a goroutine of its
+// own, so that one that does not respond delays no repayments to others.
 func (manager *Manager) Repay(ctx context.Context, done chan<- error) {
-	for {
+	repaying, ended := map[string]bool{}, make(chan string)
+	for ctx.Err() == nil {
+		for _, home := range manager.loans.homesToRepay() {
+			if !repaying[home] {
+				repaying[home] = true
+				go func() {
+					manager.repay(ctx, home)
+					ended <- home
+				}()
+			}
+		}
 		select {
 		case <-ctx.Done():
 		case <-manager.loans.wake:
-			clock.Sleep(ctx, repayInterval)
+		case home := <-ended:
+			delete(repaying, home)
 		}
-		manager.sendRepayments(context.WithoutCancel(ctx))
-		if ctx.Err() != nil {
-			done <- nil
-			return
+	}
+	for range repaying {
+		<-ended
+	}
+	var last sync.WaitGroup
+	for _, home := range manager.loans.homesToRepay() {
+		last.Go(func() { manager.sendRepayments(context.WithoutCancel(ctx), home) })
+	}
+	last.Wait()
+	done <- nil
+}
+
+// repay sends the pending repayments to home until there are none or ctx ends.
+func (manager *Manager) repay(ctx context.Context, home string) {
+	delay := repayInterval
+	for clock.Sleep(ctx, delay) && manager.loans.owes(home) {
+		delay = repayInterval
+		if !manager.sendRepayments(ctx, home) {
+			delay = repayRetryInterval
 		}
 	}
 }
 
-// sendRepayments sends the pending repayments to all homes concurrently.
-func (manager *Manager) sendRepayments(ctx context.Context) {
-	var calls sync.WaitGroup
-	for home, repayments := range manager.loans.takePending() {
-		calls.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, repayTimeout)
-			defer cancel()
-			if err := manager.lenders.Repay(callCtx, home, repayments); err != nil {
-				manager.log.Info("repayments not delivered: the loans count as spent", "home", home, "loans", len(repayments), "err", err)
-			}
-		})
+// sendRepayments sends the pending repayments to home, and reports whether it received
+// them. Otherwise they are pending again, unless their loans have expired meanwhile.
+func (manager *Manager) sendRepayments(ctx context.Context, home string) bool {
+	pending := manager.loans.takePending(home)
+	repayments := make([]Repayment, len(pending))
+	for i, one := range pending {
+		repayments[i] = one.Repayment
 	}
-	calls.Wait()
+	ctx, cancel := context.WithTimeout(ctx, repayTimeout)
+	defer cancel()
+	err := manager.lenders.Repay(ctx, home, repayments)
+	if err == nil {
+		return true
+	}
+	dropped := manager.loans.putBack(home, pending, manager.clock.Now())
+	manager.log.Info("repayments not delivered", "home", home, "loans", len(repayments), "dropped", dropped, "err", err)
+	return false
 }
 
-// add records a loan and returns its ID.
-func (loans *loans) add(reservation *Reservation, covered int64, now time.Time) uint64 {
+// add records a loan and returns its ID, or false if its request was cancelled.
+func (loans *loans) add(loan grantedLoan) (uint64, bool) {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
+	if _, cancelled := loans.cancelled[loan.key]; cancelled {
+		return 0, false
+	}
 	loans.lastID++
-	loans.granted[loans.lastID] = grantedLoan{reservation: reservation, grantedAt: now, covered: covered}
-	return loans.lastID
+	loans.granted[loans.lastID] = loan
+	if loan.key != 0 {
+		loans.byKey[loan.key] = loans.lastID
+	}
+	return loans.lastID, true
+}
+
+// cancel cancels a request to borrow. It returns the ID of its loan, or 0 if none was
+// granted; then the request is refused if it arrives within loanLifetime.
+func (loans *loans) cancel(key uint64, now time.Time) uint64 {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	if id, ok := loans.byKey[key]; ok {
+		return id
+	}
+	maps.DeleteFunc(loans.cancelled, func(_ uint64, at time.Time) bool { return now.Sub(at) >= loanLifetime })
+	if len(loans.cancelled) < maxPendingRepayments {
+		loans.cancelled[key] = now
+	}
+	return 0
 }
 
 // covered returns the number of tokens that the turn of a loan may still
@@ -279,7 +372,13 @@
 func (loans *loans) remove(id uint64) *Reservation {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
+	return loans.removeLocked(id)
+}
+
+// removeLocked is remove for a caller that holds mu.
+func (loans *loans) removeLocked(id uint64) *Reservation {
 	granted := loans.granted[id]
+	delete(loans.byKey, granted.key)
 	delete(loans.granted, id)
 	return granted.reservation
 }
@@ -292,23 +391,28 @@
 	var expired []*Reservation
 	for id, granted := range loans.granted {
 		if now.Sub(granted.grantedAt) >= loanLifetime {
-			expired = append(expired, granted.reservation)
-			delete(loans.granted, id)
+			expired = append(expired, loans.removeLocked(id))
 		}
 	}
 	return expired
 }
 
+// pendingRepayment is a repayment that its home has not received, and when it was made.
+type pendingRepayment struct {
+	Repayment
+	at time.Time
+}
+
 // enqueue adds a repayment to the pending ones. It reports false if there are
 // maxPendingRepayments already.
-func (loans *loans) enqueue(home string, repayment Repayment) bool {
+func (loans *loans) enqueue(home string, repayment Repayment, now time.Time) bool {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
 	if loans.pendingCount >= maxPendingRepayments {
 		return false
 	}
 	loans.pendingCount++
-	loans.pending[home] = append(loans.pending[home], repayment)
+	loans.pending[home] = append(loans.pending[home], pendingRepayment{Repayment: repayment, at: now})
 	select {
 	case loans.wake <- struct{}{}:
 	default: // a wake-up is pending already
@@ -316,15 +420,43 @@
 	return true
 }
 
-// takePending returns the pending repayments by home and removes them.
-func (loans *loans) takePending() map[string][]Repayment {
+// owes reports whether there are pending repayments to home.
+func (loans *loans) owes(home string) bool {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	return len(loans.pending[home]) > 0
+}
+
+// homesToRepay returns the homes to which repayments are pending.
+func (loans *loans) homesToRepay() []string {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	return slices.Collect(maps.Keys(loans.pending))
+}
+
+// takePending returns the pending repayments to home and removes them.
+func (loans *loans) takePending(home string) []pendingRepayment {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
-	pending := loans.pending
-	loans.pending, loans.pendingCount = map[string][]Repayment{}, 0
+	pending := loans.pending[home]
+	delete(loans.pending, home)
+	loans.pendingCount -= len(pending)
 	return pending
 }
 
+// putBack adds repayments that were not delivered to the pending ones, and returns the
+// number of those that it drops since their loans have expired.
+func (loans *loans) putBack(home string, repayments []pendingRepayment, now time.Time) (dropped int) {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	current := slices.DeleteFunc(repayments, func(one pendingRepayment) bool { return now.Sub(one.at) >= loanLifetime })
+	if len(current) > 0 {
+		loans.pendingCount += len(current)
+		loans.pending[home] = append(current, loans.pending[home]...)
+	}
+	return len(repayments) - len(current)
+}
+
 // stop makes Lend refuse loans from now on.
 func (loans *loans) stop() {
 	loans.mu.Lock()
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -119,7 +119,7 @@
 	defer p.mu.Unlock()
 	if reservation.home != "" {
 		p.lastUsed = manager.clock.Now()
-		if !manager.loans.enqueue(reservation.home, Repayment{Loan: reservation.loan, Spent: spent, Place: reservation.location}) {
+		if !manager.loans.enqueue(reservation.home, Repayment{Loan: reservation.loan, Spent: spent, Place: reservation.location}, manager.clock.Now()) {
 			manager.log.Warn("too many pending repayments: repayment dropped, the loan counts as spent", "program", p.id, "home", reservation.home)
 		}
 		return
--- a/entrypeer/lending.go
+++ b/entrypeer/lending.go
@@ -58,6 +58,9 @@
 // Error returns the instance and the reason.
 func (e *BorrowError) Error() string { return "instance " + e.instance + ": " + e.detail }
 
+// Is reports whether target is account.ErrNotLent: the home has responded, or was not asked.
+func (e *BorrowError) Is(target error) bool { return target == account.ErrNotLent }
+
 // Home implements account.Lenders. Rendezvous hashing picks the home among this
 // instance and all recorded ones that are not excluded. Instances whose
 // directories differ may pick different homes; the program then has two
