account: the loan of a tight budget is repaid before its turn's response ends

Cause: repayments are sent 25 ms after a turn ends, for many loans at once, and a caller may send its next turn sooner than that, to any instance. Until then the home counts all that the turn before could have generated.

The home says with a loan whether its budget covers no other such turn until the loan is repaid. Then the borrower repays it before the response ends, for 50 ms at most; what is not delivered by then is sent again as before. It costs such turns a call between instances, and others nothing. Ruled out: a wait of the home for repayments on their way, which delayed each refusal by 80 ms.

TestTightLoanIsRepaidBeforeResponseEnds failed before, at its second turn.

--- a/account/loan.go
+++ b/account/loan.go
@@ -28,7 +28,9 @@
 	// repayTimeout bounds one call that sends repayments to a home instance, and
 	// repayRetryInterval is the delay before those that were not delivered are sent
 	// again.
-	repayTimeout       = 300 * time.Millisecond
+	repayTimeout = 300 * time.Millisecond
+	// repayFirstTimeout bounds how long the end of a response waits for a repayment.
+	repayFirstTimeout  = 50 * time.Millisecond
 	repayRetryInterval = 250 * time.Millisecond
 	// maxPendingRepayments bounds the repayments kept in memory while homes
 	// are unreachable. It is a few seconds' worth of one instance's turns. A
@@ -59,6 +61,10 @@
 	// CacheLocations are the known cache locations of the requested segments of the
 	// turn's prompt.
 	Places []Place
+	// RepayFirst is set if the budget covers no other turn of this size until the loan is
+	// repaid. It is then repaid before the turn's response ends, since the caller may
+	// send its next turn to any instance right after that.
+	RepayFirst bool `cbor:",omitempty"`
 }
 
 // Borrowing is a loan request to a program's home.
@@ -160,7 +166,7 @@
 	case err == nil:
 		manager.borrowed.Inc(1)
 		turn.Part = loan.Promised
-		return &Reservation{manager: manager, program: p, turn: turn, total: borrowing.Total, home: home, loan: loan.ID, locations: loan.Places}, nil
+		return &Reservation{manager: manager, program: p, turn: turn, total: borrowing.Total, home: home, loan: loan.ID, repayFirst: loan.RepayFirst, locations: loan.Places}, nil
 	case errors.As(err, &spent):
 		manager.countSpent(p, turn)
 		return nil, err
@@ -216,7 +222,8 @@
 		return Loan{}, &CancelledError{}
 	}
 	manager.lent.Inc(1)
-	return Loan{ID: loan, Promised: reservation.turn.Part, Places: reservation.locations}, nil
+	decision, _ := p.decide(budget.FullTurn(borrowing.Turn.Most), borrowing.Total)
+	return Loan{ID: loan, Promised: reservation.turn.Part, Places: reservation.locations, RepayFirst: decision == budget.DecisionSpent}, nil
 }
 
 // CancelledError is returned for a loan request that its borrower has cancelled.
@@ -298,6 +305,13 @@
 	}
 }
 
+// repayFirst sends one repayment to home, and reports whether it was received in time.
+func (manager *Manager) repayFirst(home string, repayment Repayment) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), repayFirstTimeout)
+	defer cancel()
+	return manager.lenders.Repay(ctx, home, []Repayment{repayment}) == nil
+}
+
 // sendRepayments sends the pending repayments to home, and reports whether it received
 // them. Otherwise they are pending again, unless their loans have expired meanwhile.
 func (manager *Manager) sendRepayments(ctx context.Context, home string) bool {
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -30,6 +30,8 @@
 	// is empty if the local account grants the turn.
 	home string
 	loan uint64
+	// repayFirst is set if Settle is to return only once the home has the repayment.
+	repayFirst bool
 	// locations are the known cache locations of the segments of the turn's
 	// prompt. location is that of its own conversation after the turn.
 	locations []Place
@@ -115,16 +117,26 @@
 		reservation.remainder.Settle(spent - spentHere)
 		spent = spentHere
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if reservation.home != "" {
-		p.lastUsed = manager.clock.Now()
-		if !manager.loans.enqueue(reservation.home, Repayment{Loan: reservation.loan, Spent: spent, Place: reservation.location}, manager.clock.Now()) {
-			manager.log.Warn("too many pending repayments: repayment dropped, the loan counts as spent", "program", p.id, "home", reservation.home)
-		}
+		p.touch(manager.clock.Now())
+		reservation.repay(spent)
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.usage.End(reservation.turn, spent)
 	p.locations.add(reservation.location)
 	p.lastUsed = manager.clock.Now()
 }
+
+// repay repays the loan to its home, or leaves that to Manager.Repay.
+func (reservation *Reservation) repay(spent int64) {
+	manager := reservation.manager
+	repayment := Repayment{Loan: reservation.loan, Spent: spent, Place: reservation.location}
+	if reservation.repayFirst && manager.repayFirst(reservation.home, repayment) {
+		return
+	}
+	if !manager.loans.enqueue(reservation.home, repayment, manager.clock.Now()) {
+		manager.log.Warn("too many pending repayments: repayment dropped, the loan counts as spent", "program", reservation.program.id, "home", reservation.home)
+	}
+}
