account, budget: the loan of a borrower that was killed counts as lost, not as in use

Each refusal names "own settled=405 promised=567 most=567" of a budget of 1,105.

Cause: the home counts a loan as in use until it is repaid or expires after 30 s, and as spent after that. It knew that the borrower had terminated, and that nobody knows what the turn spent; only grants of other accounts were treated so.

A request to borrow names its incarnation. When the budget does not cover a turn, the home ends the loans of terminated borrowers; what they and expired loans were promised counts as used and as lost, so that it may exceed the budget by up to one turn's maximum, together with all else that is lost. The row keeps that number, so that it is the same after the home is lost. The bound is unchanged.

TestLoanOfTerminatedBorrowerIsLost failed before.

--- a/account/escrow.go
+++ b/account/escrow.go
@@ -147,7 +147,7 @@
 func (manager *Manager) acquireShards(ctx context.Context, self string, shards []int) ([]int, error) {
 	manager.mu.Lock()
 	manager.accounts++
-	account := fmt.Sprintf("%s.%d", manager.owner, manager.accounts)
+	account := accountName(manager.owner, manager.accounts)
 	manager.mu.Unlock()
 	if err := manager.refreshShards(ctx, shards); err != nil {
 		return nil, err
--- a/account/grant.go
+++ b/account/grant.go
@@ -40,6 +40,9 @@
 // otherwise each wait for the other's lock.
 func (manager *Manager) grant(ctx context.Context, p *program, turn budget.Turn, total int64) (budget.Turn, error) {
 	manager.recordAtWitness(ctx, p, turn)
+	if !p.canGrant(turn, total) {
+		manager.settleTerminatedLoans(p)
+	}
 	decision, err := manager.tryGrant(ctx, p, turn, total)
 	if err != nil || decision == budget.DecisionServe {
 		return turn, err
--- a/account/loan.go
+++ b/account/loan.go
@@ -77,6 +77,8 @@
 	// Loan is the ID of the turn's previous loan in a request for a further
 	// part of the turn, and 0 in the first.
 	Loan uint64
+	// Borrower is the incarnation that requests the loan; empty if it did not tell.
+	Borrower string `cbor:",omitempty"`
 	// Key identifies the request, so that it can be cancelled without a response; 0 for
 	// one that cannot.
 	Key uint64 `cbor:",omitempty"`
@@ -109,7 +111,9 @@
 	// covered is the number of tokens that the turn may still request beyond
 	// the loan and that the account has already counted.
 	covered int64
-	key     uint64
+	// borrower is the incarnation that has the loan, and key that of its request.
+	borrower string
+	key      uint64
 }
 
 // loans holds the loans granted to other instances and the pending repayments
@@ -158,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	turn := borrowing.Turn
-	borrowing.Key = rand.Uint64()
+	borrowing.Borrower, borrowing.Key = manager.owner, rand.Uint64()
 	loan, err := manager.lenders.Borrow(ctx, home, p.id, borrowing)
 	var spent *SpentError
 	var held *HeldError
@@ -216,7 +220,7 @@
 		return Loan{}, &StoppedError{}
 	}
 	covered += reservation.turn.Most - reservation.turn.Part
-	loan, ok := manager.loans.add(grantedLoan{reservation: reservation, grantedAt: manager.clock.Now(), covered: covered, key: borrowing.Key})
+	loan, ok := manager.loans.add(grantedLoan{reservation: reservation, grantedAt: manager.clock.Now(), covered: covered, borrower: borrowing.Borrower, key: borrowing.Key})
 	if !ok {
 		reservation.Settle(0)
 		return Loan{}, &CancelledError{}
@@ -256,11 +260,35 @@
 // loanLifetime as fully spent.
 func (manager *Manager) settleExpiredLoans() {
 	for _, reservation := range manager.loans.expired(manager.clock.Now()) {
-		manager.log.Info("loan expired without repayment: counted as spent", "program", reservation.program.id, "tokens", reservation.turn.Part)
-		reservation.Settle(reservation.turn.Part)
+		manager.log.Info("loan expired without repayment: counted as lost", "program", reservation.program.id, "tokens", reservation.turn.Part)
+		reservation.settleLost()
 	}
 }
 
+// settleTerminatedLoans settles the loans of p's budget whose borrowers have terminated,
+// since nobody will repay them.
+func (manager *Manager) settleTerminatedLoans(p *program) {
+	for _, loan := range manager.loans.removeTerminated(p, manager.holders.OwnerTerminated) {
+		manager.log.Info("borrower terminated: its loan counts as lost", "program", p.id, "borrower", loan.borrower, "tokens", loan.reservation.turn.Part)
+		loan.reservation.settleLost()
+	}
+}
+
+// removeTerminated removes the loans of p's budget whose borrowers have terminated, and
+// returns them.
+func (loans *loans) removeTerminated(p *program, hasTerminated func(account string) bool) []grantedLoan {
+	loans.mu.Lock()
+	defer loans.mu.Unlock()
+	var terminated []grantedLoan
+	for id, granted := range loans.granted {
+		if granted.reservation.program == p && granted.borrower != "" && hasTerminated(accountName(granted.borrower, 0)) {
+			terminated = append(terminated, granted)
+			loans.removeLocked(id)
+		}
+	}
+	return terminated
+}
+
 // Repay sends repayments to the homes of programs until ctx ends. It then
 // sends those that are still pending, and nil on done. Each home has a goroutine of its
 // own, so that one that does not respond delays no repayments to others.
--- a/account/lost.go
+++ b/account/lost.go
@@ -1,6 +1,7 @@
 package account
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -57,6 +58,9 @@
 	return ok && now.Sub(since) >= lostTimeout
 }
 
+// accountName returns the name of an account of an incarnation.
+func accountName(owner string, number uint64) string { return fmt.Sprintf("%s.%d", owner, number) }
+
 // accountOwner returns the incarnation that owns an account.
 func accountOwner(account string) string {
 	return account[:max(strings.LastIndexByte(account, '.'), 0)]
--- a/account/lost_test.go
+++ b/account/lost_test.go
@@ -62,3 +62,41 @@
 	_, err = reserveInFull(ctx, b.Manager, program, 1001, 3000)
 	require.Error(t, err, "the budget may be exceeded by no more than the lost tokens")
 }
+
+// Guards against a turn that is refused since the home counts a loan as in use, and later as
+// spent, whose borrower was killed.
+func TestLoanOfTerminatedBorrowerIsLost(t *testing.T) {
+	ctx := context.Background()
+	for _, expires := range []bool{false, true} {
+		memory := storetest.New()
+		clk := clock.NewFake(time.Unix(1000, 0))
+		cluster := &testCluster{store: memory, clock: clk, detectsReplacement: !expires}
+		a, b := cluster.start("a", "b"), cluster.start("b", "a")
+		program := programWithHome(0, "a", "a", "b")
+		first, err := reserveInFull(ctx, a.Manager, program, 405, 1105)
+		require.NoError(t, err)
+		first.Settle(405)
+		lost, err := reserveInFull(ctx, b.Manager, program, 567, 1105)
+		require.NoError(t, err)
+		require.Equal(t, "a", lost.Home())
+		b.up = false
+		cluster.start("b", "a")
+		if expires {
+			_, err = reserveInFull(ctx, a.Manager, program, 567, 1105)
+			require.Error(t, err, "b may still run")
+			clk.Advance(31 * time.Second)
+			a.SweepOnce(ctx)
+		}
+		turn, err := reserveInFull(ctx, a.Manager, program, 567, 1105)
+		require.NoError(t, err)
+		turn.Settle(81)
+		clk.Advance(time.Second)
+		require.True(t, a.SettleRowsOnce(ctx))
+		a.up = false
+		a = cluster.start("a", "b")
+		_, err = reserveInFull(ctx, a.Manager, program, 620, 1105)
+		require.Error(t, err, "the lost 567 may exceed the budget by no more than one turn")
+		_, err = reserveInFull(ctx, a.Manager, program, 567, 1105)
+		require.NoError(t, err, "the row tells what is lost")
+	}
+}
--- a/account/manager.go
+++ b/account/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -165,7 +164,7 @@
 			// An account belongs to a single budget.Usage: one that is created
 			// later does not know what an earlier one granted.
 			manager.accounts++
-			account = fmt.Sprintf("%s.%d", manager.owner, manager.accounts)
+			account = accountName(manager.owner, manager.accounts)
 		}
 		implied, version := manager.implied(id, account, total)
 		p = newProgram(id, account, total, implied, version)
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -129,6 +129,15 @@
 	p.lastUsed = manager.clock.Now()
 }
 
+// settleLost ends a reservation of which nobody knows what was spent.
+func (reservation *Reservation) settleLost() {
+	p := reservation.program
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usage.EndLost(reservation.turn)
+	p.lastUsed = reservation.manager.clock.Now()
+}
+
 // repay repays the loan to its home, or leaves that to Manager.Repay.
 func (reservation *Reservation) repay(spent int64) {
 	manager := reservation.manager
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -33,6 +33,9 @@
 	// Settled is set if no turn of the owner was in flight when the row was written, so
 	// that Used is what it spent. The owner spends nothing more without a new row.
 	Settled bool `cbor:"e,omitempty"`
+	// Lost is the part of Used that was granted to turns of which nobody knows what they
+	// spent.
+	Lost int64 `cbor:"l,omitempty"`
 }
 
 // Ledger is the durable state of a program's budget. It has an account for each
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -60,6 +60,9 @@
 	// lost holds the accounts of other owners that can't release what they did not
 	// use, and silent those whose owners did not respond for a moment.
 	lost, silent map[string]bool
+	// unaccounted is the part of settled that was granted to turns of which nobody knows
+	// what they spent.
+	unaccounted int64
 	// largest is the largest maximum of a turn that has begun.
 	largest int64
 }
@@ -105,12 +108,17 @@
 	}
 }
 
-// Lost returns the number of tokens granted to lost accounts, as of the row.
+// Lost returns the number of tokens of which nobody knows whether they were spent: those
+// granted to lost accounts, as of the row, and those of turns ended by EndLost.
 func (usage *Usage) Lost() int64 {
-	var tokens int64
+	tokens := usage.unaccounted
 	for name, account := range usage.ledger.Accounts {
-		if usage.lost[name] && !account.Settled {
+		switch {
+		case name == usage.owner:
+		case usage.lost[name] && !account.Settled:
 			tokens += account.Granted + account.Reserved
+		default:
+			tokens += account.Lost
 		}
 	}
 	return tokens
@@ -243,7 +251,7 @@
 // response is either visible or void.
 func (usage *Usage) Release(last bool) *Ledger {
 	account := usage.ledger.Accounts[usage.owner]
-	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.worstCase, Escrowed: account.Escrowed}
+	settled := Account{Granted: usage.Used(), Used: usage.settled + usage.worstCase, Escrowed: account.Escrowed, Lost: usage.unaccounted}
 	if last {
 		settled.Used, settled.Reserved = settled.Granted, usage.worstCase-usage.promised
 		if account.Stopped {
@@ -273,6 +281,7 @@
 // withAccount returns a copy of the ledger with the local account set.
 func (usage *Usage) withAccount(account Account) *Ledger {
 	next := usage.ledger.withoutAccount(usage.owner)
+	account.Lost = usage.unaccounted
 	account.Escrowed = usage.ledger.Accounts[usage.owner].Escrowed
 	if account != (Account{}) {
 		next.Accounts[usage.owner] = account
@@ -340,3 +349,10 @@
 	usage.worstCase -= turn.Most
 	usage.settled += spent
 }
+
+// EndLost settles a turn of which nobody knows what it spent. All that was promised to it
+// counts as spent, and as lost.
+func (usage *Usage) EndLost(turn Turn) {
+	usage.End(turn, turn.Part)
+	usage.unaccounted += turn.Part
+}
