gateway: a line for each connection that ends without a complete answer

Callers saw connections that ended without an answer, of which the log of an instance told nothing: lines were written only during a stop, a response that could not be written counted as answered, requests that net/http rejects and connections open at the exit had none.

A connection now records why it ends (CallerLeft, WriteFailed, HeadIncomplete, Aborted, Exit), with the ID of its request. The lines are bounded and tell the total.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -14,6 +18,28 @@
 // close.
 const notRunResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// connEnd identifies why a connection ended without a complete response.
+type connEnd int
+
+//go:generate stringer -type=connEnd -trimprefix=connEnd
+
+// Reasons, as they appear in logs.
+const (
+	// connEndNone means that all bytes received were answered.
+	connEndNone connEnd = iota
+	// connEndCallerLeft means that the caller closed or reset the connection first.
+	connEndCallerLeft
+	// connEndWriteFailed means that a part of a response could not be written.
+	connEndWriteFailed
+	// connEndHeadIncomplete means that the head of a request was not complete in time.
+	connEndHeadIncomplete
+	// connEndAborted means that the handler aborted its response before a part of it
+	// was written.
+	connEndAborted
+	// connEndExit means that the process exits with the request unanswered.
+	connEndExit
+)
+
 // callerConn is a caller's connection that tracks whether a request may be in
 // transit. http.ConnState is not sufficient: from a request's first byte until
 // its head is complete, http.Server counts the connection as idle, and closing
@@ -27,6 +53,13 @@
 	// response ended. readSinceWrite is set if bytes arrived since the last
 	// write. closed is set once closeIfIdle closed the connection.
 	busy, readSinceWrite, closed bool
+	// handling is set from the call of the handler to the end of its response, and
+	// request is the ID of its request, if known. callerLeft is set once reading
+	// ended because the caller closed the connection, and writeErr is the first error
+	// of a write.
+	handling, callerLeft bool
+	request              string
+	writeErr             error
 	// since is when the connection was accepted, its last response ended, or
 	// closeIfIdle closed it.
 	since time.Time
@@ -43,11 +76,18 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// callerConnOf returns the connection of a request, or nil if it was not accepted by a
+// Server.
+func callerConnOf(r *http.Request) *callerConn {
+	conn, _ := r.Context().Value(connKey{}).(*callerConn)
+	return conn
+}
+
 // trackRequests returns a handler that marks a request's connection as busy
 // before calling handler.
 func trackRequests(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		if conn := callerConnOf(r); conn != nil {
 			conn.requestStarted()
 		}
 		handler.ServeHTTP(w, r)
@@ -59,7 +99,7 @@
 func (conn *callerConn) Read(p []byte) (int, error) {
 	for {
 		n, err := conn.Conn.Read(p)
-		if !conn.recordRead(n) {
+		if !conn.recordRead(n, err) {
 			return n, err
 		}
 		if err != nil {
@@ -68,11 +108,15 @@
 	}
 }
 
-// recordRead records that n bytes arrived, and reports whether closeIfIdle had
+// recordRead records the result of a read, and reports whether closeIfIdle had
 // closed the connection before.
-func (conn *callerConn) recordRead(n int) (late bool) {
+func (conn *callerConn) recordRead(n int, err error) (late bool) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
+	// net/http interrupts its reads by a deadline, and closes the connection itself.
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		conn.callerLeft = true
+	}
 	if n == 0 || !conn.closed {
 		conn.busy, conn.readSinceWrite = conn.busy || n > 0, conn.readSinceWrite || n > 0
 		return conn.closed
@@ -86,19 +130,68 @@
 func (conn *callerConn) Write(p []byte) (int, error) {
 	conn.mu.Lock()
 	conn.readSinceWrite = false
+	handling := conn.handling
 	conn.mu.Unlock()
-	return conn.Conn.Write(p)
+	if !handling {
+		status, _, _ := bytes.Cut(p, []byte("\r\n"))
+		conn.server.recordMalformed(conn, string(status))
+	}
+	n, err := conn.Conn.Write(p)
+	if err != nil {
+		conn.recordWriteError(err)
+	}
+	return n, err
+}
+
+// recordWriteError records that a write failed: the caller does not read, or has closed
+// the connection.
+func (conn *callerConn) recordWriteError(err error) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.writeErr = cmp.Or(conn.writeErr, err)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		conn.callerLeft = true
+	}
 }
 
 // Close implements net.Conn.
 func (conn *callerConn) Close() error {
-	conn.mu.Lock()
-	unanswered := conn.readSinceWrite && !conn.closed
-	conn.mu.Unlock()
-	conn.server.connClosed(conn, unanswered)
+	conn.server.connClosed(conn, conn.end())
 	return conn.Conn.Close()
 }
 
+// end returns why the connection, which is about to be closed, ends without a complete
+// response, or connEndNone.
+func (conn *callerConn) end() connEnd {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	switch {
+	case conn.closed || !conn.readSinceWrite && conn.writeErr == nil:
+		return connEndNone
+	case conn.callerLeft:
+		return connEndCallerLeft
+	case conn.writeErr != nil:
+		return connEndWriteFailed
+	case conn.handling:
+		return connEndAborted
+	}
+	return connEndHeadIncomplete
+}
+
+// logAttrs returns what a log line tells of the connection.
+func (conn *callerConn) logAttrs() []any {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return []any{"caller", conn.RemoteAddr(), "since", conn.since, "request", conn.request, "err", conn.writeErr}
+}
+
+// setRequest sets the ID of the request that is being served.
+func (conn *callerConn) setRequest(id string) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.request = id
+}
+
 // CloseWrite shuts down the write side. net/http calls it before closing a
 // connection, so that the caller receives the complete response.
 func (conn *callerConn) CloseWrite() error {
@@ -114,7 +207,7 @@
 func (conn *callerConn) requestStarted() {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = true
+	conn.busy, conn.handling, conn.request = true, true, ""
 }
 
 // responseEnded records the end of a response. The connection stays busy if
@@ -122,7 +215,7 @@
 func (conn *callerConn) responseEnded() {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = conn.readSinceWrite
+	conn.busy, conn.handling = conn.readSinceWrite, false
 	conn.since = time.Now()
 }
 
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -4,11 +4,15 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/wagtaildrum/wagtaildrum/logging"
 	"github.com/wagtaildrum/wagtaildrum/shutdown"
 )
@@ -36,8 +40,10 @@
 	idleTimeout = 60 * time.Second
 	// maxLateLogLines bounds the log lines of one stop about late requests, and
 	// separately those about unanswered requests, so that the lines about
-	// closed connections stay in the same log file.
+	// closed connections stay in the same log file. Before a stop, as many lines
+	// about connections may follow at once, and one each connLogInterval.
 	maxLateLogLines = 20
+	connLogInterval = time.Second
 	// lateAcceptWindow is the time before the listener closes in which new
 	// connections are counted. There are none if the load balancer redirects
 	// callers in time.
@@ -59,16 +65,21 @@
 	closed, late, lateBytes int
 	// closing is when a stop closes the listener; zero before a stop. accepted
 	// counts the connections accepted within lateAcceptWindow before closing.
-	// unanswered counts the connections closed since the stop began with
-	// received bytes unanswered.
+	// unanswered counts the connections closed since the stop began without a
+	// complete response.
 	closing              time.Time
 	accepted, unanswered int
+	// incomplete counts those that ended without a complete response before the stop,
+	// except those whose caller left, and malformed the requests that net/http
+	// rejected. limit bounds the lines about both.
+	incomplete, malformed int
+	limit                 *rate.Limiter
 }
 
 // NewServer returns a server that calls handler for each request and logs its
 // panics.
 func NewServer(handler http.Handler, log *slog.Logger) *Server {
-	return &Server{handler: logging.LogPanics(handler, log), log: log, conns: map[*callerConn]bool{}}
+	return &Server{handler: logging.LogPanics(handler, log), log: log, conns: map[*callerConn]bool{}, limit: rate.NewLimiter(rate.Every(connLogInterval), maxLateLogLines)}
 }
 
 // callerListener wraps accepted connections in a callerConn.
@@ -125,6 +136,7 @@
 		server.log.Warn("stop deadline reached; aborting the requests in flight", "connections", remaining)
 		stop.Expire()
 		server.awaitClosed(time.Now().Add(abortWait))
+		server.recordExit()
 	}
 	server.mu.Lock()
 	closed, late, lateBytes := server.closed, server.late, server.lateBytes
@@ -157,20 +169,52 @@
 	}
 }
 
-// connClosed removes a connection. During a stop it counts and logs one that
-// closes with received bytes unanswered.
-func (server *Server) connClosed(conn *callerConn, unanswered bool) {
+// connClosed removes a connection, and counts and logs one that ends without a
+// complete response. A caller that leaves is logged only during a stop, since the
+// request has a line of its own.
+func (server *Server) connClosed(conn *callerConn, end connEnd) {
 	server.mu.Lock()
 	_, open := server.conns[conn]
 	delete(server.conns, conn)
-	report := open && unanswered && !server.closing.IsZero()
-	if report {
+	stopping := !server.closing.IsZero()
+	log, total := false, 0
+	switch {
+	case !open || end == connEndNone:
+	case stopping:
 		server.unanswered++
+		log, total = server.unanswered <= maxLateLogLines, server.unanswered
+	case end != connEndCallerLeft:
+		server.incomplete++
+		log, total = server.limit.Allow(), server.incomplete
+	}
+	server.mu.Unlock()
+	if log {
+		server.log.Warn("connection ended without an answer", append(conn.logAttrs(), "reason", end, "total", total)...)
 	}
-	log := report && server.unanswered <= maxLateLogLines
+}
+
+// recordMalformed counts and logs a request that net/http rejected with the given
+// status line before it called the handler.
+func (server *Server) recordMalformed(conn *callerConn, status string) {
+	server.mu.Lock()
+	server.malformed++
+	log, total := server.limit.Allow(), server.malformed
 	server.mu.Unlock()
 	if log {
-		server.log.Warn("connection ended without an answer", "caller", conn.RemoteAddr(), "since", conn.since)
+		server.log.Warn("malformed request rejected", "caller", conn.RemoteAddr(), "status", status, "total", total)
+	}
+}
+
+// recordExit records the connections that the exit of the process closes with a
+// request unanswered.
+func (server *Server) recordExit() {
+	server.mu.Lock()
+	conns := slices.Collect(maps.Keys(server.conns))
+	server.mu.Unlock()
+	for _, conn := range conns {
+		if conn.end() != connEndNone {
+			server.connClosed(conn, connEndExit)
+		}
 	}
 }
 
@@ -207,10 +251,7 @@
 // including those that are closed but still read.
 func (server *Server) closeIdle() int {
 	server.mu.Lock()
-	conns := make([]*callerConn, 0, len(server.conns))
-	for conn := range server.conns {
-		conns = append(conns, conn)
-	}
+	conns := slices.Collect(maps.Keys(server.conns))
 	server.mu.Unlock()
 	for _, conn := range conns {
 		conn.closeIfIdle()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -267,6 +267,9 @@
 		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
 	}
 	e.call = call
+	if conn := callerConnOf(e.r); conn != nil {
+		conn.setRequest(call.ID)
+	}
 	e.awaitStartup()
 	e.table = e.Routes.Load()
 	if e.table == nil {
