gateway: a stopping instance accepts connections until the requests that it took have ended

Callers found no connection for over a second at each stop while no other instance of their data centre took callers, and programs failed.

Cause: the listener closed 3 s after the signal, though the process stays until its last response ends, some 0.6 s later, and starts again 0.5 s after its exit.

The listener now stays open until the requests on the connections accepted by then have ended. What comes meanwhile is served if its deadline fits (package shutdown), otherwise refused as not run. Callers who go on connecting do not prolong the stop: requests on connections accepted later are not waited for before the listener closes, only before the state is released.

Price: more refusals, since turns no longer fit from 2.8 s on; a stop takes up to the longest late response longer, within the same limit.

TestStopServesNewConnectionsWhileResponsesEnd failed before (2 of 21 served).

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -44,8 +44,8 @@
 	// about connections may follow at once, and one each connLogInterval.
 	maxLateLogLines = 20
 	connLogInterval = time.Second
-	// lateAcceptWindow is the time before the listener closes in which new
-	// connections are counted. There are none if the load balancer redirects
+	// lateAcceptWindow is the time before shutdown.Shutdown.AcceptUntil from which on
+	// new connections are counted. There are none if the load balancer redirects
 	// callers in time.
 	lateAcceptWindow = time.Second
 	// maxHeaderBytes bounds the size of a request's head.
@@ -63,8 +63,8 @@
 	// closed counts the connections that closeIfIdle closed, late those on
 	// which bytes arrived afterwards, and lateBytes these bytes.
 	closed, late, lateBytes int
-	// closing is when a stop closes the listener; zero before a stop. accepted
-	// counts the connections accepted within lateAcceptWindow before closing.
+	// closing is when callers should have been redirected; zero before a stop.
+	// accepted counts the connections accepted from lateAcceptWindow before closing.
 	// unanswered counts the connections closed since the stop began without a
 	// complete response.
 	closing              time.Time
@@ -101,9 +101,10 @@
 
 // Serve serves connections from listener until ctx ends, which begins the shutdown.
 // It goes on accepting connections while callers are redirected, then closes idle
-// ones and waits for the remaining responses, and aborts those that are not complete
-// in time. It sends its result on done: nil after a stop, otherwise the error of the
-// listener.
+// ones. It accepts new ones until the requests on the others have ended: callers find no
+// instance at the address from then until the process has been started again. It waits for
+// the remaining responses, and aborts those that are not complete in time. It sends its
+// result on done: nil after a stop, otherwise the error of the listener.
 func (server *Server) Serve(ctx context.Context, listener net.Listener, stop *shutdown.Shutdown, done chan<- error) {
 	srv := &http.Server{Handler: trackRequests(server.handler), ConnContext: withConn, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(server.log.Handler(), slog.LevelWarn),
@@ -126,37 +127,38 @@
 	server.closing = stop.AcceptUntil()
 	server.mu.Unlock()
 	time.Sleep(time.Until(stop.AcceptUntil()))
+	redirected := server.open()
+	server.awaitClosed(func() int { return server.countOpen(redirected) }, stop.RespondUntil())
 	_ = listener.Close()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
 		server.log.Warn("accepting connections failed; waiting for open connections to finish", "err", err)
 	}
-	openConns := server.openConns()
-	remaining := server.awaitClosed(stop.RespondUntil())
+	remaining := server.awaitClosed(server.openConns, stop.RespondUntil())
 	if remaining > 0 {
 		server.log.Warn("stop deadline reached; aborting the requests in flight", "connections", remaining)
 		stop.Expire()
-		server.awaitClosed(time.Now().Add(abortWait))
+		server.awaitClosed(server.openConns, time.Now().Add(abortWait))
 		server.recordExit()
 	}
 	server.mu.Lock()
 	closed, late, lateBytes := server.closed, server.late, server.lateBytes
 	accepted, unanswered := server.accepted, server.unanswered
 	server.mu.Unlock()
-	server.log.Info("serving ended", "took", time.Since(began), "connections", openConns, "closed_quiet", closed, "late", late, "late_bytes", lateBytes, "left", remaining,
+	server.log.Info("serving ended", "took", time.Since(began), "connections", len(redirected), "closed_quiet", closed, "late", late, "late_bytes", lateBytes, "left", remaining,
 		"accepted_last", accepted, "unanswered", unanswered)
 	done <- nil
 }
 
-// awaitClosed closes idle connections until none is open or the given time has come,
-// and returns the number still open.
-func (server *Server) awaitClosed(until time.Time) int {
-	for server.closeIdle() > 0 {
-		if !time.Now().Before(until) {
-			return server.openConns()
+// awaitClosed closes idle connections until count returns 0 or the given time has come,
+// and returns the count.
+func (server *Server) awaitClosed(count func() int, until time.Time) int {
+	for {
+		server.closeIdle()
+		if open := count(); open == 0 || !time.Now().Before(until) {
+			return open
 		}
 		time.Sleep(stopPoll)
 	}
-	return 0
 }
 
 // connOpened records an accepted connection.
@@ -208,16 +210,33 @@
 // recordExit records the connections that the exit of the process closes with a
 // request unanswered.
 func (server *Server) recordExit() {
-	server.mu.Lock()
-	conns := slices.Collect(maps.Keys(server.conns))
-	server.mu.Unlock()
-	for _, conn := range conns {
+	for _, conn := range server.open() {
 		if conn.end() != connEndNone {
 			server.connClosed(conn, connEndExit)
 		}
 	}
 }
 
+// open returns the open connections.
+func (server *Server) open() []*callerConn {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return slices.Collect(maps.Keys(server.conns))
+}
+
+// countOpen returns how many of the connections are open.
+func (server *Server) countOpen(conns []*callerConn) int {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	open := 0
+	for _, conn := range conns {
+		if server.conns[conn] {
+			open++
+		}
+	}
+	return open
+}
+
 // openConns returns the number of open connections.
 func (server *Server) openConns() int {
 	server.mu.Lock()
@@ -247,14 +266,9 @@
 	}
 }
 
-// closeIdle closes idle connections and returns the number still open,
-// including those that are closed but still read.
-func (server *Server) closeIdle() int {
-	server.mu.Lock()
-	conns := slices.Collect(maps.Keys(server.conns))
-	server.mu.Unlock()
-	for _, conn := range conns {
+// closeIdle closes idle connections. They stay open while they are still read.
+func (server *Server) closeIdle() {
+	for _, conn := range server.open() {
 		conn.closeIfIdle()
 	}
-	return server.openConns()
 }
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -62,6 +62,17 @@
 	return near
 }
 
+// dialOpen is like dial, and returns nil if the listener is closed.
+func (listener *pipeListener) dialOpen() net.Conn {
+	near, far := net.Pipe()
+	select {
+	case listener.conns <- far:
+		return near
+	case <-listener.closed:
+		return nil
+	}
+}
+
 // roundTrip sends a request on conn and returns the status of its response.
 func roundTrip(conn net.Conn) (int, error) { return roundTripHost(conn, "desk.example") }
 
@@ -146,6 +157,48 @@
 	})
 }
 
+// Guards against callers that find no connection while a stopping instance has responses to
+// complete, since no other instance of the data centre takes callers, and against a stop
+// that callers who go on connecting prolong.
+func TestStopServesNewConnectionsWhileResponsesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Host == "slow.example" {
+				time.Sleep(2 * time.Second)
+			}
+			time.Sleep(100 * time.Millisecond)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusOK)
+		})
+		listener, done := newPipeListener(), make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(8*time.Second, clock.Real{}), done)
+		cancel()
+		time.Sleep(idleCloseDelay - 100*time.Millisecond)
+		slow := make(chan int, 1)
+		conn := listener.dial()
+		go func() {
+			status, _ := roundTripHost(conn, "slow.example")
+			slow <- status
+		}()
+		began, served := time.Now(), 0
+		for {
+			conn := listener.dialOpen()
+			if conn == nil {
+				break
+			}
+			status, err := roundTrip(conn)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, status)
+			served++
+		}
+		assert.Equal(t, http.StatusOK, <-slow)
+		assert.InDelta(t, 21, served, 1, "requests of 0.1 s while the response of 2.1 s lasts")
+		require.NoError(t, <-done)
+		assert.Less(t, time.Since(began), 2500*time.Millisecond)
+	})
+}
+
 // Guards against connections lost during a stop without a log line: those that
 // new callers open just before the listener closes, and those that close with a
 // request unanswered.
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// balancerDelay is how long a stopping instance still accepts connections.
+	// balancerDelay is how long a stopping instance accepts connections at least.
 	// The load balancer polls readiness every second and takes two failures to
 	// redirect callers.
 	balancerDelay = 3 * time.Second
@@ -66,8 +66,9 @@
 // HasBegun reports whether the shutdown has begun.
 func (shutdown *Shutdown) HasBegun() bool { return shutdown.begun.Err() != nil }
 
-// AcceptUntil returns when the process stops accepting connections. Like the other
-// limits it is known once the shutdown has begun.
+// AcceptUntil returns until when the process accepts connections at least. It goes on
+// while requests on these are in flight, up to RespondUntil. Like the other limits it is
+// known once the shutdown has begun.
 func (shutdown *Shutdown) AcceptUntil() time.Time {
 	accept, respond := shutdown.killed.Add(balancerDelay-shutdown.grace), shutdown.RespondUntil()
 	if respond.Before(accept) {
