gateway: a stopping instance that callers still reach late delays their retry by 150 ms

Callers of a data centre whose instances all stop were refused twice within some 50 ms, and turns and calls of tools have no third attempt.

Cause: Retry-After of 20 ms assumes that the next attempt reaches another instance.

An instance is back about a second after its last response, and of several the first one earlier.

TestRefusalOfCallerNotRedirectedDelaysRetry failed before.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,6 +38,10 @@
 	// otherInstanceRetryAfter is the retry delay given by a partitioned
 	// instance. It is short because the next attempt reaches another instance.
 	otherInstanceRetryAfter = 20 * time.Millisecond
+	// notRedirectedRetryAfter is the retry delay given by a stopping instance that
+	// callers still reach after they should have been redirected: no other one takes
+	// them. An instance is back about a second after its last response.
+	notRedirectedRetryAfter = 150 * time.Millisecond
 	// busyRetryAfter is the retry delay when endpoints are full. About half of
 	// the slots become free in that time.
 	busyRetryAfter = 150 * time.Millisecond
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -24,7 +24,11 @@
 	if e.runs > 0 {
 		return refuse(ReasonShuttingDown, http.StatusBadGateway, 0, errShuttingDown)
 	}
-	return refuse(ReasonShuttingDown, http.StatusServiceUnavailable, otherInstanceRetryAfter, errShuttingDown)
+	retryAfter := otherInstanceRetryAfter
+	if e.Clock.Now().After(e.Shutdown.AcceptUntil()) {
+		retryAfter = notRedirectedRetryAfter
+	}
+	return refuse(ReasonShuttingDown, http.StatusServiceUnavailable, retryAfter, errShuttingDown)
 }
 
 // untilShutdown returns a context that ends when a shutdown begins that may abort the
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,25 @@
 	}
 }
 
+// Guards against callers who use up their attempts within some 50 ms at stopping instances,
+// since none that takes callers is left.
+func TestRefusalOfCallerNotRedirectedDelaysRetry(t *testing.T) {
+	b := newFixture(t)
+	b.grace = 2 * time.Second
+	i := b.startInstance()
+	i.Drain()
+	retryAfter := func() float64 {
+		response, _ := i.mustSend(callerRequest{path: "/post/x", id: "late", body: "x"})
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		return seconds
+	}
+	assert.Less(t, retryAfter(), 0.05)
+	time.Sleep(time.Until(i.shutdown.AcceptUntil()) + 10*time.Millisecond)
+	assert.GreaterOrEqual(t, retryAfter(), 0.15)
+}
+
 // Guards against a request that waits for its admission as a stop begins and is sent to
 // an endpoint although the instance exits before its deadline.
 func TestWaitingRequestIsRefusedAsStopBegins(t *testing.T) {
