gateway: a stopping instance accepts the connections that wait before it closes its listener

Callers who connected just before a stopping instance closed its listener got their connection reset without an answer.

Cause: the kernel resets connections that wait to be accepted as a listener closes. On a busy machine several wait.

The server now accepts until poll(2) finds no connection waiting, for 200 ms at most, and then closes the listener.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -7,10 +7,14 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	"github.com/wagtaildrum/wagtaildrum/logging"
@@ -34,6 +38,10 @@
 	// stopPoll is the interval at which a stopping server checks whether all
 	// connections are closed, and the time to write notRunResponse.
 	stopPoll = 50 * time.Millisecond
+	// acceptTimeout bounds accepting a connection that waits, and finishTimeout
+	// accepting all of them before the listener closes.
+	acceptTimeout = 10 * time.Millisecond
+	finishTimeout = 200 * time.Millisecond
 	// headTimeout and idleTimeout exceed the time that configurations allow
 	// callers to send a request's head and between requests.
 	headTimeout = 20 * time.Second
@@ -86,11 +94,21 @@
 type callerListener struct {
 	net.Listener
 	server *Server
+	// closeBy is when Accept ends at the latest after finish was called; nil before.
+	closeBy atomic.Pointer[time.Time]
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Once finish was called, it returns net.ErrClosed if no
+// connection is waiting.
 func (listener *callerListener) Accept() (net.Conn, error) {
 	raw, err := listener.Listener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) {
+		if !time.Now().Before(*listener.closeBy.Load()) || !listener.isPending() {
+			return nil, net.ErrClosed
+		}
+		listener.setDeadline(time.Now().Add(acceptTimeout))
+		raw, err = listener.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -99,6 +117,39 @@
 	return conn, nil
 }
 
+// finish makes Accept return net.ErrClosed once it has returned the connections that wait
+// in the kernel, which closing the listener would reset, for finishTimeout at most.
+func (listener *callerListener) finish() {
+	closeBy := time.Now().Add(finishTimeout)
+	listener.closeBy.Store(&closeBy)
+	if !listener.setDeadline(time.Now()) {
+		_ = listener.Close()
+	}
+}
+
+// setDeadline sets the deadline of Accept, and reports whether the listener has one.
+func (listener *callerListener) setDeadline(t time.Time) bool {
+	limited, ok := listener.Listener.(interface{ SetDeadline(t time.Time) error })
+	return ok && limited.SetDeadline(t) == nil
+}
+
+// isPending reports whether a connection waits to be accepted.
+func (listener *callerListener) isPending() bool {
+	socket, ok := listener.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	_ = raw.Control(func(fd uintptr) { // fails if the listener is closed
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ready > 0
+}
+
 // Serve serves connections from listener until ctx ends, which begins the shutdown.
 // It goes on accepting connections while callers are redirected, then closes idle
 // ones. It accepts new ones until the requests on the others have ended: callers find no
@@ -114,7 +165,8 @@
 			}
 		}}
 	ended := make(chan error, 1)
-	go func() { ended <- srv.Serve(&callerListener{Listener: listener, server: server}) }()
+	callers := &callerListener{Listener: listener, server: server}
+	go func() { ended <- srv.Serve(callers) }()
 	select {
 	case err := <-ended:
 		done <- err
@@ -129,7 +181,7 @@
 	time.Sleep(time.Until(stop.AcceptUntil()))
 	redirected := server.open()
 	server.awaitClosed(func() int { return server.countOpen(redirected) }, stop.RespondUntil())
-	_ = listener.Close()
+	callers.finish()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
 		server.log.Warn("accepting connections failed; waiting for open connections to finish", "err", err)
 	}
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -303,3 +303,57 @@
 		time.Sleep(time.Second) // packets in transit arrive
 	})
 }
+
+// slowListener takes acceptTime for each connection, like a process that is short of
+// processor time.
+type slowListener struct{ *net.TCPListener }
+
+// acceptTime is longer than the time between two connections of the test's callers.
+const acceptTime = 20 * time.Millisecond
+
+// Accept implements net.Listener.
+func (listener *slowListener) Accept() (net.Conn, error) {
+	conn, err := listener.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(acceptTime)
+	}
+	return conn, err
+}
+
+// Guards against connections that the kernel resets without an answer, since they wait to
+// be accepted as a stopping instance closes its listener. A caller may find the port closed
+// instead.
+func TestStopAnswersConnectionsNotYetAccepted(t *testing.T) {
+	tcpListener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusOK)
+	})
+	done := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	stop := shutdown.New(3500*time.Millisecond, clock.Real{})
+	go gateway.NewServer(handler, slog.New(slog.DiscardHandler)).Serve(ctx, &slowListener{tcpListener.(*net.TCPListener)}, stop, done)
+	cancel()
+	<-stop.Begun().Done()
+	time.Sleep(time.Until(stop.AcceptUntil()) - 2*acceptTime)
+	results := make(chan error, 1)
+	callers := 0
+	for range 6 {
+		conn, err := net.Dial("tcp", tcpListener.Addr().String())
+		if err != nil {
+			break
+		}
+		callers++
+		go func() {
+			_, err := roundTrip(conn)
+			_ = conn.Close()
+			results <- err
+		}()
+	}
+	for range callers {
+		assert.NoError(t, <-results)
+	}
+	assert.Equal(t, 6, callers)
+	require.NoError(t, <-done)
+}
