gateway: a stopping instance closes its listener 0.1 s after the last response it waits for

Cause: a response in a stop closes its connection, so its caller opens another one a round trip later. The listener closed within 50 ms of the last response, just as it came.

The listener now stays open for 100 ms, a round trip of distant callers, more.

TestStopAcceptsConnectionAfterLastResponse failed before. TestStopServesNewConnectionsWhileResponsesEnd counts the requests of that 0.1 s, too: 22 for 21, with the same tolerance.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -38,6 +38,10 @@
 	// stopPoll is the interval at which a stopping server checks whether all
 	// connections are closed, and the time to write notRunResponse.
 	stopPoll = 50 * time.Millisecond
+	// nextConnWait is how long a listener stays open after the last response that a
+	// stop waits for. Its caller opens a connection for the next request a round trip
+	// later, of up to 100 ms; closing then would reset the connection.
+	nextConnWait = 100 * time.Millisecond
 	// acceptTimeout bounds accepting a connection that waits, and finishTimeout
 	// accepting all of them before the listener closes.
 	acceptTimeout = 10 * time.Millisecond
@@ -181,6 +185,7 @@
 	time.Sleep(time.Until(stop.AcceptUntil()))
 	redirected := server.open()
 	server.awaitClosed(func() int { return server.countOpen(redirected) }, stop.RespondUntil())
+	time.Sleep(min(nextConnWait, time.Until(stop.RespondUntil())))
 	callers.finish()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
 		server.log.Warn("accepting connections failed; waiting for open connections to finish", "err", err)
