gateway: a stop does not wait for callers who keep a closed connection before it closes its listener

A stop took up to 50 ms longer while a caller kept a connection that had been closed as idle: TestCallerKeepingClosedConnectionDoesNotDelayStop failed once (3.35 s, bound 3.3 s).

Cause: such connections, which are read for 0.2 s more, counted as those whose requests keep the listener open, since it stays open while requests are in flight.

They no longer count: no request on them runs. The test passes 20 of 20 times with -race.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -243,6 +243,13 @@
 	conn.writeNotRun()
 }
 
+// isClosed reports whether closeIfIdle has closed the connection, which may still be read.
+func (conn *callerConn) isClosed() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.closed
+}
+
 // writeNotRun sends notRunResponse and shuts down the write side. The response
 // guarantees that no request in transit will run; without it, a caller whose
 // request crosses the close could not tell, and must not retry a request that
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -184,7 +184,7 @@
 	server.mu.Unlock()
 	time.Sleep(time.Until(stop.AcceptUntil()))
 	redirected := server.open()
-	server.awaitClosed(func() int { return server.countOpen(redirected) }, stop.RespondUntil())
+	server.awaitClosed(func() int { return server.countServed(redirected) }, stop.RespondUntil())
 	time.Sleep(min(nextConnWait, time.Until(stop.RespondUntil())))
 	callers.finish()
 	if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
@@ -281,17 +281,22 @@
 	return slices.Collect(maps.Keys(server.conns))
 }
 
-// countOpen returns how many of the connections are open.
-func (server *Server) countOpen(conns []*callerConn) int {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	open := 0
+// countServed returns how many of the connections are open and not closed by closeIfIdle.
+func (server *Server) countServed(conns []*callerConn) int {
+	served := 0
 	for _, conn := range conns {
-		if server.conns[conn] {
-			open++
+		if server.isOpen(conn) && !conn.isClosed() {
+			served++
 		}
 	}
-	return open
+	return served
+}
+
+// isOpen reports whether the connection is open.
+func (server *Server) isOpen(conn *callerConn) bool {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.conns[conn]
 }
 
 // openConns returns the number of open connections.
