gateway: tests of two limits of a stop and its lines that no test guarded

With the bound on accepting waiting connections, or the ID of the request in the line about a connection without an answer, taken out, no test failed. Now one does for each.

--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -384,3 +385,42 @@
 	assert.Equal(t, 6, callers)
 	require.NoError(t, <-done)
 }
+
+// stuckListener has a connection waiting that Accept never returns.
+type stuckListener struct {
+	*net.TCPListener
+	limited chan struct{}
+	limit   func()
+}
+
+// SetDeadline makes Accept return.
+func (listener *stuckListener) SetDeadline(time.Time) error {
+	listener.limit()
+	return nil
+}
+
+// Accept implements net.Listener.
+func (listener *stuckListener) Accept() (net.Conn, error) {
+	<-listener.limited
+	return nil, os.ErrDeadlineExceeded
+}
+
+// Guards against a stop that lasts as long as connections wait to be accepted.
+func TestStopDoesNotWaitForConnectionsThatCannotBeAccepted(t *testing.T) {
+	tcpListener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", tcpListener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	limited, done := make(chan struct{}), make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	listener := &stuckListener{TCPListener: tcpListener.(*net.TCPListener), limited: limited, limit: sync.OnceFunc(func() { close(limited) })}
+	go gateway.NewServer(http.NotFoundHandler(), slog.New(slog.DiscardHandler)).Serve(ctx, listener, shutdown.New(2*time.Second, clock.Real{}), done)
+	select {
+	case err := <-done:
+		require.NoError(t, err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the stop outlasts its grace period")
+	}
+}
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,23 @@
 	assert.GreaterOrEqual(t, retryAfter(), 0.15)
 }
 
+// Guards against a line about a connection without an answer that cannot be related to a
+// request.
+func TestLineAboutConnectionNamesRequest(t *testing.T) {
+	b := newFixture(t)
+	logs := &lockedBuffer{}
+	b.logs = logs
+	i := b.startInstance()
+	b.tool.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour { return platformtest.Behaviour{Hang: true} })
+	i.stop()
+	ctx, leave := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer leave()
+	_, _, err := i.send(callerRequest{path: "/post/x", id: "left", body: "x", ctx: ctx})
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return strings.Contains(logs.String(), "connection ended without an answer") }, 2*time.Second, 10*time.Millisecond)
+	assert.Regexp(t, `msg="connection ended without an answer" .*request=left .*reason=CallerLeft`, logs.String())
+}
+
 // Guards against a request that waits for its admission as a stop begins and is sent to
 // an endpoint although the instance exits before its deadline.
 func TestWaitingRequestIsRefusedAsStopBegins(t *testing.T) {
