--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -33,8 +33,8 @@
 	lostPatience = 4 * time.Second
 )
 
-// loss is a way in which instances are lost.
-type loss struct {
+// instanceLoss is a way in which instances are lost.
+type instanceLoss struct {
 	name string
 	// one: only one instance is killed, else all of them.
 	one bool
@@ -49,7 +49,7 @@
 }
 
 // allLosses begins with those that CI plays.
-var allLosses = []loss{
+var allLosses = []instanceLoss{
 	{name: "all at rest", times: 1, spendsAll: true},
 	{name: "one at rest", times: 1, one: true, spendsAll: true},
 	{name: "none", spendsAll: true},
@@ -72,7 +72,7 @@
 	}
 }
 
-func (loss *loss) play(t *testing.T, seed uint64) {
+func (loss *instanceLoss) play(t *testing.T, seed uint64) {
 	s, b, rng := newSite(t, seed), &book{attempts: map[string]*attempt{}}, rand.New(rand.NewPCG(seed, 7))
 	s.awaitEscrow()
 	programs := make([]*lostProgram, lostPrograms)
@@ -130,7 +130,7 @@
 }
 
 // strike kills one instance or all of them, and starts them again.
-func (loss *loss) strike(s *site, rng *rand.Rand) {
+func (loss *instanceLoss) strike(s *site, rng *rand.Rand) {
 	if loss.one {
 		s.restart(s.fronts[rng.IntN(frontCount)], syscall.SIGKILL, powerPause)
 		s.heal()
@@ -140,7 +140,7 @@
 }
 
 // strikeAmid has each program send a turn, and kills instances while these are in progress.
-func (loss *loss) strikeAmid(s *site, rng *rand.Rand, programs []*lostProgram) {
+func (loss *instanceLoss) strikeAmid(s *site, rng *rand.Rand, programs []*lostProgram) {
 	var turns sync.WaitGroup
 	turns.Go(func() { each(programs, func(p *lostProgram) { p.try() }) })
 	time.Sleep(time.Duration(rng.Int64N(int64(20 * time.Millisecond))))
