shutdown: a short grace period leaves five sixths of it to responses

Callers of an instance whose grace period is shorter than 7.2 s saw streams that they had sent before a planned stop cut although they would have ended: with 5 s a stream was cut 3.81 s after the signal (TestStreamEndsWithinShortGrace).

Cause: the time to release state, to leave and to exit is 1.2 s whatever the grace period is. The three parts share at most a sixth of it now: 4.17 s for responses of 5 s; nothing changes from 7.2 s on, as on all deployments known (8 s).

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -22,6 +22,9 @@
 	// removed, and exitTime the part in which the process exits.
 	leaveTime = 300 * time.Millisecond
 	exitTime  = 400 * time.Millisecond
+	// All three take at most one part in endDivisor of the grace period. With a shorter
+	// period each takes less, since responses may take the rest of it.
+	endDivisor = 6
 )
 
 // Shutdown is the planned end of a process. All its time limits follow from the time
@@ -78,13 +81,26 @@
 }
 
 // RespondUntil returns when incomplete responses are aborted.
-func (shutdown *Shutdown) RespondUntil() time.Time { return shutdown.ReleaseUntil().Add(-releaseTime) }
+func (shutdown *Shutdown) RespondUntil() time.Time {
+	return shutdown.ReleaseUntil().Add(-shutdown.scale(releaseTime))
+}
 
 // ReleaseUntil returns when the process gives up releasing its state.
-func (shutdown *Shutdown) ReleaseUntil() time.Time { return shutdown.LeaveUntil().Add(-leaveTime) }
+func (shutdown *Shutdown) ReleaseUntil() time.Time {
+	return shutdown.LeaveUntil().Add(-shutdown.scale(leaveTime))
+}
 
 // LeaveUntil returns when the process gives up removing its entry.
-func (shutdown *Shutdown) LeaveUntil() time.Time { return shutdown.killed.Add(-exitTime) }
+func (shutdown *Shutdown) LeaveUntil() time.Time {
+	return shutdown.killed.Add(-shutdown.scale(exitTime))
+}
+
+// scale returns the time for a part of the end of the grace period, which is shorter in a
+// short one.
+func (shutdown *Shutdown) scale(part time.Duration) time.Duration {
+	const end = releaseTime + leaveTime + exitTime
+	return min(part, part*(shutdown.grace/endDivisor)/end)
+}
 
 // Admits reports whether a request that ends by the given time ends before incomplete
 // responses are aborted. It is true until the shutdown begins.
