--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -18,6 +18,9 @@
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 )
 
+// graceFor returns the grace period of which responses may take the given time.
+func graceFor(responses time.Duration) time.Duration { return responses * 6 / 5 }
+
 // Guards against a request that the end of its instance leaves without an answer and
 // without a log line.
 func TestStopEndsRequestsThatOutlastIt(t *testing.T) {
@@ -41,7 +44,7 @@
 // request's deadline, and then cuts off.
 func TestStoppingInstanceRefusesRequestsThatOutlastIt(t *testing.T) {
 	b := newFixture(t)
-	b.grace = 2 * time.Second
+	b.grace = graceFor(800 * time.Millisecond)
 	i := b.startInstance()
 	i.Drain()
 	for _, path := range []string{"/post/x", "/look/x", "/chat/x"} {
@@ -118,7 +121,7 @@
 // cannot complete before it exits.
 func TestStoppingInstanceDoesNotRetryRequestsThatOutlastIt(t *testing.T) {
 	b := newFixture(t)
-	b.grace = 2 * time.Second
+	b.grace = graceFor(800 * time.Millisecond)
 	other := platformtest.NewEndpoint("i-other", "tool", false)
 	t.Cleanup(other.Close)
 	other.Register(b.memory, "a", "ready")
@@ -141,7 +144,7 @@
 func TestIncompleteBodyIsRefusedInTime(t *testing.T) {
 	for _, stops := range []bool{true, false} {
 		b := newFixture(t)
-		b.grace = 2 * time.Second
+		b.grace = graceFor(800 * time.Millisecond)
 		i := b.startInstance()
 		if stops {
 			time.AfterFunc(100*time.Millisecond, i.Drain)
@@ -162,7 +165,7 @@
 // and whose response comes in time, though its deadline is later.
 func TestStopLetsSentRequestEnd(t *testing.T) {
 	b := newFixture(t)
-	b.grace = 3 * time.Second
+	b.grace = graceFor(1800 * time.Millisecond)
 	i := b.startInstance()
 	b.tool.EventDelay = 600 * time.Millisecond
 	time.AfterFunc(100*time.Millisecond, i.Drain)
@@ -201,7 +204,7 @@
 // serve in time.
 func TestStoppingInstanceRefusesBeforeBody(t *testing.T) {
 	b := newFixture(t)
-	b.grace = 4 * time.Second
+	b.grace = graceFor(2800 * time.Millisecond)
 	i := b.startInstance()
 	i.Drain()
 	began := time.Now()
