gateway: a response cut in the middle by the exit of the process has its line

Found by review: a handler that does not end after the stop's limit has no request line, and the line about its connection was missing if a part of the response was written, since no received bytes were unanswered. A connection that is being served at the exit has a line with the reason Exit now. A refusal from the record of a budget found spent just before said nothing; it says that now.

TestPartlyWrittenResponseAtExitIsLogged failed before.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -243,6 +243,14 @@
 	conn.writeNotRun()
 }
 
+// isServing reports whether a handler is serving a request, whose response may have been
+// written in part.
+func (conn *callerConn) isServing() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.handling
+}
+
 // isClosed reports whether closeIfIdle has closed the connection, which may still be read.
 func (conn *callerConn) isClosed() bool {
 	conn.mu.Lock()
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -50,6 +50,21 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
+// Guards against a response that the exit of the process cuts in the middle without a line.
+func TestPartlyWrittenResponseAtExitIsLogged(t *testing.T) {
+	log := logOfConnection(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Second)
+	}, func(conn net.Conn) {
+		go func() { _, _ = io.WriteString(conn, request) }()
+		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		time.Sleep(time.Second)
+	})
+	assert.Contains(t, log, "reason=Exit")
+	assert.Contains(t, log, "unanswered=1")
+}
+
 // Guards against a connection that ends without a complete response, at any time, and
 // without a log line that tells the reason.
 func TestConnectionWithoutResponseIsLogged(t *testing.T) {
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -268,7 +268,7 @@
 // request unanswered.
 func (server *Server) recordExit() {
 	for _, conn := range server.open() {
-		if conn.end() != connEndNone {
+		if conn.isServing() || conn.end() != connEndNone {
 			server.connClosed(conn, connEndExit)
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -237,7 +237,7 @@
 // the store only after admission, so that a rejected request costs no store call.
 func (e *exchange) awaitTurn(ctx context.Context) error {
 	if e.spendsBudget() && e.Accounts.RecentlySpent(e.program, e.call.MaxTokens, e.call.Budget) {
-		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, nil)
+		return refuse(ReasonSpent, http.StatusPaymentRequired, 0, account.NewSpentError(e.program, e.call.Budget, "as found for a turn just before"))
 	}
 	if err := e.checkCrashes(ctx); err != nil {
 		return err
