account: owners that are gone for good make room for later silent ones

Found by review: owners of accounts that do not respond were recorded until they responded. Records of owners that were not asked for a minute are dropped when the table is full.

--- a/account/lost.go
+++ b/account/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,15 +18,21 @@
 	// some hundred instances that terminated lately. Of further ones it is not
 	// known how long they have not responded.
 	maxUnresponsive = 1 << 10
+	// silenceTTL is how long after the last request without a response an owner may be
+	// forgotten. A program that still needs its tokens asks again sooner.
+	silenceTTL = time.Minute
 )
 
 // unresponsiveOwners holds since when the owners of accounts have not responded to
 // requests to release tokens. Its zero value is ready for use.
 type unresponsiveOwners struct {
-	mu    sync.Mutex
-	since map[string]time.Time // by owner
+	mu     sync.Mutex
+	silent map[string]silence // by owner
 }
 
+// silence tells when an owner first and last did not respond.
+type silence struct{ since, last time.Time }
+
 // record records which of the accounts that were requested to release tokens got no
 // response.
 func (owners *unresponsiveOwners) record(requested, unanswered []string, now time.Time) {
@@ -37,16 +44,25 @@
 	}
 	for _, account := range requested {
 		owner := accountOwner(account)
-		_, known := owners.since[owner]
-		switch {
-		case !silent[owner]:
-			delete(owners.since, owner)
-		case !known && len(owners.since) < maxUnresponsive:
-			if owners.since == nil {
-				owners.since = map[string]time.Time{}
-			}
-			owners.since[owner] = now
+		if !silent[owner] {
+			delete(owners.silent, owner)
+			continue
+		}
+		known, ok := owners.silent[owner]
+		if !ok && len(owners.silent) >= maxUnresponsive {
+			maps.DeleteFunc(owners.silent, func(_ string, of silence) bool { return now.Sub(of.last) >= silenceTTL })
+		}
+		if !ok && len(owners.silent) >= maxUnresponsive {
+			continue
+		}
+		if !ok {
+			known.since = now
+		}
+		known.last = now
+		if owners.silent == nil {
+			owners.silent = map[string]silence{}
 		}
+		owners.silent[owner] = known
 	}
 }
 
@@ -54,8 +70,8 @@
 func (owners *unresponsiveOwners) isLost(account string, now time.Time) bool {
 	owners.mu.Lock()
 	defer owners.mu.Unlock()
-	since, ok := owners.since[accountOwner(account)]
-	return ok && now.Sub(since) >= lostTimeout
+	known, ok := owners.silent[accountOwner(account)]
+	return ok && now.Sub(known.since) >= lostTimeout
 }
 
 // accountName returns the name of an account of an incarnation.
