account: a loan counts as lost soon after the request of its turn has ended

Found by review: callers were answered 402 for up to 30 s if the borrower of a loan was gone and nothing showed that it had terminated, as with a machine replaced by one of another name: the home waited for the repayment that long.

A request to borrow tells how long its request lasts. A loan that was not repaid 3 s after that counts as lost, which the home looks up when its budget does not cover a turn; the 30 s remain for borrowers of older builds. Within these seconds the answer is 402 as before.

TestLoanIsLostAfterItsRequest failed before. TestUnrepaidLoanCountsAsSpent required that an expired loan is spent; it requires the bound of the budget and one turn's maximum now, to the token.

--- a/account/grant.go
+++ b/account/grant.go
@@ -42,6 +42,7 @@
 	manager.recordAtWitness(ctx, p, turn)
 	if !p.canGrant(turn, total) {
 		manager.settleTerminatedLoans(p)
+		manager.settleExpiredLoans()
 	}
 	decision, err := manager.tryGrant(ctx, p, turn, total)
 	if err != nil || decision == budget.DecisionServe {
--- a/account/loan.go
+++ b/account/loan.go
@@ -19,9 +19,13 @@
 	// while the store is slow or loses responses. After the timeout the turn
 	// is granted by a local account, at the cost of another write.
 	borrowTimeout = 400 * time.Millisecond
-	// loanLifetime is the time after which an unrepaid loan counts as spent.
-	// It exceeds the longest request plus the time for its repayment.
+	// loanLifetime is the time after which an unrepaid loan counts as lost, if the end of
+	// its request is unknown. It exceeds the longest request plus the time for its
+	// repayment.
 	loanLifetime = 30 * time.Second
+	// repayGrace is how long after the end of its request a loan may be repaid: the time
+	// to deliver the repayment if the home is reachable.
+	repayGrace = 3 * time.Second
 	// repayInterval is how long repayments are batched. The next turn of a
 	// program comes 50 ms later or more.
 	repayInterval = 25 * time.Millisecond
@@ -77,6 +81,8 @@
 	// Loan is the ID of the turn's previous loan in a request for a further
 	// part of the turn, and 0 in the first.
 	Loan uint64
+	// Within is the time until the request of the turn ends; 0 if it is unknown.
+	Within time.Duration `cbor:",omitempty"`
 	// Borrower is the incarnation that requests the loan; empty if it did not tell.
 	Borrower string `cbor:",omitempty"`
 	// Key identifies the request, so that it can be cancelled without a response; 0 for
@@ -84,6 +90,14 @@
 	Key uint64 `cbor:",omitempty"`
 }
 
+// lifetime returns how long a loan for the request may be unrepaid.
+func (borrowing *Borrowing) lifetime() time.Duration {
+	if borrowing.Within <= 0 {
+		return loanLifetime
+	}
+	return min(borrowing.Within+repayGrace, loanLifetime)
+}
+
 // ErrNotLent is matched by errors of Lenders.Borrow after which the home has granted no
 // loan and will not.
 var ErrNotLent = errors.New("no loan was granted")
@@ -107,7 +121,8 @@
 // grantedLoan is a loan that this instance granted to another.
 type grantedLoan struct {
 	reservation *Reservation
-	grantedAt   time.Time
+	// expiresAt is when it counts as lost unless it was repaid.
+	expiresAt time.Time
 	// covered is the number of tokens that the turn may still request beyond
 	// the loan and that the account has already counted.
 	covered int64
@@ -159,6 +174,9 @@
 	if home == "" {
 		return nil, nil
 	}
+	if end, ok := ctx.Deadline(); ok {
+		borrowing.Within = time.Until(end)
+	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	turn := borrowing.Turn
@@ -220,7 +238,7 @@
 		return Loan{}, &StoppedError{}
 	}
 	covered += reservation.turn.Most - reservation.turn.Part
-	loan, ok := manager.loans.add(grantedLoan{reservation: reservation, grantedAt: manager.clock.Now(), covered: covered, borrower: borrowing.Borrower, key: borrowing.Key})
+	loan, ok := manager.loans.add(grantedLoan{reservation: reservation, expiresAt: manager.clock.Now().Add(borrowing.lifetime()), covered: covered, borrower: borrowing.Borrower, key: borrowing.Key})
 	if !ok {
 		reservation.Settle(0)
 		return Loan{}, &CancelledError{}
@@ -256,8 +274,7 @@
 	}
 }
 
-// settleExpiredLoans settles the loans that were not repaid within
-// loanLifetime as fully spent.
+// settleExpiredLoans settles the loans that were not repaid in time as lost.
 func (manager *Manager) settleExpiredLoans() {
 	for _, reservation := range manager.loans.expired(manager.clock.Now()) {
 		manager.log.Info("loan expired without repayment: counted as lost", "program", reservation.program.id, "tokens", reservation.turn.Part)
@@ -281,7 +298,7 @@
 	defer loans.mu.Unlock()
 	var terminated []grantedLoan
 	for id, granted := range loans.granted {
-		if granted.reservation.program == p && granted.borrower != "" && hasTerminated(accountName(granted.borrower, 0)) {
+		if granted.reservation.program == p && hasTerminated(accountName(granted.borrower, 0)) {
 			terminated = append(terminated, granted)
 			loans.removeLocked(id)
 		}
@@ -425,14 +442,13 @@
 	return granted.reservation
 }
 
-// expired removes the loans older than loanLifetime and returns their
-// reservations.
+// expired removes the loans that have expired and returns their reservations.
 func (loans *loans) expired(now time.Time) []*Reservation {
 	loans.mu.Lock()
 	defer loans.mu.Unlock()
 	var expired []*Reservation
 	for id, granted := range loans.granted {
-		if now.Sub(granted.grantedAt) >= loanLifetime {
+		if !now.Before(granted.expiresAt) {
 			expired = append(expired, loans.removeLocked(id))
 		}
 	}
--- a/account/loan_test.go
+++ b/account/loan_test.go
@@ -187,9 +187,9 @@
 	assert.LessOrEqual(t, generated, int64(total))
 }
 
-// An unrepaid loan counts as spent: the borrowing instance may have crashed
+// An unrepaid loan counts as lost: the borrowing instance may have crashed
 // after it spent all of it.
-func TestUnrepaidLoanCountsAsSpent(t *testing.T) {
+func TestUnrepaidLoanCountsAsLost(t *testing.T) {
 	ctx := context.Background()
 	clk := clock.NewFake(time.Unix(1000, 0))
 	l := newLendingFleet(t, storetest.New(), clk, 1, neverFails)
@@ -197,6 +197,8 @@
 	require.NoError(t, err)
 	clk.Advance(time.Minute)
 	_, err = reserveInFull(ctx, l.managers[0], "p", 567, 1000)
+	require.NoError(t, err, "it may exceed the budget by one turn's maximum")
+	_, err = reserveInFull(ctx, l.managers[0], "p", 434, 1000)
 	var spent *account.SpentError
 	assert.ErrorAs(t, err, &spent)
 }
--- a/account/lost_test.go
+++ b/account/lost_test.go
@@ -100,3 +100,40 @@
 		require.NoError(t, err, "the row tells what is lost")
 	}
 }
+
+// Guards against a turn that is refused for half a minute, since its home waits for the
+// repayment of a borrower that is gone and is not known to have terminated.
+func TestLoanIsLostAfterItsRequest(t *testing.T) {
+	ctx := context.Background()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	cluster := &testCluster{store: storetest.New(), clock: clk}
+	a, b := cluster.start("a", "b"), cluster.start("b", "a")
+	program := programWithHome(0, "a", "a", "b")
+	request, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	lost, err := reserveInFull(request, b.Manager, program, 567, 1105)
+	require.NoError(t, err)
+	require.Equal(t, "a", lost.Home())
+	b.up = false
+	clk.Advance(4 * time.Second)
+	_, err = reserveInFull(ctx, a.Manager, program, 567, 1105)
+	require.Error(t, err, "the repayment may be on its way")
+	clk.Advance(3 * time.Second)
+	_, err = reserveInFull(ctx, a.Manager, program, 567, 1105)
+	require.NoError(t, err)
+}
+
+// Guards against a turn that is refused at its first try, since what is lost is found only as
+// it is refused.
+func TestLostGrantIsCoveredAtFirstTry(t *testing.T) {
+	ctx := context.Background()
+	cluster := &testCluster{store: storetest.New(), clock: clock.Real{}, detectsReplacement: true}
+	a := cluster.start("a")
+	turn, err := reserveInFull(ctx, a.Manager, "p", 567, 1105)
+	require.NoError(t, err)
+	turn.Settle(81)
+	a.up = false
+	a = cluster.start("a")
+	_, err = reserveInFull(ctx, a.Manager, "p", 567, 1105)
+	require.NoError(t, err)
+}
