account: programs keep their grants if the store rejects the settling of their rows

A row that the store has rejected was not stored and will not be, so its tokens may be used again. After a write without a response they may not, as before. A program whose row was settled before the outage has no headroom in it: that price stays.

TestRejectedSettlingKeepsGrants failed before. The comment on the interval told a rate of transactions that many programs at rest exceed.

--- a/account/program.go
+++ b/account/program.go
@@ -222,6 +222,13 @@
 	return p.usage.Release(stopping)
 }
 
+// releaseRejected records that the row of releaseUnused was not stored and will not be.
+func (p *program) releaseRejected() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usage.ReleaseRejected()
+}
+
 // recordSpent records that the budget is too small for a turn.
 func (p *program) recordSpent(now time.Time, turn int64) {
 	p.mu.Lock()
--- a/account/release.go
+++ b/account/release.go
@@ -321,6 +321,11 @@
 	version, err := manager.store.Commit(ctx, tx)
 	if store.Unserved(err) {
 		manager.log.Info("unused budgets not released: the store did not serve the transaction; kept until the next attempt", "programs", len(granted), "err", err)
+		for _, p := range granted {
+			if !store.Is(err, store.FailureUnanswered) && !manager.loans.isStopped() {
+				p.releaseRejected()
+			}
+		}
 		return done, granted
 	}
 	for i, p := range granted {
--- a/account/rest.go
+++ b/account/rest.go
@@ -13,9 +13,9 @@
 	// If this instance is lost after that, nothing of the budget is lost with it. Most
 	// programs continue sooner; one that continues later takes another write.
 	restTime = time.Second
-	// minSettleInterval and settleIntervalPerInstance give the interval between the
-	// transactions that settle rows: all instances together send at most 50 a second,
-	// however many there are.
+	// minSettleInterval and settleIntervalPerInstance give the interval at which an
+	// instance settles rows: all instances together do so at most 50 times a second,
+	// however many there are, with a transaction for up to 50 programs each time.
 	minSettleInterval         = time.Second
 	settleIntervalPerInstance = 20 * time.Millisecond
 	// settleTimeout bounds one search for programs at rest and the writes of their rows.
--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -72,3 +72,33 @@
 	assert.Len(t, ledger.Accounts, 1)
 	assert.EqualValues(t, 81, sum.Granted)
 }
+
+// Guards against programs that lose their escrow or headroom in an outage of the store since
+// their rows could not be settled.
+func TestRejectedSettlingKeepsGrants(t *testing.T) {
+	ctx := context.Background()
+	for _, first := range []int64{567, 200} { // by a row, by the escrow
+		memory := storetest.New()
+		clk := clock.NewFake(time.Unix(1000, 0))
+		cluster := &testCluster{store: memory, clock: clk}
+		a := cluster.start("a")
+		a.acquire(t)
+		turn, err := reserveInFull(ctx, a.Manager, "p", first, 4000)
+		require.NoError(t, err)
+		turn.Settle(81)
+		clk.Advance(time.Second)
+		memory.SetFault(storeRefuses)
+		require.False(t, a.SettleRowsOnce(ctx))
+		require.False(t, a.SettleRowsOnce(ctx))
+		turn, err = reserveInFull(ctx, a.Manager, "p", first, 4000)
+		require.NoError(t, err)
+		turn.Settle(81)
+		clk.Advance(time.Second)
+		memory.SetFault(func(string, string) storetest.Fault { return storetest.LoseRequest })
+		require.False(t, a.SettleRowsOnce(ctx))
+		memory.SetFault(storeRefuses)
+		require.False(t, a.SettleRowsOnce(ctx))
+		_, err = a.Reserve(ctx, "p", first, 4000)
+		require.Error(t, err, "the write without a response may be applied later")
+	}
+}
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -48,6 +48,9 @@
 	releasing  bool
 	releasedAt uint64
 	released   int64
+	// unreleased is the ledger before the row of Release, nil if that may be applied
+	// though the store reported that it was not.
+	unreleased *Ledger
 	// While the row is at version uncertainAt, the stored row may grant more
 	// than ledger: a row sent without a response may have been applied, or
 	// ledger omits the grant of an unused escrow.
@@ -265,11 +268,23 @@
 		return nil
 	}
 	ledger := usage.withAccount(settled)
+	usage.unreleased = nil
+	if !usage.releasing {
+		usage.unreleased = usage.ledger
+	}
 	usage.releasing, usage.releasedAt, usage.released = true, usage.version, settled.Granted
 	usage.ledger = ledger
 	return ledger
 }
 
+// ReleaseRejected records that the row of the last Release was not stored and will not be,
+// so that its tokens may be used again.
+func (usage *Usage) ReleaseRejected() {
+	if usage.unreleased != nil {
+		usage.ledger, usage.unreleased, usage.releasing = usage.unreleased, nil, false
+	}
+}
+
 // NeedsSettling reports whether no turn is in flight at this instance, and the row does
 // not show what ended turns have spent.
 func (usage *Usage) NeedsSettling() bool {
@@ -292,6 +307,7 @@
 // WriteUnconfirmed records that a row returned by Decide or Release was sent without
 // a response.
 func (usage *Usage) WriteUnconfirmed() {
+	usage.unreleased = nil
 	usage.uncertain, usage.uncertainAt = true, usage.version
 }
 
@@ -321,6 +337,7 @@
 
 // SetRow records that the stored row is ledger at version.
 func (usage *Usage) SetRow(ledger *Ledger, version uint64) {
+	usage.unreleased = nil
 	if version != usage.uncertainAt {
 		usage.uncertain = false
 	}
