--- a/account/rest_test.go
+++ b/account/rest_test.go
@@ -102,3 +102,23 @@
 		require.Error(t, err, "the write without a response may be applied later")
 	}
 }
+
+// Guards against a row that is never settled, and is lost with its owner, since its turns
+// spent nothing.
+func TestRowOfTurnsThatSpentNothingIsSettled(t *testing.T) {
+	ctx := context.Background()
+	memory := storetest.New()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	cluster := &testCluster{store: memory, clock: clk}
+	a := cluster.start("a")
+	turn, err := reserveInFull(ctx, a.Manager, "p", 800, 2400)
+	require.NoError(t, err)
+	turn.Settle(0)
+	clk.Advance(time.Second)
+	require.True(t, a.SettleRowsOnce(ctx))
+	_, sum := programRow(t, memory, "p")
+	assert.Zero(t, sum.Granted)
+	before := memory.Commits()
+	require.True(t, a.SettleRowsOnce(ctx))
+	assert.Equal(t, before, memory.Commits())
+}
--- a/budget/usage.go
+++ b/budget/usage.go
@@ -290,7 +290,8 @@
 func (usage *Usage) NeedsSettling() bool {
 	account := usage.ledger.Accounts[usage.owner]
 	isSettled := account.Settled && account.Granted == usage.settled && !usage.releasing && !usage.uncertain
-	return usage.Idle() && usage.settled > 0 && !isSettled
+	hasRow := usage.version > 0 && account.Granted > 0 && !account.Escrowed
+	return usage.Idle() && (usage.settled > 0 || hasRow) && !isSettled
 }
 
 // withAccount returns a copy of the ledger with the local account set.
