account: tight loans of parallel and unequal turns are repaid first, too

Found by review: a turn was answered 402 right after the turn before had ended if a turn in parallel had begun since that one's loan, or if it was larger: 500 of 1,200 with 600 free of use, and 700 of 1,105 with 1,005 left.

A loan is repaid before the response ends if the budget covers less than two further turns of its size, also for the remainder of a turn.

TestTightLoansOfUnequalTurnsAreRepaidFirst failed before.

--- a/account/loan.go
+++ b/account/loan.go
@@ -33,6 +33,9 @@
 	// repayRetryInterval is the delay before those that were not delivered are sent
 	// again.
 	repayTimeout = 300 * time.Millisecond
+	// repayFirstTurns is the number of further turns that the budget has to cover if a
+	// loan is not to be repaid before its turn's response ends.
+	repayFirstTurns = 2
 	// repayFirstTimeout bounds how long the end of a response waits for a repayment.
 	repayFirstTimeout  = 50 * time.Millisecond
 	repayRetryInterval = 250 * time.Millisecond
@@ -65,9 +68,10 @@
 	// CacheLocations are the known cache locations of the requested segments of the
 	// turn's prompt.
 	Places []Place
-	// RepayFirst is set if the budget covers no other turn of this size until the loan is
-	// repaid. It is then repaid before the turn's response ends, since the caller may
-	// send its next turn to any instance right after that.
+	// RepayFirst is set if the budget covers less than two other turns of this size until
+	// the loan is repaid. It is then repaid before the turn's response ends, since the
+	// caller may send its next turn to any instance right after that; the next turn may be
+	// larger, or one in parallel may begin meanwhile.
 	RepayFirst bool `cbor:",omitempty"`
 }
 
@@ -244,7 +248,7 @@
 		return Loan{}, &CancelledError{}
 	}
 	manager.lent.Inc(1)
-	decision, _ := p.decide(budget.FullTurn(borrowing.Turn.Most), borrowing.Total)
+	decision, _ := p.decide(budget.FullTurn(repayFirstTurns*borrowing.Turn.Part), borrowing.Total)
 	return Loan{ID: loan, Promised: reservation.turn.Part, Places: reservation.locations, RepayFirst: decision == budget.DecisionSpent}, nil
 }
 
--- a/account/repay_test.go
+++ b/account/repay_test.go
@@ -153,3 +153,25 @@
 	var spent *account.SpentError
 	require.ErrorAs(t, err, &spent)
 }
+
+// Guards against a turn that is told that the budget is spent, since a turn in parallel began
+// after the loan of the turn before, or since it is larger.
+func TestTightLoansOfUnequalTurnsAreRepaidFirst(t *testing.T) {
+	ctx := context.Background()
+	a, b, program := startRepaying(t)
+	first, err := b.Reserve(ctx, program, 500, 1200)
+	require.NoError(t, err)
+	parallel, err := b.Reserve(ctx, program, 500, 1200)
+	require.NoError(t, err)
+	first.Settle(100)
+	_, err = reserveInFull(ctx, a.Manager, program, 500, 1200)
+	require.NoError(t, err)
+	parallel.Settle(100)
+
+	program = programWithHome(1, "a", "a", "b")
+	small, err := b.Reserve(ctx, program, 500, 1105)
+	require.NoError(t, err)
+	small.Settle(100)
+	_, err = reserveInFull(ctx, a.Manager, program, 700, 1105)
+	require.NoError(t, err)
+}
