account: a budget found spent is asked about again once a turn ends

Found by review: a turn was answered 402 for up to 0.4 s after the turn had ended that had kept the budget from covering it, at the instance and at the home: both remember that the budget was found spent. The end of a turn of the program at either ends that.

TestSpentIsForgottenOnceTurnEnds failed before.

--- a/account/repay_test.go
+++ b/account/repay_test.go
@@ -175,3 +175,22 @@
 	_, err = reserveInFull(ctx, a.Manager, program, 700, 1105)
 	require.NoError(t, err)
 }
+
+// Guards against a turn that is told that the budget is spent, as was found while a turn was
+// in flight that has ended since.
+func TestSpentIsForgottenOnceTurnEnds(t *testing.T) {
+	ctx := context.Background()
+	a, b, program := startRepaying(t)
+	for _, through := range []*instance{b, a} {
+		first, err := through.Reserve(ctx, program, 500, 800)
+		require.NoError(t, err)
+		_, err = through.Reserve(ctx, program, 500, 800)
+		var spent *account.SpentError
+		require.ErrorAs(t, err, &spent)
+		assert.True(t, through.RecentlySpent(program, 500, 800))
+		first.Settle(100)
+		next, err := through.Reserve(ctx, program, 500, 800)
+		require.NoError(t, err)
+		next.Settle(0)
+	}
+}
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/budget"
 	"github.com/wagtaildrum/wagtaildrum/store"
@@ -118,12 +119,15 @@
 		spent = spentHere
 	}
 	if reservation.home != "" {
-		p.touch(manager.clock.Now())
 		reservation.repay(spent)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.lastUsed, p.spentAt = manager.clock.Now(), time.Time{}
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.spentAt = time.Time{} // found spent while this turn was in flight
 	p.usage.End(reservation.turn, spent)
 	p.locations.add(reservation.location)
 	p.lastUsed = manager.clock.Now()
