--- a/account/escrow_test.go
+++ b/account/escrow_test.go
@@ -345,10 +345,10 @@
 
 // Guards against callers that are told to wait for tokens that nobody can
 // release: the home granted them and then crashed. Once a later incarnation of
-// the home is detected, the budget is spent; before that, the home may only be
+// the home is detected, its grant is lost; before that, the home may only be
 // partitioned. After a power loss, 38 programs that loop sent 3,100 such turns
 // in 20 s, each with a read or two.
-func TestGrantOfReplacedIncarnationCountsAsSpent(t *testing.T) {
+func TestGrantOfReplacedIncarnationIsLost(t *testing.T) {
 	ctx := context.Background()
 	memory := storetest.New()
 	cluster := &testCluster{store: memory, clock: clock.Real{}, detectsReplacement: true}
@@ -389,7 +389,7 @@
 // Guards against callers that are told to wait for tokens that only a replaced
 // incarnation holds, because a running instance also holds tokens, all of them
 // in use.
-func TestReplacedIncarnationCountsAsSpentBesideRunningHolder(t *testing.T) {
+func TestReplacedIncarnationIsLostBesideRunningHolder(t *testing.T) {
 	ctx := context.Background()
 	cluster := &testCluster{store: storetest.New(), clock: clock.Real{}, detectsReplacement: true}
 	names := []string{"a", "b", "c"}
--- a/account/loan.go
+++ b/account/loan.go
@@ -32,16 +32,16 @@
 	// repayTimeout bounds one call that sends repayments to a home instance, and
 	// repayRetryInterval is the delay before those that were not delivered are sent
 	// again.
-	repayTimeout = 300 * time.Millisecond
+	repayTimeout       = 300 * time.Millisecond
+	repayRetryInterval = 250 * time.Millisecond
 	// repayFirstTurns is the number of further turns that the budget has to cover if a
 	// loan is not to be repaid before its turn's response ends.
 	repayFirstTurns = 2
 	// repayFirstTimeout bounds how long the end of a response waits for a repayment.
-	repayFirstTimeout  = 50 * time.Millisecond
-	repayRetryInterval = 250 * time.Millisecond
+	repayFirstTimeout = 50 * time.Millisecond
 	// maxPendingRepayments bounds the repayments kept in memory while homes
 	// are unreachable. It is a few seconds' worth of one instance's turns. A
-	// repayment beyond it is dropped, and its loan counts as spent.
+	// repayment beyond it is dropped, and its loan counts as lost.
 	maxPendingRepayments = 4096
 )
 
@@ -213,7 +213,7 @@
 
 // Lend reserves tokens of a program's budget for another instance, as Reserve
 // does for this one, until SettleLoans is called for the loan or loanLifetime has
-// passed, after which the tokens count as spent. It returns a *StoppedError
+// passed, after which the tokens count as lost. It returns a *StoppedError
 // while the instance stops, since tokens that it released must not be granted
 // again, and otherwise the errors of Reserve.
 func (manager *Manager) Lend(ctx context.Context, id string, borrowing Borrowing) (Loan, error) {
--- a/account/reservation.go
+++ b/account/reservation.go
@@ -150,6 +150,6 @@
 		return
 	}
 	if !manager.loans.enqueue(reservation.home, repayment, manager.clock.Now()) {
-		manager.log.Warn("too many pending repayments: repayment dropped, the loan counts as spent", "program", reservation.program.id, "home", reservation.home)
+		manager.log.Warn("too many pending repayments: repayment dropped, the loan counts as lost", "program", reservation.program.id, "home", reservation.home)
 	}
 }
--- a/account/rest.go
+++ b/account/rest.go
@@ -15,7 +15,7 @@
 	restTime = time.Second
 	// minSettleInterval and settleIntervalPerInstance give the interval at which an
 	// instance settles rows: all instances together do so at most 50 times a second,
-	// however many there are, with a transaction for up to 50 programs each time.
+	// however many there are, with transactions for up to 50 programs.
 	minSettleInterval         = time.Second
 	settleIntervalPerInstance = 20 * time.Millisecond
 	// settleTimeout bounds one search for programs at rest and the writes of their rows.
