--- a/entrypeer/limit_test.go
+++ b/entrypeer/limit_test.go
@@ -27,6 +27,10 @@
 	maxBodyTaken = 12 << 20
 )
 
+// writePause is the pause between the writes of a response without end. Without it the kernel
+// takes tens of megabytes for a reader that has to wait for a processor.
+const writePause = time.Millisecond
+
 // serveEndless responds to each request with raw and then copies of endless until the
 // connection is closed. It returns the address and the number of bytes written.
 func serveEndless(t *testing.T, raw, endless string) (address string, written *atomic.Int64) {
@@ -50,6 +54,7 @@
 					var n int
 					n, err = io.WriteString(conn, endless)
 					written.Add(int64(n))
+					time.Sleep(writePause) // so that what is not read does not fill the buffers
 				}
 			}()
 		}
