--- a/systemtest/front_test.go
+++ b/systemtest/front_test.go
@@ -47,17 +47,23 @@
 	s.model.Register(s.memory, "a", "ready")
 	s.tool.Register(s.memory, "a", "ready")
 	for n := range fronts {
-		door := platformtest.NewStoreServer(s.memory)
-		t.Cleanup(door.Close)
-		front, err := platformtest.NewFrontProcess(s.dir, fmt.Sprintf("front-%d", n+1), "a", door.Address())
-		require.NoError(t, err)
-		f := &frontProcess{FrontProcess: front, door: door}
-		s.fronts = append(s.fronts, f)
-		s.start(f)
+		s.start(s.newFront(fmt.Sprintf("front-%d", n+1)))
 	}
 	return s
 }
 
+// newFront adds an instance without starting it.
+func (s *site) newFront(name string) *frontProcess {
+	s.t.Helper()
+	door := platformtest.NewStoreServer(s.memory)
+	s.t.Cleanup(door.Close)
+	front, err := platformtest.NewFrontProcess(s.dir, name, "a", door.Address())
+	require.NoError(s.t, err)
+	f := &frontProcess{FrontProcess: front, door: door}
+	s.fronts = append(s.fronts, f)
+	return f
+}
+
 // start starts an instance and waits until it is ready.
 func (s *site) start(f *frontProcess) {
 	s.t.Helper()
--- a/systemtest/process_test.go
+++ b/systemtest/process_test.go
@@ -36,12 +36,24 @@
 	engineDbg string
 	// platform is the platform stand-in's address.
 	platform string
+	// debug holds the debug addresses of sidecars and entry instances by name, and
+	// sidecars and peers the addresses for calls of the same.
+	debug           map[string]string
+	sidecars, peers []string
+	// descriptors is the limit on open descriptors of each process, which the kernel
+	// enforces; 0 for that of the test.
+	descriptors int
 }
 
 func newFleet(t *testing.T, leaseTTL time.Duration) *fleet {
+	return newLimitedFleet(t, leaseTTL, 0)
+}
+
+// newLimitedFleet is newFleet with a limit on the open descriptors of each process.
+func newLimitedFleet(t *testing.T, leaseTTL time.Duration, descriptors int) *fleet {
 	bin, err := platformtest.BuildBinary()
 	require.NoError(t, err)
-	f := &fleet{t: t, bin: bin, dir: t.TempDir(), procs: map[string]*exec.Cmd{}}
+	f := &fleet{t: t, bin: bin, dir: t.TempDir(), procs: map[string]*exec.Cmd{}, debug: map[string]string{}, descriptors: descriptors}
 	t.Cleanup(f.stopAll)
 	plat, eng, tool := freeTCP(t), freeTCP(t), freeTCP(t)
 	f.start("platform", []string{"standin", "platform"}, plat, map[string]any{"listen": plat, "instance_lag": "1s"})
@@ -51,7 +63,8 @@
 	cfg := &config.Config{}
 	for _, s := range []struct{ name, role, endpoint string }{{"fleetdesk-1", "engine", eng}, {"tools-1", "tool", tool}} {
 		addr := freeUDP(t)
-		f.start(s.name, []string{"sidecar"}, "", map[string]any{"listen": addr, "endpoint": "http://" + s.endpoint, "role": s.role,
+		f.sidecars = append(f.sidecars, addr)
+		f.debug[s.name] = f.start(s.name, []string{"sidecar"}, "", map[string]any{"listen": addr, "endpoint": "http://" + s.endpoint, "role": s.role,
 			"platform": "http://" + plat, "drain_timeout": "10s", "max_concurrent": 16, "max_queued": 64})
 		ep := config.Endpoint{Name: s.name, Role: s.role, Sidecar: addr, DataCentre: "riga-a"}
 		if s.role == "engine" {
@@ -66,7 +79,9 @@
 	require.NoError(t, err)
 	for i := range 2 {
 		listen := freeTCP(t)
-		f.start(fmt.Sprintf("entry-%d", i+1), []string{"entry"}, listen, map[string]any{"listen": listen, "peer_listen": freeUDP(t),
+		name, peerListen := fmt.Sprintf("entry-%d", i+1), freeUDP(t)
+		f.peers = append(f.peers, peerListen)
+		f.debug[name] = f.start(name, []string{"entry"}, listen, map[string]any{"listen": listen, "peer_listen": peerListen,
 			"platform": "http://" + plat, "lease_ttl": leaseTTL.String(), "config_poll": "50ms", "call_timeout": "20s", "drain_timeout": "10s"})
 		f.entryURL = append(f.entryURL, "http://"+listen)
 	}
@@ -96,6 +111,10 @@
 	require.NoError(f.t, err)
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(f.bin, args...)
+	if f.descriptors > 0 {
+		limited := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, f.descriptors)
+		cmd = exec.Command("sh", append([]string{"-c", limited, f.bin}, args...)...)
+	}
 	cmd.Stderr = log
 	require.NoError(f.t, cmd.Start())
 	f.procs[name] = cmd
