connlimit, gateway: what callers can make an instance hold is bounded before it is spent

Callers saw an instance end with all their requests, or get no answer, while other clients sent legal requests of very many short lines, heads above the limit or without end, bodies that they announced and did not send, or only opened connections.

Cause: memory was spent on a client before anything was held against what the process has. net/http builds a map of a head before any handler runs, some fifteen times its bytes; connections, heads and requests in flight were counted nowhere, and neither max-fds nor max-header-bytes was read. Turns of callers who had left stayed, 1,388 of 1,926 goroutines waiting for a mutex (762 of them that of the service queues) while the collector worked at the memory limit: a dump of 1,500 such clients on.

Change: package connlimit. One account of memory for connections, heads, requests in flight, bodies, prompts and responses; a connection is charged for the bytes and lines that it has read before net/http sees them. When it is full, the connections that hold most without having sent a whole request are closed, the oldest first; at the limit on connections the one that has waited longest. Both are told that nothing has run. A request in flight is never ended. It works since a client that only holds yields to any that sends a whole request, whatever it sends; there is no limit on lines.

Evidence: TestCrowdOfCallers, 600 clients, 96 MB and 600 descriptors, failed before in ten of eleven cases (135 to 612 MB of short lines, up to 1,083 descriptors, nobody else answered beside silent connections, slow heads and bodies announced); passes now: 32 to 85 MB, 220 to 452 descriptors, the ordinary request answered in all. A request of 15 KB of the shortest lines is served in calm (TestRequestOfShortLinesIsServedInCalm). Ruled out: a limit on lines (refuses requests inside the limits), and a deadline for heads alone (the crowd comes back).

Price, BenchmarkRequest, six runs each on this machine: 25.7 and 27.2 us, 3,055 and 3,177 bytes, 33 and 36 allocations a request without and with limits.

--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -20,6 +20,7 @@
 	"github.com/wagtaildrum/wagtaildrum/archive"
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/discovery"
 	"github.com/wagtaildrum/wagtaildrum/entrypeer"
 	"github.com/wagtaildrum/wagtaildrum/feed"
@@ -42,9 +43,11 @@
 	// the limit of the Go runtime. The remainder is for memory that the runtime
 	// does not count, such as C stacks and socket buffers.
 	goMemoryShare = 0.75
-	// bodyMemoryShare is the share of the memory limit for the bodies of requests
-	// in flight. It is ten times the peak use of the heaviest days observed.
-	bodyMemoryShare = 0.25
+	// callerMemoryShare is the share of the memory limit that callers can make an instance
+	// hold: connections, requests in flight, and responses that are not read.
+	callerMemoryShare = 0.3
+	// callerConnShare is the share of the descriptors for the connections of callers.
+	callerConnShare = 0.5
 	// turnCacheShare is the share of the memory limit for the cache of recently
 	// used turns.
 	turnCacheShare = 0.15
@@ -165,6 +168,7 @@
 	unhedgedStore store.Store
 	directory     *entrypeer.Directory
 	peers         *entrypeer.Server
+	routes        *route.Current
 	configuration *discovery.Follower
 	endpoints     *discovery.Follower
 	instances     *discovery.Follower
@@ -202,7 +206,7 @@
 			list.StoreAvailable(clk.Now())
 		}
 	})
-	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard, unhedgedStore: connection, shutdown: shutdown.New(s.Grace, clk)}
+	f := &front{process: p, list: list, picker: balance.NewPicker(clk), client: upstream.NewClient(), owner: owner, directory: directory, directStore: directStore, store: guard, unhedgedStore: connection, routes: current, shutdown: shutdown.New(s.Grace, clk)}
 	f.picker.PreferOpenConnections(f.client.HasIdleConn)
 	f.writesCheckpoints = func() bool {
 		ranked := peers.Homes(checkpointRanking, false)
@@ -233,8 +237,8 @@
 		Quotas:      f.quotas,
 		Programs:    overload.NewAdmitter(controller, loads, peers.ProgramPeers(loads, rejected, p.log), scope),
 		Loads:       loads,
-		StoreStatus: storeStatus{store: guard, directory: directory}, MaxBodyBytes: int64(bodyMemoryShare * float64(s.Memory)),
-		Shutdown: f.shutdown, Clock: clk, Log: p.log, Metrics: scope,
+		StoreStatus: storeStatus{store: guard, directory: directory},
+		Shutdown:    f.shutdown, Clock: clk, Log: p.log, Metrics: scope,
 	})
 	f.configuration = discovery.NewFollower(tables, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, p.log), clk, p.log, scope)
 	f.instances = discovery.NewFollower(tables, directory.Source(p.log), clk, p.log, scope)
@@ -302,8 +306,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", s.Peer)
 	}
+	sockets := connlimit.Descriptors(s.Descriptors)
 	p.goroutine(workCtx, serveUntil(ready, f.gateway.ReadyHandler(), p.log))
 	p.goroutine(workCtx, serveUntil(peers, f.peers.Handler(), p.log))
+	callerLimiter := connlimit.New(connlimit.Config{Name: "callers", Memory: int64(callerMemoryShare * float64(s.Memory)), Connections: int(callerConnShare * float64(sockets)),
+		HeadBytes: f.maxHeaderBytes, Log: p.log, Metrics: p.metrics.Scope()})
 	server := gateway.NewServer(f.gateway, p.log)
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		defer context.AfterFunc(ctx, func() {
@@ -312,7 +319,7 @@
 			p.log.Info("draining", "in_flight", f.gateway.InFlight(), "accept_until", f.shutdown.AcceptUntil(), "respond_until", f.shutdown.RespondUntil())
 		})()
 		served := make(chan error, 1)
-		server.Serve(ctx, callers, f.shutdown, served)
+		server.Serve(ctx, connlimit.NewListener(callers, callerLimiter), f.shutdown, served)
 		f.releaseState()
 		end()
 		done <- <-served
@@ -320,6 +327,14 @@
 	return nil
 }
 
+// maxHeaderBytes returns the configured limit on the header of a request, 0 if there is none.
+func (f *front) maxHeaderBytes() int64 {
+	if table := f.routes.Load(); table != nil {
+		return table.Limits().HeaderBytes
+	}
+	return 0
+}
+
 // releaseState releases the quotas and budgets that this instance holds and
 // removes its entry, so that other instances take over its programs. While the
 // store is unavailable it retries within the limits of the shutdown. Tokens that are
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -28,15 +28,29 @@
 // the limit is exceeded. A process that exceeds its memory is killed together
 // with all its requests.
 func (e *exchange) reserveMemory(size int64) error {
-	if !e.countMemory(size) {
-		return refuse(ReasonNoMemory, http.StatusServiceUnavailable, busyRetryAfter, nil)
+	if !e.countBodyMemory(size) || e.conn != nil && !e.conn.Reserve(size) {
+		return e.refuseWithoutMemory()
 	}
 	return nil
 }
 
+// refuseWithoutMemory returns the refusal of a request for which there is no memory.
+func (e *exchange) refuseWithoutMemory() *refusal {
+	return refuse(ReasonNoMemory, http.StatusServiceUnavailable, busyRetryAfter, nil)
+}
+
 // countMemory adds size to the memory of the request, which settle releases. It
 // reports whether all requests together are within the limit.
 func (e *exchange) countMemory(size int64) bool {
+	fits := e.countBodyMemory(size)
+	if e.conn != nil {
+		fits = e.conn.Charge(size) && fits
+	}
+	return fits
+}
+
+// countBodyMemory is countMemory without the memory of the connection.
+func (e *exchange) countBodyMemory(size int64) bool {
 	e.memoryUsed += size
 	return e.bodyMemory.Add(size) <= e.MaxBodyBytes || e.MaxBodyBytes <= 0
 }
@@ -64,8 +78,20 @@
 
 // readBody reads the request's body. It returns a *refusal if the body exceeds
 // the size limit, the memory for bodies is exhausted, reading fails, or the body is not
-// complete by the deadline or the end of a shutdown.
+// complete by the deadline or the end of a shutdown. The connection may be closed to make room
+// for others until the body is complete.
 func (e *exchange) readBody() error {
+	if err := e.readBodyInTime(); err != nil {
+		return err
+	}
+	if e.conn != nil && !e.conn.Proceed() {
+		return e.refuseWithoutMemory()
+	}
+	return nil
+}
+
+// readBodyInTime is readBody for a connection that stays open.
+func (e *exchange) readBodyInTime() error {
 	if e.r.ContentLength == 0 {
 		e.body = []byte{}
 		return nil
@@ -73,6 +99,10 @@
 	stop := e.limitBodyTime()
 	err := e.receiveBody()
 	stop()
+	if e.conn != nil && e.conn.IsEvicted() {
+		e.bodyTimedOut = true
+		return e.refuseWithoutMemory()
+	}
 	e.bodyTimedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case !e.bodyTimedOut:
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -11,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
 
 // notRunResponse is sent on a connection that a stopping server closes. A
@@ -83,6 +85,21 @@
 	return conn
 }
 
+// limitedConn returns the connection of a request to which memory is charged, or nil if it has no
+// limits.
+func limitedConn(r *http.Request) *connlimit.Conn {
+	if conn := callerConnOf(r); conn != nil {
+		return conn.limited()
+	}
+	return nil
+}
+
+// limited returns the connection to which memory is charged, or nil if it has no limits.
+func (conn *callerConn) limited() *connlimit.Conn {
+	limited, _ := conn.Conn.(*connlimit.Conn)
+	return limited
+}
+
 // trackRequests returns a handler that marks a request's connection as busy
 // before calling handler.
 func trackRequests(handler http.Handler) http.Handler {
@@ -161,8 +178,11 @@
 }
 
 // end returns why the connection, which is about to be closed, ends without a complete
-// response, or connEndNone.
+// response, or connEndNone. One that was closed to make room for others was answered.
 func (conn *callerConn) end() connEnd {
+	if limited := conn.limited(); limited != nil && limited.IsEvicted() {
+		return connEndNone
+	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	switch {
@@ -217,6 +237,9 @@
 	defer conn.mu.Unlock()
 	conn.busy, conn.handling = conn.readSinceWrite, false
 	conn.since = time.Now()
+	if limited := conn.limited(); limited != nil {
+		limited.Done()
+	}
 }
 
 // SetReadDeadline implements net.Conn. It does nothing once closeIfIdle has
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/wagtaildrum/wagtaildrum/archive"
 	"github.com/wagtaildrum/wagtaildrum/balance"
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/discovery"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
 	"github.com/wagtaildrum/wagtaildrum/membership"
@@ -49,6 +50,8 @@
 	store store.Store
 	model *platformtest.Endpoint
 	tool  *platformtest.Endpoint
+	// limiter, unless nil, is charged for the connections of callers.
+	limiter *connlimit.Limiter
 	// logs receives the log output of all instances.
 	logs io.Writer
 	// peers holds the origins of streams that instances record at each other.
@@ -175,6 +178,9 @@
 	i.address = listener.Addr().String()
 	go discovery.NewFollower(guard, discovery.Configuration(platform.ConfigurationKey, platform.DecodeConfiguration, current, log), clk, log, tally.NoopScope).Run(ctx, i.done)
 	go endpoints.Run(ctx, i.done)
+	if b.limiter != nil {
+		listener = connlimit.NewListener(listener, b.limiter)
+	}
 	go gateway.NewServer(i.Gateway, log).Serve(ctx, listener, i.shutdown, i.done)
 	b.t.Cleanup(cancel)
 	require.Eventually(b.t, i.Ready, 2*time.Second, 5*time.Millisecond)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/overload"
 	"github.com/wagtaildrum/wagtaildrum/quarantine"
@@ -81,6 +82,8 @@
 	// bodyTimedOut is set if the body was not complete in time.
 	bodyTimedOut bool
 
+	// conn is the connection to which memory is charged; nil if it has no limits.
+	conn *connlimit.Conn
 	// memoryUsed is the number of bytes reserved for the body, the prompt and
 	// what is kept of the response, and responseMemory the last of these.
 	memoryUsed, responseMemory int64
@@ -168,7 +171,7 @@
 	gateway.inFlight.Add(1)
 	defer gateway.inFlight.Add(-1)
 	gateway.metrics.requests.Inc(1)
-	e := &exchange{Gateway: gateway, w: w, r: r, arrived: gateway.Clock.Now()}
+	e := &exchange{Gateway: gateway, w: w, r: r, conn: limitedConn(r), arrived: gateway.Clock.Now()}
 	e.finish(e.serve())
 }
 
@@ -274,6 +277,9 @@
 	if conn := callerConnOf(e.r); conn != nil {
 		conn.setRequest(call.ID)
 	}
+	if e.conn != nil && !e.conn.Begin(connlimit.RequestCost) {
+		return e.refuseWithoutMemory()
+	}
 	e.awaitStartup()
 	e.table = e.Routes.Load()
 	if e.table == nil {
--- a/route/route.go
+++ b/route/route.go
@@ -109,5 +109,7 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
-	BodyBytes int64
+	// HeaderBytes and BodyBytes bound the header and the body of a request, in bytes; 0
+	// if not configured.
+	HeaderBytes, BodyBytes int64
 }
