gateway: identifiers that outlast their requests have a bounded length

Callers saw an instance exceed its memory while others sent requests inside the limits, each of a program with a name of 14 KB, or with 14 KB of parts of a prompt.

Cause: what finds state later is kept as the caller sent it. Tables are bounded by entries, not by bytes: 16,384 programs here and at their homes, 4,096 parts for each endpoint, whose IDs shared the memory of the whole header. The choice of an endpoint compared all parts with each endpoint's.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,7 +53,7 @@
 
 // Error returns the header's name and its value.
 func (e *HeaderError) Error() string {
-	return fmt.Sprintf("header %s: bad value %q", e.header, e.value)
+	return fmt.Sprintf("header %s: bad value %q", e.header, abbreviate(e.value))
 }
 
 // ForwardInfo holds the metadata that the gateway adds to a request for an endpoint.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -273,6 +273,7 @@
 	if err != nil {
 		return refuse(ReasonBadRequest, http.StatusBadRequest, 0, err)
 	}
+	call.bound()
 	e.call = call
 	if conn := callerConnOf(e.r); conn != nil {
 		conn.setRequest(call.ID)
--- a/systemtest/crowd_test.go
+++ b/systemtest/crowd_test.go
@@ -71,6 +71,7 @@
 // callerCrowds returns the crowds at the callers' address.
 func callerCrowds() []crowd {
 	lines, long := shortLines(15<<10), shortLines(60<<10)
+	name, parts := strings.Repeat("x", 14<<10), strings.Repeat(",b:1", 14<<8)
 	return []crowd{
 		{name: "whole requests of short lines", head: func(n, round int) string {
 			return requestHead("GET", "/look/x", n, round) + lines + "\r\n"
@@ -83,6 +84,12 @@
 		{name: "turns of callers who leave", stay: 300 * time.Millisecond, head: func(n, round int) string {
 			return requestHead("POST", "/keep/x", n, round) + fmt.Sprintf("X-Program: p%d-%d\r\nX-Session: s\r\nX-Token-Budget: 9000\r\nX-Token-Count: 100,567\r\nContent-Length: 2\r\n\r\nhi", n, round)
 		}},
+		{name: "long names of programs", head: func(n, round int) string {
+			return requestHead("POST", "/keep/x", n, round) + fmt.Sprintf("X-Program: p%d-%d-%s\r\nX-Session: s\r\nX-Token-Budget: 9000\r\nX-Token-Count: 100,567\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", n, round, name)
+		}},
+		{name: "many parts of prompts", head: func(n, round int) string {
+			return requestHead("POST", "/chat/x", n, round) + fmt.Sprintf("X-Prompt-Prefix: a%d-%d:100%s\r\nX-Token-Count: 100,567\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", n, round, parts)
+		}},
 		{name: "bodies announced and not sent", isBeside: true, head: func(n, round int) string {
 			return requestHead("POST", "/look/x", n, round) + "Content-Length: 65536\r\n\r\nx"
 		}},
