logging: long lines count for their length

Callers that send long values could make an instance write as many bytes as they like: 500 lines a second of any length, and 500 lines waiting for a slow reader of the log, so that its memory grew with what they sent.

A state dump still fits the burst.

Evidence: TestLongLinesCountForTheirLength, 100 lines of 64 KB, wrote 6.5 MB before; less than 2 MB now, and the dropped ones are counted.

--- a/logging/writer.go
+++ b/logging/writer.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -22,6 +23,9 @@
 	// are accepted.
 	maxLinesPerSecond = 500
 	maxBurstLines     = 1000
+	// lineBytes is the length up to which a line counts once; a longer one counts for
+	// each further lineBytes.
+	lineBytes = 1 << 10
 )
 
 // Writer is an io.Writer for a log handler that makes one Write call a line.
@@ -41,7 +45,7 @@
 // Write queues one line, or drops and counts it if the queue is full or the
 // rate is exceeded. It never blocks and never fails.
 func (writer *Writer) Write(line []byte) (int, error) {
-	if !writer.limit.Allow() {
+	if !writer.limit.AllowN(time.Now(), min(1+len(line)/lineBytes, maxBurstLines)) {
 		writer.dropped.Add(1)
 		return len(line), nil
 	}
--- a/logging/writer_test.go
+++ b/logging/writer_test.go
@@ -92,6 +92,24 @@
 	assert.Contains(t, out.String(), "lines=4500")
 }
 
+// Guards against a log that grows with the length of what callers send.
+func TestLongLinesCountForTheirLength(t *testing.T) {
+	var out bytes.Buffer
+	writer := logging.NewWriter(&out)
+	line := append(bytes.Repeat([]byte{'x'}, 64<<10), '\n')
+	for range 100 {
+		_, err := writer.Write(line)
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan error, 1)
+	writer.Run(ctx, done)
+	require.NoError(t, <-done)
+	assert.Less(t, out.Len(), 2<<20)
+	assert.Contains(t, out.String(), "log lines dropped")
+}
+
 func BenchmarkLine(b *testing.B) {
 	log := slog.New(slog.NewTextHandler(logging.NewWriter(&bytes.Buffer{}), nil))
 	b.ReportAllocs()
