front: readiness checks, other instances and readers of metrics are bounded, too

Callers would lose an instance to whoever reaches its other addresses: heads of up to 1 MB were parsed there, bodies of 4 MB from any number of connections were read and decoded, and no idle connection was ever closed.

Cause: as for callers; net/http's defaults at each of these listeners.

Change: each serves a connlimit.Listener with its own memory and connections, so that a crowd at one address takes nothing from the others. A call for which there is no room is answered 503, which other instances take as not done.

--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -31,7 +31,7 @@
 	defer stop()
 	e := entry.New(s, clock.Real{}, p.log, p.metrics.Scope())
 	defer e.Close()
-	if err := p.serveDebug(ctx, s.Debug, e.State); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, e.State, 0); err != nil {
 		return err
 	}
 	// The peer server keeps running after the signal, so that calls forwarded by
@@ -56,7 +56,7 @@
 		stopPeer()
 		done <- nil
 	})
-	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), s.DrainTimeout); err != nil {
+	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), p.limiter("callers", 0, 0, 0), s.DrainTimeout); err != nil {
 		stop()
 		_ = p.wait(stop)
 		return err
--- a/cmd/wagtaildrum/front.go
+++ b/cmd/wagtaildrum/front.go
@@ -46,8 +46,12 @@
 	// callerMemoryShare is the share of the memory limit that callers can make an instance
 	// hold: connections, requests in flight, and responses that are not read.
 	callerMemoryShare = 0.3
-	// callerConnShare is the share of the descriptors for the connections of callers.
+	// peerMemoryShare is that of other instances.
+	peerMemoryShare = 0.1
+	// callerConnShare and peerConnShare are the shares of the descriptors for the connections
+	// of callers and of other instances. The others are for outgoing connections.
 	callerConnShare = 0.5
+	peerConnShare   = 0.25
 	// turnCacheShare is the share of the memory limit for the cache of recently
 	// used turns.
 	turnCacheShare = 0.15
@@ -107,7 +111,7 @@
 	defer stop()
 	f := newFront(p, s)
 	if c.Metrics != "" {
-		if err := p.serveDebug(ctx, c.Metrics, f.gateway.State); err != nil {
+		if err := p.serveDebug(ctx, c.Metrics, f.gateway.State, s.Memory); err != nil {
 			return err
 		}
 	}
@@ -307,8 +311,8 @@
 		return eris.Wrapf(err, "listen %s", s.Peer)
 	}
 	sockets := connlimit.Descriptors(s.Descriptors)
-	p.goroutine(workCtx, serveUntil(ready, f.gateway.ReadyHandler(), p.log))
-	p.goroutine(workCtx, serveUntil(peers, f.peers.Handler(), p.log))
+	p.goroutine(workCtx, serveUntil(ready, f.gateway.ReadyHandler(), p.limiter("ready", checkMemoryShare, s.Memory, maxCheckConns), p.log))
+	p.goroutine(workCtx, serveUntil(peers, f.peers.Handler(), p.limiter("peers", peerMemoryShare, s.Memory, int(peerConnShare*float64(sockets))), p.log))
 	callerLimiter := connlimit.New(connlimit.Config{Name: "callers", Memory: int64(callerMemoryShare * float64(s.Memory)), Connections: int(callerConnShare * float64(sockets)),
 		HeadBytes: f.maxHeaderBytes, Log: p.log, Metrics: p.metrics.Scope()})
 	server := gateway.NewServer(f.gateway, p.log)
@@ -365,11 +369,11 @@
 // ends, and then closes all connections, also of requests in flight. They must
 // not complete: tokens granted to another instance after this one has released
 // its state would belong to no instance that could release them.
-func serveUntil(listener net.Listener, handler http.Handler, log *slog.Logger) func(context.Context, chan<- error) {
+func serveUntil(listener net.Listener, handler http.Handler, limiter *connlimit.Limiter, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
-		srv := &http.Server{Handler: logging.LogPanics(handler, log), ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+		srv := connlimit.NewServer(logging.LogPanics(handler, log), log)
 		ended := make(chan error, 1)
-		go func() { ended <- srv.Serve(listener) }()
+		go func() { ended <- srv.Serve(connlimit.NewListener(listener, limiter)) }()
 		<-ctx.Done()
 		_ = srv.Close()
 		done <- <-ended
--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -14,10 +14,19 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/debug"
 	"github.com/wagtaildrum/wagtaildrum/logging"
 )
 
+const (
+	// checkMemoryShare is the share of the memory limit that readiness checks, and
+	// separately readers of metrics, can make a process hold.
+	checkMemoryShare = 0.02
+	// maxCheckConns bounds the connections of each.
+	maxCheckConns = 16
+)
+
 // process holds the state that all long-running commands share: the logger, the
 // metrics and the running goroutines.
 type process struct {
@@ -46,21 +55,28 @@
 	go f(ctx, p.done)
 }
 
-// serveHTTP starts serving h on addr and returns. When ctx ends, the server shuts
-// down gracefully and waits up to grace for requests in flight, so that a planned
-// stop interrupts none of them. It returns an error if it cannot listen on addr.
-func (p *process) serveHTTP(ctx context.Context, addr string, h http.Handler, grace time.Duration) error {
+// limiter returns a limiter for the listener of the given name. Its clients can make the process
+// hold the given share of memory bytes, and so many connections.
+func (p *process) limiter(name string, share float64, memory int64, connections int) *connlimit.Limiter {
+	return connlimit.New(connlimit.Config{Name: name, Memory: int64(share * float64(memory)), Connections: connections, Log: p.log, Metrics: p.metrics.Scope()})
+}
+
+// serveHTTP starts serving h on addr within the limits of limiter and returns. When ctx
+// ends, the server shuts down gracefully and waits up to grace for requests in flight, so
+// that a planned stop interrupts none of them. It returns an error if it cannot listen on
+// addr.
+func (p *process) serveHTTP(ctx context.Context, addr string, h http.Handler, limiter *connlimit.Limiter, grace time.Duration) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen %s", addr)
 	}
-	p.serveListener(ctx, ln, h, grace)
+	p.serveListener(ctx, connlimit.NewListener(ln, limiter), h, grace)
 	return nil
 }
 
 // serveListener is like serveHTTP for an open listener.
 func (p *process) serveListener(ctx context.Context, ln net.Listener, h http.Handler, grace time.Duration) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	srv := connlimit.NewServer(h, p.log)
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) {
 		serveDone := make(chan error, 1)
 		go func() { serveDone <- srv.Serve(ln) }()
@@ -80,9 +96,9 @@
 }
 
 // serveDebug starts serving the state dump and the metrics on addr until ctx
-// ends, and logs the state on SIGUSR1.
-func (p *process) serveDebug(ctx context.Context, addr string, state debug.StateFunc) error {
-	if err := p.serveHTTP(ctx, addr, debug.Handler(state, p.metrics), time.Second); err != nil {
+// ends, and logs the state on SIGUSR1. memory is the memory limit of the process.
+func (p *process) serveDebug(ctx context.Context, addr string, state debug.StateFunc, memory int64) error {
+	if err := p.serveHTTP(ctx, addr, debug.Handler(state, p.metrics), p.limiter("debug", checkMemoryShare, memory, maxCheckConns), time.Second); err != nil {
 		return err
 	}
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) { debug.LogOnSignal(ctx, p.log, state, done) })
--- a/cmd/wagtaildrum/sidecar.go
+++ b/cmd/wagtaildrum/sidecar.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.serveDebug(ctx, s.Debug, sc.State); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, sc.State, 0); err != nil {
 		return err
 	}
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
--- a/cmd/wagtaildrum/standin.go
+++ b/cmd/wagtaildrum/standin.go
@@ -24,10 +24,10 @@
 	eng := standin.NewEngine(standin.EngineSpec{Model: s.Model, Step: s.Step, StepPerSequence: s.StepPerSequence, MaxBatch: s.MaxBatch,
 		PrefillTokens: s.PrefillTokens, CacheBlocks: s.CacheBlocks, BlockTokens: s.BlockTokens, ReportLag: s.ReportLag, EventLossPercent: s.EventLossPercent})
 	p.goroutine(ctx, eng.Run)
-	if err := p.serveDebug(ctx, s.Debug, eng.State); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, eng.State, 0); err != nil {
 		return err
 	}
-	if err := p.serveHTTP(ctx, s.Listen, eng.Handler(), time.Second); err != nil {
+	if err := p.serveHTTP(ctx, s.Listen, eng.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
 		return err
 	}
 	p.log.Info("engine stand-in started", "listen", s.Listen, "model", s.Model)
@@ -49,10 +49,10 @@
 	ctx, stop := signalContext()
 	defer stop()
 	t := standin.NewTool(s.Hang, s.Work)
-	if err := p.serveDebug(ctx, s.Debug, t.State); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, t.State, 0); err != nil {
 		return err
 	}
-	if err := p.serveHTTP(ctx, s.Listen, t.Handler(), time.Second); err != nil {
+	if err := p.serveHTTP(ctx, s.Listen, t.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
 		return err
 	}
 	p.log.Info("tool stand-in started", "listen", s.Listen)
@@ -75,10 +75,10 @@
 	defer stop()
 	pl := standin.NewPlatform(s.InstanceLag, time.Now)
 	pl.SetLimits(standin.Limits{WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, TableLatency: s.TableTime, ObjectLatency: s.ObjectTime})
-	if err := p.serveDebug(ctx, s.Debug, pl.State); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, pl.State, 0); err != nil {
 		return err
 	}
-	if err := p.serveHTTP(ctx, s.Listen, pl.Handler(), time.Second); err != nil {
+	if err := p.serveHTTP(ctx, s.Listen, pl.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
 		return err
 	}
 	p.log.Info("platform stand-in started", "listen", s.Listen)
--- a/cmd/wagtaildrum/stop_test.go
+++ b/cmd/wagtaildrum/stop_test.go
@@ -15,6 +15,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
 
 // pipeListener is a net.Listener that accepts the in-memory connections sent on
@@ -57,7 +60,7 @@
 	go serveUntil(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(started)
 		handler(w, r)
-	}), slog.New(slog.DiscardHandler))(ctx, done)
+	}), connlimit.New(connlimit.Config{Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope}), slog.New(slog.DiscardHandler))(ctx, done)
 	results := make(chan string, 1)
 	go func() {
 		response, err := client.Get("http://home.example")
--- a/entrypeer/server.go
+++ b/entrypeer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/feed"
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
@@ -140,12 +141,16 @@
 }
 
 // decode decodes the request's body into result. If that fails it responds with
-// 400 and returns false.
+// 400, or 503 if there is no room for the body, and returns false.
 func decode(w http.ResponseWriter, r *http.Request, result any) bool {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
 	if err == nil {
 		err = codec.Unmarshal(body, result)
 	}
+	if connlimit.IsRefused(err) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return false
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
