entry, sidecar: the product's own interface bounds what clients hold

Callers of the product's own interface would lose an entry or a sidecar to heads of a megabyte, and nobody else was served while others kept idle connections open, for as long as they liked.

Cause: as for the listeners on the platform; here there was no idle time-out at all, and bodies of 8 MB from any number of connections.

Change: the same limiter at the callers' and the debug address, with shares of memory_mb (256 by default), which is the limit of the Go runtime, too. A body for which there is no room is answered 503 as not run, not 400.

The first form of its ordinary call took a refused creation of the program for one that exists, and then found none; it sends the creation again now, which is as strict.

--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/entry"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/settings"
 )
 
+const (
+	// ownCallerMemoryShare is the share of the memory limit that callers can make an entry
+	// instance hold.
+	ownCallerMemoryShare = 0.4
+)
+
 // leaseReleaseTimeout is the maximum time that a stopping entry instance spends
 // on releasing its leases.
 const leaseReleaseTimeout = 5 * time.Second
@@ -26,12 +34,14 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(goMemoryShare * float64(s.Memory())))
+	sockets := connlimit.Descriptors(0)
 	p := newProcess("entry", s.InstanceID)
 	ctx, stop := signalContext()
 	defer stop()
 	e := entry.New(s, clock.Real{}, p.log, p.metrics.Scope())
 	defer e.Close()
-	if err := p.serveDebug(ctx, s.Debug, e.State, 0); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, e.State, s.Memory()); err != nil {
 		return err
 	}
 	// The peer server keeps running after the signal, so that calls forwarded by
@@ -56,7 +66,7 @@
 		stopPeer()
 		done <- nil
 	})
-	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), p.limiter("callers", 0, 0, 0), s.DrainTimeout); err != nil {
+	if err := p.serveHTTP(ctx, s.Listen, e.Handler(), p.limiter("callers", ownCallerMemoryShare, s.Memory(), sockets/2), s.DrainTimeout); err != nil {
 		stop()
 		_ = p.wait(stop)
 		return err
--- a/cmd/wagtaildrum/sidecar.go
+++ b/cmd/wagtaildrum/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
@@ -25,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(goMemoryShare * float64(s.Memory())))
 	p := newProcess("sidecar", s.InstanceID)
 	sig, stopSig := signalContext()
 	defer stopSig()
@@ -37,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.serveDebug(ctx, s.Debug, sc.State, 0); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, sc.State, s.Memory()); err != nil {
 		return err
 	}
 	p.goroutine(ctx, func(ctx context.Context, done chan<- error) { done <- srv.Serve(ctx) })
--- a/cmd/wagtaildrum/standin.go
+++ b/cmd/wagtaildrum/standin.go
@@ -24,7 +24,7 @@
 	eng := standin.NewEngine(standin.EngineSpec{Model: s.Model, Step: s.Step, StepPerSequence: s.StepPerSequence, MaxBatch: s.MaxBatch,
 		PrefillTokens: s.PrefillTokens, CacheBlocks: s.CacheBlocks, BlockTokens: s.BlockTokens, ReportLag: s.ReportLag, EventLossPercent: s.EventLossPercent})
 	p.goroutine(ctx, eng.Run)
-	if err := p.serveDebug(ctx, s.Debug, eng.State, 0); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, eng.State, settings.DefaultMemoryMB<<20); err != nil {
 		return err
 	}
 	if err := p.serveHTTP(ctx, s.Listen, eng.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
@@ -49,7 +49,7 @@
 	ctx, stop := signalContext()
 	defer stop()
 	t := standin.NewTool(s.Hang, s.Work)
-	if err := p.serveDebug(ctx, s.Debug, t.State, 0); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, t.State, settings.DefaultMemoryMB<<20); err != nil {
 		return err
 	}
 	if err := p.serveHTTP(ctx, s.Listen, t.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
@@ -75,7 +75,7 @@
 	defer stop()
 	pl := standin.NewPlatform(s.InstanceLag, time.Now)
 	pl.SetLimits(standin.Limits{WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, TableLatency: s.TableTime, ObjectLatency: s.ObjectTime})
-	if err := p.serveDebug(ctx, s.Debug, pl.State, 0); err != nil {
+	if err := p.serveDebug(ctx, s.Debug, pl.State, settings.DefaultMemoryMB<<20); err != nil {
 		return err
 	}
 	if err := p.serveHTTP(ctx, s.Listen, pl.Handler(), p.limiter("callers", 0, 0, 0), time.Second); err != nil {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -97,8 +97,8 @@
 // decodeChat decodes the body of r into req. It fails if the body is not a
 // chat request or lacks the model or the messages.
 func decodeChat(r *http.Request, req *engine.ChatRequest) *caller.Error {
-	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody)).Decode(req); err != nil {
-		return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "the body is not a valid chat request: %v", err)
+	if err := bodyError(json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody)).Decode(req)); err != nil {
+		return err
 	}
 	if req.Model == "" || len(req.Messages) == 0 {
 		return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "a chat request requires model and messages")
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -44,8 +44,8 @@
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "body: %v", err).Write(w)
+	if failure := bodyError(err); failure != nil {
+		failure.Write(w)
 		return
 	}
 	fr := peer.Forward{Method: r.Method, Path: r.URL.Path, Header: map[string]string{forwardedHeader: e.id}, Body: body}
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtaildrum/wagtaildrum/caller"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/program"
 	"github.com/wagtaildrum/wagtaildrum/retry"
 )
@@ -24,10 +25,18 @@
 func decodeBody(r *http.Request, v any) *caller.Error {
 	dec := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBody))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "invalid body: %v", err)
-	}
-	return nil
+	return bodyError(dec.Decode(v))
+}
+
+// bodyError returns the caller's error for an error of reading or decoding a request's body.
+func bodyError(err error) *caller.Error {
+	switch {
+	case err == nil:
+		return nil
+	case connlimit.IsRefused(err):
+		return caller.NewError(http.StatusServiceUnavailable, caller.TypeOverloaded, "not run: %v", err).WithRetryAfter(time.Second)
+	}
+	return caller.NewError(http.StatusBadRequest, caller.TypeInvalidRequest, "invalid body: %v", err)
 }
 
 // writeJSON writes a response with v as its JSON body.
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -27,6 +27,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "riga-a", s.DataCentre)
 	require.Equal(t, "10s", s.LeaseTTL.String())
+	require.EqualValues(t, settings.DefaultMemoryMB<<20, s.Memory())
 }
 
 // Guards against a process that starts with an invalid or partial configuration:
@@ -45,6 +46,7 @@
 		{"zero duration", replace(goodEntry, `lease_ttl = "10s"`, `lease_ttl = "0s"`), "lease_ttl", settings.ProblemBadValue},
 		{"syntax", goodEntry + "listen = ", "", settings.ProblemSyntax},
 		{"bad duration", replace(goodEntry, `lease_ttl = "10s"`, `lease_ttl = "soon"`), "lease_ttl", settings.ProblemBadValue},
+		{"too little memory", goodEntry + "memory_mb = 100", "memory_mb", settings.ProblemBadValue},
 		{"wrong type", replace(goodEntry, `listen = "127.0.0.1:8080"`, `listen = 8080`), "listen", settings.ProblemBadValue},
 	}
 	for _, c := range cases {
--- a/settings/roles.go
+++ b/settings/roles.go
@@ -13,10 +13,26 @@
 	DataCentre string `toml:"data_centre"`
 	// Debug is the HTTP address, host:port, of the metrics and the state dump.
 	Debug string `toml:"debug"`
+	// MemoryMB is the memory limit of the process, in MB; 0 means DefaultMemoryMB. What
+	// clients can make the process hold is bounded by shares of it.
+	MemoryMB int `toml:"memory_mb"`
 }
 
+// DefaultMemoryMB is the default of Common.MemoryMB.
+const DefaultMemoryMB = 256
+
+// minMemoryMB is the least memory in which a process can serve a request of maximum size.
+const minMemoryMB = 128
+
+// Memory returns the memory limit of the process, in bytes.
+func (s *Common) Memory() int64 { return int64(s.MemoryMB) << 20 }
+
 // check records the faults of the common keys.
 func (s *Common) check(c *Checker) {
+	if s.MemoryMB == 0 {
+		s.MemoryMB = DefaultMemoryMB
+	}
+	c.AtLeast("memory_mb", s.MemoryMB, minMemoryMB)
 	c.Required("instance_id", s.InstanceID)
 	c.Required("data_centre", s.DataCentre)
 	c.HostPort("debug", s.Debug)
--- a/systemtest/crowdown_test.go
+++ b/systemtest/crowdown_test.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if resp.StatusCode >= 500 {
+		if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusConflict {
 			return resp.StatusCode, nil
 		}
 		r, err := tryCall(f.entryURL[0], "ordinary", modelCall(1, "fleetdesk", "reconcile voyage 2611", 5))
