peer: connections and calls between processes are bounded

Callers would lose a sidecar or an entry to a process that begins calls by QUIC and does not end them.

Cause: each call of up to 8 MB was received and buffered from any number of streams and connections; flow control let each connection fill 15 MB.

Change: a connection is charged before its handshake, a call as its bytes arrive. When there is no room, calls that are not whole end first, and connections on which no call is served make room for new ones; a call for which there is no room is refused as not run. Lines about calls that can't be decoded are bounded.

Not bounded by the account: data that is received out of order in windows that have grown.

--- a/cmd/wagtaildrum/entry.go
+++ b/cmd/wagtaildrum/entry.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// ownCallerMemoryShare is the share of the memory limit that callers can make an entry
-	// instance hold.
+	// ownCallerMemoryShare and ownPeerMemoryShare are the shares of the memory limit that
+	// callers, and other processes that call, can make an entry instance or sidecar hold.
 	ownCallerMemoryShare = 0.4
+	ownPeerMemoryShare   = 0.4
+	// maxPeerConns bounds the QUIC connections of other processes; each keeps one.
+	maxPeerConns = 4096
 )
 
 // leaseReleaseTimeout is the maximum time that a stopping entry instance spends
@@ -48,7 +51,7 @@
 	// other instances for programs owned here complete before it stops.
 	peerCtx, stopPeer := context.WithCancel(context.Background())
 	defer stopPeer()
-	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, p.log)
+	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, p.limiter("peers", ownPeerMemoryShare, s.Memory(), maxPeerConns), p.log)
 	if err != nil {
 		return err
 	}
--- a/cmd/wagtaildrum/sidecar.go
+++ b/cmd/wagtaildrum/sidecar.go
@@ -35,7 +35,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	sc := sidecar.New(s, clock.Real{}, p.log, p.metrics.Scope())
-	srv, err := peer.Listen(s.Listen, sc.Handle, p.log)
+	srv, err := peer.Listen(s.Listen, sc.Handle, p.limiter("peers", ownPeerMemoryShare, s.Memory(), maxPeerConns), p.log)
 	if err != nil {
 		return err
 	}
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/clock"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 )
 
@@ -22,7 +24,7 @@
 
 // listen starts an echo server and returns its address.
 func listen(t *testing.T) string {
-	srv, err := peer.Listen("127.0.0.1:0", echo, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	srv, err := peer.Listen("127.0.0.1:0", echo, unlimited(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -62,7 +64,7 @@
 }
 
 func ExampleClient() {
-	srv, err := peer.Listen("127.0.0.1:0", echo, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	srv, err := peer.Listen("127.0.0.1:0", echo, unlimited(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -83,3 +85,8 @@
 	// ahoy
 	// <nil>
 }
+
+// unlimited returns a limiter without limits.
+func unlimited() *connlimit.Limiter {
+	return connlimit.New(connlimit.Config{Name: "peers", Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -4,13 +4,16 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/wagtaildrum/wagtaildrum/codec"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
 
 // Handler serves one call. It sends the frames of its reply with send, the last
@@ -20,9 +23,14 @@
 
 // Server accepts peer connections and runs its Handler for each call.
 type Server struct {
-	listener *quic.Listener
-	handler  Handler
-	log      *slog.Logger
+	socket    *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   Handler
+	limiter   *connlimit.Limiter
+	log       *slog.Logger
+	// invalidCalls limits the log lines about calls that can't be decoded.
+	invalidCalls *rate.Limiter
 	// unconfirmed is the number of calls whose caller has not yet confirmed
 	// the end of the reply.
 	unconfirmed atomic.Int64
@@ -36,18 +44,28 @@
 	confirmPollInterval = 5 * time.Millisecond
 )
 
-// Listen returns a server that listens for QUIC connections on addr (host:port).
-// Connections are accepted once Serve is called.
-func Listen(addr string, handler Handler, log *slog.Logger) (*Server, error) {
+// Listen returns a server that listens for QUIC connections on addr (host:port) within the
+// limits of limiter. Connections are accepted once Serve is called.
+func Listen(addr string, handler Handler, limiter *connlimit.Limiter, log *slog.Logger) (*Server, error) {
 	tlsConf, err := serverTLS()
 	if err != nil {
 		return nil, err
 	}
-	ln, err := quic.ListenAddr(addr, tlsConf, quicConfig())
+	local, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen quic %s", addr)
 	}
-	return &Server{listener: ln, handler: handler, log: log}, nil
+	socket, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen quic %s", addr)
+	}
+	s := &Server{socket: socket, handler: handler, limiter: limiter, log: log, invalidCalls: rate.NewLimiter(rate.Every(logInterval), logBurst)}
+	s.transport = &quic.Transport{Conn: socket, ConnContext: s.admitConn}
+	if s.listener, err = s.transport.Listen(tlsConf, serverConfig()); err != nil {
+		_ = socket.Close()
+		return nil, eris.Wrapf(err, "listen quic %s", addr)
+	}
+	return s, nil
 }
 
 // Addr returns the address the server listens on.
@@ -57,6 +75,10 @@
 // waits until the replies in progress are confirmed, closes the connections and
 // returns nil. It returns an error if accepting a connection fails.
 func (s *Server) Serve(ctx context.Context) error {
+	defer func() {
+		_ = s.transport.Close()
+		_ = s.socket.Close()
+	}()
 	go func() {
 		<-ctx.Done()
 		_ = s.listener.Close()
@@ -92,6 +114,8 @@
 // deadlines.
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
 	defer func() { _ = conn.CloseWithError(0, "server stopped") }()
+	limited := limitOf(conn)
+	limited.opened(conn)
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -100,28 +124,45 @@
 		s.unconfirmed.Add(1)
 		go func() {
 			defer s.unconfirmed.Add(-1)
-			s.serveStream(stream)
+			s.serveStream(stream, limited)
 		}()
 	}
 }
 
 // serveStream runs the handler for the call on stream and waits until the caller
-// has confirmed the end of the reply. If the call can't be decoded, it logs a
-// warning and ends the reply without a frame.
-func (s *Server) serveStream(stream *quic.Stream) {
+// has confirmed the end of the reply. If there is no room for the call, it refuses it. If
+// the call can't be decoded, it logs a warning and ends the reply without a frame.
+func (s *Server) serveStream(stream *quic.Stream, limited *limitedConn) {
 	defer awaitConfirmation(stream)
+	enc := codec.NewEncoder(stream)
+	send := func(f Frame) error { return enc.Encode(&f) }
+	holder := s.limiter.NewHolder(callCost, func() { stream.CancelRead(1) })
+	if holder == nil {
+		refuseCall(send)
+		return
+	}
+	defer holder.End()
+	holder.Wait()
 	var call Call
-	if err := codec.NewDecoder(stream).Decode(&call); err != nil {
-		s.log.Warn("peer call not decoded; closing its stream without a reply", "err", err)
+	err := codec.NewDecoder(&callReader{reader: stream, holder: holder}).Decode(&call)
+	if !holder.Proceed() || connlimit.IsRefused(err) {
+		refuseCall(send)
+		stream.CancelRead(1)
+		return
+	}
+	if err != nil {
+		if s.invalidCalls.Allow() {
+			s.log.Warn("peer call not decoded; closing its stream without a reply", "err", err)
+		}
 		stream.CancelRead(1)
 		return
 	}
+	limited.callBegan()
+	defer limited.callEnded()
 	// The stream's context is cancelled when the caller cancels the call or
 	// disconnects. The handler then cancels the endpoint's work, which releases
 	// its resources.
 	ctx := stream.Context()
-	enc := codec.NewEncoder(stream)
-	send := func(f Frame) error { return enc.Encode(&f) }
 	s.handler(ctx, &call, send)
 }
 
--- a/systemtest/bed_test.go
+++ b/systemtest/bed_test.go
@@ -16,6 +16,7 @@
 	"github.com/wagtaildrum/wagtaildrum/admission"
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/config"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/entry"
 	"github.com/wagtaildrum/wagtaildrum/operator"
 	"github.com/wagtaildrum/wagtaildrum/peer"
@@ -102,7 +103,7 @@
 		Platform: b.platURL, MaxConcurrent: 16, MaxQueued: 256, DrainTimeout: time.Second, Order: admission.NameOldestProgram}
 	sc := sidecar.New(s, clock.Real{}, quietLog(), tally.NoopScope)
 	go sc.Run(b.ctx, make(chan error, 1))
-	srv, err := peer.Listen("127.0.0.1:0", sc.Handle, quietLog())
+	srv, err := peer.Listen("127.0.0.1:0", sc.Handle, unlimited(), quietLog())
 	require.NoError(b.t, err)
 	go func() { _ = srv.Serve(b.ctx) }()
 	b.sidecars[name] = sc
@@ -134,7 +135,7 @@
 	go e.RunMaintenance(ctx, make(chan error, 1))
 	go e.RunEndedLeases(ctx, make(chan error, 1))
 	go e.WriteJournal(ctx, make(chan error, 1))
-	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, quietLog())
+	srv, err := peer.Listen(s.PeerListen, e.HandlePeer, unlimited(), quietLog())
 	require.NoError(b.t, err)
 	go func() { _ = srv.Serve(ctx) }()
 	b.t.Cleanup(e.Close)
@@ -173,3 +174,8 @@
 	st := b.sidecars[name].State().(sidecar.State)
 	return st.Running, st.Waiting
 }
+
+// unlimited returns a limiter without limits.
+func unlimited() *connlimit.Limiter {
+	return connlimit.New(connlimit.Config{Name: "peers", Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
+}
