account: the programs that had state here are kept in bounded memory

An instance would exceed its memory in the long run, sooner under callers that begin many programs: the hash of each program that was evicted is kept until the process ends, since its escrow must not grant its budget again.

--- a/account/shards.go
+++ b/account/shards.go
@@ -39,7 +39,7 @@
 	// this incarnation acquired the shard and lacks its escrow account, or it
 	// belongs to a program that was evicted since. A program whose hash
 	// collides with one of them takes a write as well.
-	rows map[uint64]struct{}
+	rows rowSet
 	// lastSeen is when each instance, including this one, was last a member.
 	// members are the instances that count as members, sorted, and homeShards
 	// are the shards whose home among them is this instance, in ascending
@@ -105,7 +105,7 @@
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
 	shard := &escrows.shards[budget.Shard(id)]
-	if _, hasRow := escrows.rows[rowNameHash(id)]; hasRow || !shard.usable {
+	if escrows.rows.has(rowNameHash(id)) || !shard.usable {
 		return "", false, false
 	}
 	return shard.escrow.Account, shard.escrow.Witness != "", true
@@ -216,10 +216,7 @@
 func (escrows *escrows) recordRow(id string) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
-	if escrows.rows == nil {
-		escrows.rows = map[uint64]struct{}{}
-	}
-	escrows.rows[rowNameHash(id)] = struct{}{}
+	escrows.rows.add(rowNameHash(id))
 }
 
 // enable lets the escrows of shards grant tokens, unless the instance is
@@ -227,11 +224,8 @@
 func (escrows *escrows) enable(shards []int, rows map[uint64]struct{}) {
 	escrows.mu.Lock()
 	defer escrows.mu.Unlock()
-	if escrows.rows == nil {
-		escrows.rows = map[uint64]struct{}{}
-	}
 	for hash := range rows {
-		escrows.rows[hash] = struct{}{}
+		escrows.rows.add(hash)
 	}
 	for _, index := range shards {
 		shard := &escrows.shards[index]
