archive: the cache of turns counts what a turn takes besides its data

An instance would exceed its memory under many small turns: the cache took 26.9 MB where 4 MB were set aside for it (65,536 turns of 3 short events).

Cause: only the bytes of a turn's data were counted, not its structures.

Change: 384 bytes a turn, and 48 for each event and ancestor, count as well.

Evidence: TestCacheOfSmallTurnsStaysWithinItsMemory failed before with 27,587,752 bytes of 4,194,304; now 7,397 turns in 3,057 KB.

--- a/archive/cache.go
+++ b/archive/cache.go
@@ -19,11 +19,23 @@
 // maxCachedTurns bounds the number of cached turns regardless of their size.
 const maxCachedTurns = 1 << 16
 
+// turnOverhead and partOverhead are the memory of a cached turn besides its data, and of each event
+// and ancestor: structures, the headers of slices and the rounding up of allocations.
+const (
+	turnOverhead = 384
+	partOverhead = 48
+)
+
+// cachedSize returns the memory that a turn takes in the cache, in bytes.
+func cachedSize(turn *history.Turn) int {
+	return turn.Size() + turnOverhead + partOverhead*(len(turn.Events)+len(turn.Ancestors))
+}
+
 // newCache returns an empty cache for turns of up to maxBytes in total.
 func newCache(maxBytes int) *cache {
 	c := &cache{maxBytes: maxBytes}
 	// NewLRU fails only for a size that isn't positive.
-	c.turns, _ = simplelru.NewLRU(maxCachedTurns, func(_ string, turn *history.Turn) { c.size -= turn.Size() })
+	c.turns, _ = simplelru.NewLRU(maxCachedTurns, func(_ string, turn *history.Turn) { c.size -= cachedSize(turn) })
 	return c
 }
 
@@ -43,7 +55,7 @@
 		return
 	}
 	c.turns.Add(turn.ID, turn)
-	c.size += turn.Size()
+	c.size += cachedSize(turn)
 	for c.size > c.maxBytes && c.turns.Len() > 0 {
 		c.turns.RemoveOldest()
 	}
