--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -128,23 +128,63 @@
 
 // Guards against requests in flight that are ended by other connections: a new one is refused instead.
 func TestConnectionIsRefusedWhileAllAreServed(t *testing.T) {
-	limiter, _, scope := newLimiter(16<<20, 1)
-	release := make(chan struct{})
-	started := make(chan struct{})
-	address := serve(t, limiter, func(w http.ResponseWriter, _ *http.Request) {
-		close(started)
-		<-release
-		_, _ = io.WriteString(w, "whole")
-	})
-	served := dial(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-	<-started
-	status, _ := readResponse(t, dial(t, address, ""))
-	assert.Equal(t, http.StatusServiceUnavailable, status)
-	close(release)
-	status, body := readResponse(t, served)
-	assert.Equal(t, http.StatusOK, status)
-	assert.Equal(t, "whole", body)
-	assert.EqualValues(t, 1, scope.Snapshot().Counters()["clients_refused+listener=callers"].Value())
+	for name, request := range map[string]string{
+		"without a body": "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"with a body":    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi",
+	} {
+		t.Run(name, func(t *testing.T) {
+			limiter, _, scope := newLimiter(16<<20, 1)
+			release := make(chan struct{})
+			started := make(chan struct{})
+			address := serve(t, limiter, func(w http.ResponseWriter, r *http.Request) {
+				if r.ContentLength > 0 {
+					_, _ = io.ReadAll(r.Body)
+				}
+				close(started)
+				<-release
+				_, _ = io.WriteString(w, "whole")
+			})
+			served := dial(t, address, request)
+			<-started
+			status, _ := readResponse(t, dial(t, address, ""))
+			assert.Equal(t, http.StatusServiceUnavailable, status)
+			close(release)
+			status, body := readResponse(t, served)
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, "whole", body)
+			assert.EqualValues(t, 1, scope.Snapshot().Counters()["clients_refused+listener=callers"].Value())
+		})
+	}
+}
+
+// Guards against heads that are parsed without being charged.
+func TestHeadsAreCharged(t *testing.T) {
+	limiter, _, _ := newLimiter(16<<20, 0)
+	address := serve(t, limiter, echo)
+	head := "GET / HTTP/1.1\r\n" + fourByteLines()[:8000]
+	dial(t, address, head)
+	assert.Eventually(t, func() bool { return limiter.Used() >= connlimit.HeadCost([]byte(head)) }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against a handler that goes on reading the body of an evicted request since it set a deadline of its own.
+func TestEvictedConnectionKeepsItsDeadline(t *testing.T) {
+	limiter, _, _ := newLimiter(16<<20, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	limited := connlimit.NewListener(listener, limiter)
+	dial(t, listener.Addr().String(), "")
+	conn, err := limited.Accept()
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.True(t, conn.(*connlimit.Conn).Begin(1))
+	dial(t, listener.Addr().String(), "")
+	other, err := limited.Accept()
+	require.NoError(t, err)
+	defer func() { _ = other.Close() }()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.True(t, connlimit.IsRefused(err), err)
 }
 
 // Guards against a request that runs although its caller was told that it did not: it was evicted with its head complete in a buffer.
@@ -162,17 +202,8 @@
 func TestOversizedHeadIsRefused(t *testing.T) {
 	limiter, _, scope := newLimiter(64<<20, 0)
 	address := serve(t, limiter, echo)
-	conn, err := net.Dial("tcp", address)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	go func() {
-		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n")
-		for {
-			if _, err := io.WriteString(conn, "b: "+strings.Repeat("x", 1000)+"\r\n"); err != nil {
-				return
-			}
-		}
-	}()
+	conn := dial(t, address, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("b: "+strings.Repeat("x", 1000)+"\r\n", 1000))
+	time.Sleep(50 * time.Millisecond) // a reset would arrive meanwhile
 	status, _ := readResponse(t, conn)
 	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
 	assert.EqualValues(t, 1, scope.Snapshot().Counters()["client_heads_oversized+listener=callers"].Value())
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -122,3 +122,21 @@
 	}
 	assert.LessOrEqual(t, strings.Count(log.String(), "\n"), 25)
 }
+
+// Guards against memory beyond the limit while nothing is being freed.
+func TestSlackIsKeptForEvictions(t *testing.T) {
+	limiter, _, _ := newLimiter(1<<20, 0)
+	require.NotNil(t, limiter.NewHolder(1000<<10, func() {}))
+	assert.Nil(t, limiter.NewHolder(100<<10, func() {}))
+}
+
+// Guards against connections that are counted as ended twice, for which others exceed the limit.
+func TestConnectionsEndOnce(t *testing.T) {
+	limiter, _, _ := newLimiter(0, 2)
+	ended := limiter.NewConn(1, func() {})
+	require.NotNil(t, limiter.NewConn(1, func() {}))
+	ended.End()
+	ended.End()
+	require.NotNil(t, limiter.NewConn(1, func() {}))
+	assert.Nil(t, limiter.NewConn(1, func() {}))
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -178,11 +178,8 @@
 }
 
 // end returns why the connection, which is about to be closed, ends without a complete
-// response, or connEndNone. One that was closed to make room for others was answered.
+// response, or connEndNone.
 func (conn *callerConn) end() connEnd {
-	if limited := conn.limited(); limited != nil && limited.IsEvicted() {
-		return connEndNone
-	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	switch {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/connlimit"
+	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 )
 
 // startLimitedInstance starts an instance whose callers may make it hold so many bytes.
@@ -94,3 +95,67 @@
 	defer func() { _ = response.Body.Close() }()
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+// Guards against memory of requests that stays charged to a connection that is kept.
+func TestKeptConnectionHoldsNoRequest(t *testing.T) {
+	i := startLimitedInstance(t, 4<<20)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for n := range 3 {
+		response, _ := i.mustSend(callerRequest{path: "/post/x", id: fmt.Sprint("r", n), body: strings.Repeat("x", 40000), client: client})
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	assert.Eventually(t, func() bool { used := i.fixture.limiter.Used(); return used > 0 && used < 40000 }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against responses that are held without being charged.
+func TestResponsesAreCharged(t *testing.T) {
+	i := startLimitedInstance(t, 4<<20)
+	i.fixture.tool.SetBehaviour(func(*platformtest.ReceivedRequest) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 500000\r\n\r\n" + strings.Repeat("x", 300000)}
+	})
+	go func() { _, _, _ = i.send(callerRequest{path: "/look/x", id: "r"}) }()
+	assert.Eventually(t, func() bool { return i.fixture.limiter.Used() > 300000 }, time.Second, time.Millisecond)
+}
+
+// Guards against a line about a connection without an answer for each one that was answered and closed to make room.
+func TestConnectionsThatMakeRoomHaveNoLineOfTheirOwn(t *testing.T) {
+	var out lockedBuffer
+	b := newFixture(t)
+	b.logs = &out
+	b.limiter = connlimit.New(connlimit.Config{Name: "callers", Connections: 1, Log: slog.New(slog.NewTextHandler(&out, nil)), Metrics: tally.NoopScope})
+	i := b.startInstance()
+	slow, err := net.Dial("tcp", i.address)
+	require.NoError(t, err)
+	defer func() { _ = slow.Close() }()
+	_, err = io.WriteString(slow, "GET /look/x HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.limiter.Used() > 20<<10 }, 5*time.Second, time.Millisecond)
+	response, _ := i.mustSend(callerRequest{path: "/look/x", id: strings.Repeat("r", 1000)})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Eventually(t, func() bool { return strings.Contains(out.String(), "request=sha256-") }, 5*time.Second, time.Millisecond, "long identifiers are shortened")
+	assert.Contains(t, out.String(), "no room for clients")
+	assert.NotContains(t, out.String(), "connection ended without an answer")
+}
+
+// Guards against responses and log lines as long as a value that a caller sent.
+func TestInvalidValuesAreAbbreviated(t *testing.T) {
+	i := newFixture(t).startInstance()
+	response, body := i.mustSend(callerRequest{path: "/look/x", id: "r", header: map[string]string{"X-Deadline-Ms": strings.Repeat("x", 10000)}})
+	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+	assert.Less(t, len(body), 1000)
+}
+
+// Guards against turns of new programs that fail for good while there are many: they are told to come back.
+func TestTooManyProgramsAreToldToComeBack(t *testing.T) {
+	i := newFixture(t).startInstance()
+	i.Accounts.LimitPrograms(1)
+	for n, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		response, body := i.mustSend(callerRequest{path: "/chat/x", id: fmt.Sprint("r", n), body: "x", header: turnHeaders(fmt.Sprint("p", n), nil)})
+		assert.Equal(t, status, response.StatusCode)
+		if status != http.StatusOK {
+			assert.Contains(t, body, "NoMemory")
+			assert.NotEmpty(t, response.Header.Get("Retry-After"))
+		}
+	}
+}
--- a/peer/limit_test.go
+++ b/peer/limit_test.go
@@ -144,6 +144,32 @@
 	assert.Equal(t, result{last: peer.FrameEnd}, <-long)
 }
 
+// Guards against connections without a bound while all have a call in progress, and against ones that count after they have ended.
+func TestConnectionsAreBounded(t *testing.T) {
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	address, limiter := serveLimited(t, func(ctx context.Context, call *peer.Call, send func(peer.Frame) error) {
+		started <- struct{}{}
+		<-release
+		echo(ctx, call, send)
+	}, 0, 1, slog.New(slog.DiscardHandler))
+	client := peer.NewClient(clock.Real{})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := client.Do(context.Background(), address, &peer.Call{}, func(peer.Frame) error { return nil })
+		ended <- err
+	}()
+	<-started
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := quic.DialAddr(ctx, address, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{peer.ALPN}}, nil)
+	assert.Error(t, err)
+	assert.NoError(t, ctx.Err(), "refused at once")
+	close(release)
+	assert.NoError(t, <-ended)
+	client.Close()
+	assert.Eventually(t, func() bool { return limiter.Used() == 0 }, 5*time.Second, time.Millisecond)
+}
+
 // Guards against a log line for each call that can't be decoded.
 func TestLinesAboutInvalidCallsAreBounded(t *testing.T) {
 	var mu sync.Mutex
