--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -85,7 +85,7 @@
 // refuseHead responds to a request whose head is too large. It reads on for a while, since closing
 // a connection with unread bytes resets it, and the client might not receive the response.
 func (conn *Conn) refuseHead() {
-	_ = conn.Conn.SetDeadline(time.Now().Add(lingerTimeout))
+	_ = conn.SetDeadline(time.Now().Add(lingerTimeout))
 	_, err := io.WriteString(conn.Conn, oversizeResponse)
 	if err == nil && conn.CloseWrite() == nil {
 		_, _ = io.Copy(io.Discard, conn.Conn) // ends at the deadline
@@ -168,7 +168,7 @@
 // refuse writes a response and closes the connection. net/http closes it once more when its
 // Read has returned.
 func (conn *Conn) refuse(response string) {
-	_ = conn.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_ = conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	_, _ = io.WriteString(conn.Conn, response) // the client may be gone
 	_ = conn.Conn.Close()
 }
--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -29,7 +29,7 @@
 	go func() { served <- server.Serve(connlimit.NewListener(listener, limiter)) }()
 	t.Cleanup(func() {
 		_ = server.Close()
-		<-served
+		assert.ErrorIs(t, <-served, http.ErrServerClosed)
 	})
 	return listener.Addr().String()
 }
--- a/peer/limit_test.go
+++ b/peer/limit_test.go
@@ -32,7 +32,7 @@
 	go func() { done <- server.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		assert.NoError(t, <-done)
 	})
 	return server.Addr(), limiter
 }
