connlimit, peer: clients that do not read are given up

Callers would find an address taken for good by clients that send a request and do not read the response, since a request in flight is never ended for others: 16 of them at the metrics, and at a sidecar calls that keep their slots.

Cause: writes had no time limit but at the callers' address on the platform. Found by reading, not seen.

Change: 20 s for each write, by HTTP and by QUIC.

Evidence: TestUnreadResponsesEnd and TestUnreadRepliesEnd fail without the limit.

--- a/cmd/wagtaildrum/process.go
+++ b/cmd/wagtaildrum/process.go
@@ -25,6 +25,8 @@
 	checkMemoryShare = 0.02
 	// maxCheckConns bounds the connections of each.
 	maxCheckConns = 16
+	// writeTimeout bounds each write to a client that may not read.
+	writeTimeout = 20 * time.Second
 )
 
 // process holds the state that all long-running commands share: the logger, the
@@ -58,7 +60,7 @@
 // limiter returns a limiter for the listener of the given name. Its clients can make the process
 // hold the given share of memory bytes, and so many connections.
 func (p *process) limiter(name string, share float64, memory int64, connections int) *connlimit.Limiter {
-	return connlimit.New(connlimit.Config{Name: name, Memory: int64(share * float64(memory)), Connections: connections, Log: p.log, Metrics: p.metrics.Scope()})
+	return connlimit.New(connlimit.Config{Name: name, Memory: int64(share * float64(memory)), Connections: connections, WriteTimeout: writeTimeout, Log: p.log, Metrics: p.metrics.Scope()})
 }
 
 // serveHTTP starts serving h on addr within the limits of limiter and returns. When ctx
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -82,6 +82,14 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (conn *Conn) Write(p []byte) (int, error) {
+	if timeout := conn.limiter.config.WriteTimeout; timeout > 0 {
+		_ = conn.SetWriteDeadline(time.Now().Add(timeout)) // fails if the connection is closed
+	}
+	return conn.Conn.Write(p)
+}
+
 // refuseHead responds to a request whose head is too large. It reads on for a while, since closing
 // a connection with unread bytes resets it, and the client might not receive the response.
 func (conn *Conn) refuseHead() {
--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
@@ -219,6 +220,24 @@
 	assert.Equal(t, http.StatusServiceUnavailable, status)
 }
 
+// Guards against clients that keep their connections, and keep others out, by not reading responses.
+func TestUnreadResponsesEnd(t *testing.T) {
+	limiter := connlimit.New(connlimit.Config{Connections: 1, WriteTimeout: 50 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
+	started := make(chan struct{})
+	address := serve(t, limiter, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/endless" {
+			close(started)
+			_, _ = io.Copy(w, zeros{}) // fails once the client does not read
+		}
+	})
+	dial(t, address, "GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	assert.Eventually(t, func() bool {
+		status, _ := readResponse(t, dial(t, address, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+		return status == http.StatusOK
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 // zeros is a reader without end.
 type zeros struct{}
 
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -37,8 +37,11 @@
 	// HeadBytes returns the maximum size of a request's head; nil for
 	// DefaultHeadBytes.
 	HeadBytes func() int64
-	Log       *slog.Logger
-	Metrics   tally.Scope
+	// WriteTimeout bounds each write to a connection, whose client may not read; 0 for
+	// listeners whose handlers set deadlines.
+	WriteTimeout time.Duration
+	Log          *slog.Logger
+	Metrics      tally.Scope
 }
 
 // DefaultHeadBytes is the maximum size of a request's head unless configured.
--- a/peer/limit.go
+++ b/peer/limit.go
@@ -11,6 +11,9 @@
 	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
 
+// writeTimeout bounds sending a frame to a caller that may not read.
+var writeTimeout = 20 * time.Second
+
 const (
 	// connCost is the memory of a connection: its state, and the data received out of
 	// order, up to the initial window.
--- a/peer/limit_test.go
+++ b/peer/limit_test.go
@@ -170,6 +170,27 @@
 	assert.Eventually(t, func() bool { return limiter.Used() == 0 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against callers that keep a call in progress, and its slot at an endpoint, by not reading the reply.
+func TestUnreadRepliesEnd(t *testing.T) {
+	t.Cleanup(peer.SetWriteTimeout(50 * time.Millisecond))
+	ended := make(chan error, 1)
+	address, _ := serveLimited(t, func(_ context.Context, _ *peer.Call, send func(peer.Frame) error) {
+		for {
+			if err := send(peer.Frame{Type: peer.FrameData, Data: make([]byte, 1<<20)}); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}, 0, 0, slog.New(slog.DiscardHandler))
+	open(t, address, []byte{0xa0}) // an empty call
+	select {
+	case err := <-ended:
+		assert.Error(t, err)
+	case <-time.After(10 * time.Second):
+		t.Error("the call goes on")
+	}
+}
+
 // Guards against a log line for each call that can't be decoded.
 func TestLinesAboutInvalidCallsAreBounded(t *testing.T) {
 	var mu sync.Mutex
--- a/peer/server.go
+++ b/peer/server.go
@@ -135,7 +135,10 @@
 func (s *Server) serveStream(stream *quic.Stream, limited *limitedConn) {
 	defer awaitConfirmation(stream)
 	enc := codec.NewEncoder(stream)
-	send := func(f Frame) error { return enc.Encode(&f) }
+	send := func(f Frame) error {
+		_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails if the stream is closed
+		return enc.Encode(&f)
+	}
 	holder := s.limiter.NewHolder(callCost, func() { stream.CancelRead(1) })
 	if holder == nil {
 		refuseCall(send)
