--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -106,7 +106,7 @@
 		limiter.setHeld(holder, holder.held+n)
 	}
 	limiter.mu.Unlock()
-	limiter.end(victims, !ok)
+	limiter.end(victims, !ok && n > 0)
 	return ok
 }
 
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -99,12 +99,14 @@
 
 // Guards against memory that stays charged, or is freed twice.
 func TestMemoryIsFreed(t *testing.T) {
-	limiter, _, _ := newLimiter(1<<20, 0)
+	limiter, _, scope := newLimiter(1<<20, 0)
 	holder := limiter.NewHolder(10, func() {})
 	assert.True(t, holder.Reserve(100<<10))
 	assert.False(t, holder.Charge(2<<20), "beyond the limit")
 	assert.EqualValues(t, 10+100<<10+2<<20, limiter.Used(), "charged all the same")
-	assert.True(t, holder.Charge(-(2 << 20)))
+	assert.False(t, holder.Charge(-1), "still beyond the limit")
+	assert.True(t, holder.Charge(1-2<<20))
+	assert.EqualValues(t, 1, scope.Snapshot().Counters()["clients_refused+listener=callers"].Value(), "freeing memory is not refused")
 	holder.ReleaseTo(10)
 	holder.ReleaseTo(1 << 20)
 	assert.EqualValues(t, 10, limiter.Used())
