connlimit: large holders leave room for ordinary ones and do not end them

Cause: responses are charged in any case, and each step evicted whatever waited, such as a connection that was about to send its request.

--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -15,6 +15,9 @@
 	// slackShare is the part of the limit by which memory may exceed it while evicted
 	// holders end.
 	slackShare = 1.0 / 8
+	// ordinaryShare is the part of the limit that only holders of the lowest class may use,
+	// so that large requests and responses leave room for ordinary ones.
+	ordinaryShare = 1.0 / 6
 	// classBits is the binary logarithm of the memory that a holder of the lowest class
 	// has at most: a connection with an ordinary request.
 	classBits = 17
@@ -55,9 +58,10 @@
 	logs    *rate.Limiter
 
 	mu sync.Mutex
-	// used is the memory charged, of which that of evicted holders is closing and that of
-	// other holders in evictable may be freed.
-	used, closing, evictable int64
+	// used is the memory charged, of which that of evicted holders is closing.
+	used, closing int64
+	// evictable is the memory of the holders in waiting, by class.
+	evictable [classes]int64
 	// conns is the number of open connections that were not evicted.
 	conns int
 	// waiting lists the holders that may be evicted by class, and waitingConns those of
@@ -96,7 +100,7 @@
 // them in any case.
 func (limiter *Limiter) reserve(n int64, holder *Holder, force bool) bool {
 	limiter.mu.Lock()
-	victims := limiter.makeRoom(n, holder)
+	victims := limiter.makeRoom(n, holder.held, holder)
 	ok := !holder.evicted && limiter.fits(n, holder.held)
 	if (ok || force) && !holder.ended {
 		limiter.used += n
@@ -110,31 +114,37 @@
 	return ok
 }
 
-// fits reports whether n more bytes for a holder that has held bytes are within the limit once
-// evicted holders have ended. Until then, only holders of the lowest class may use the slack, so
-// that ordinary requests do not wait for the memory of large ones.
-func (limiter *Limiter) fits(n, held int64) bool {
-	limit := limiter.config.Memory
-	if limit <= 0 {
-		return true
-	}
-	most := limit
-	if classOf(held+n) == 0 {
-		most += int64(slackShare * float64(limit))
+// limits returns the memory that may be used for a holder of a class, once evicted holders have
+// ended and until then. Only holders of the lowest class may use the slack, so that ordinary
+// requests do not wait for the memory of large ones.
+func (limiter *Limiter) limits(class int) (limit, withClosing int64) {
+	limit = limiter.config.Memory
+	if class > 0 {
+		limit -= int64(ordinaryShare * float64(limit))
+		return limit, limit
 	}
-	return limiter.used-limiter.closing+n <= limit && limiter.used+n <= most
+	return limit, limit + int64(slackShare*float64(limit))
+}
+
+// fits reports whether there is room for n more bytes for a holder that has held bytes.
+func (limiter *Limiter) fits(n, held int64) bool {
+	limit, withClosing := limiter.limits(classOf(held + n))
+	return limiter.config.Memory <= 0 || limiter.used-limiter.closing+n <= limit && limiter.used+n <= withClosing
 }
 
-// makeRoom evicts holders until n more bytes fit or holder is evicted itself, and returns them. It
-// evicts none if evicting all others would not suffice.
-func (limiter *Limiter) makeRoom(n int64, holder *Holder) []*Holder {
-	limit := limiter.config.Memory
-	if limit <= 0 || limiter.used-limiter.closing-limiter.evictable+n > limit {
+// makeRoom evicts holders until there is room for n more bytes for holder, which has held bytes
+// and may be nil, or it is evicted itself. It returns them. None is of a lower class than the holder
+// will be, and none is evicted if evicting all of them would not suffice.
+func (limiter *Limiter) makeRoom(n, held int64, holder *Holder) []*Holder {
+	lowest := classOf(held + n)
+	limit, _ := limiter.limits(lowest)
+	missing := limiter.used - limiter.closing + n - limit
+	if limiter.config.Memory <= 0 || missing <= 0 || missing > limiter.evictableFrom(lowest) {
 		return nil
 	}
 	var victims []*Holder
 	for limiter.used-limiter.closing+n > limit && (holder == nil || !holder.evicted) {
-		victim := limiter.largest()
+		victim := limiter.largest(lowest)
 		if victim == nil {
 			break
 		}
@@ -144,10 +154,20 @@
 	return victims
 }
 
+// evictableFrom returns the memory of the holders that may be evicted of the lowest class and those
+// above.
+func (limiter *Limiter) evictableFrom(lowest int) int64 {
+	sum := int64(0)
+	for _, held := range limiter.evictable[lowest:] {
+		sum += held
+	}
+	return sum
+}
+
 // largest returns the holder that has most of those that may be evicted, the oldest of its class, or
-// nil if there is none.
-func (limiter *Limiter) largest() *Holder {
-	for class := classes - 1; class >= 0; class-- {
+// nil if there is none of the lowest class or above.
+func (limiter *Limiter) largest(lowest int) *Holder {
+	for class := classes - 1; class >= lowest; class-- {
 		if oldest := limiter.waiting[class].Front(); oldest != nil {
 			return oldest.Value.(*Holder)
 		}
@@ -241,7 +261,7 @@
 			victims = append(victims, victim)
 		}
 	}
-	victims = append(victims, limiter.makeRoom(n, nil)...)
+	victims = append(victims, limiter.makeRoom(n, 0, nil)...)
 	ok := limiter.fits(n, 0) && (limiter.config.Connections <= 0 || limiter.conns < limiter.config.Connections)
 	if ok {
 		limiter.used += n
@@ -340,22 +360,20 @@
 		holder.held = held
 		return
 	}
-	if classOf(held) == holder.class {
-		limiter.evictable += held - holder.held
-		holder.held = held
-		return
+	limiter.evictable[holder.class] -= holder.held
+	holder.held = held
+	if class := classOf(held); class != holder.class {
+		limiter.waiting[holder.class].Remove(holder.element)
+		holder.class, holder.element = class, limiter.waiting[class].PushBack(holder)
 	}
-	limiter.waiting[holder.class].Remove(holder.element)
-	limiter.evictable += held - holder.held
-	holder.held, holder.class = held, classOf(held)
-	holder.element = limiter.waiting[holder.class].PushBack(holder)
+	limiter.evictable[holder.class] += held
 }
 
 // enter adds a holder to those that may be evicted.
 func (limiter *Limiter) enter(holder *Holder) {
 	holder.class = classOf(holder.held)
 	holder.element = limiter.waiting[holder.class].PushBack(holder)
-	limiter.evictable += holder.held
+	limiter.evictable[holder.class] += holder.held
 	if holder.isConn {
 		holder.connElement = limiter.waitingConns.PushBack(holder)
 	}
@@ -365,7 +383,7 @@
 func (limiter *Limiter) leave(holder *Holder) {
 	limiter.waiting[holder.class].Remove(holder.element)
 	holder.element = nil
-	limiter.evictable -= holder.held
+	limiter.evictable[holder.class] -= holder.held
 	if holder.isConn {
 		limiter.waitingConns.Remove(holder.connElement)
 	}
