connlimit: connections are kept for a round trip before they make room

Cause: at the limit on connections each new one closed the oldest, whatever its age. 600 clients that reconnect close 200 connections within milliseconds, before the request of another client has arrived.

Change: a connection waits for a request for 200 ms before it makes room. Until then new ones stay in the kernel's queue, and their requests with them: such a request is served as soon as its connection is accepted.

--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,6 +110,40 @@
 	assert.Equal(t, http.StatusServiceUnavailable, status, "a part of a request was sent")
 }
 
+// Guards against crowds that come back so fast that no other client's request arrives before its connection is closed for a newer one.
+func TestNewConnectionsAreKeptForARoundTrip(t *testing.T) {
+	limiter, _, _ := newLimiter(16<<20, 2)
+	address := serve(t, limiter, echo)
+	ended := make(chan struct{})
+	var crowd sync.WaitGroup
+	for range 10 {
+		crowd.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				conn, err := net.Dial("tcp", address)
+				if err == nil {
+					_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+					_, _ = io.Copy(io.Discard, conn) // ends with the connection
+					_ = conn.Close()
+				}
+			}
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	conn := dial(t, address, "")
+	time.Sleep(50 * time.Millisecond)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	status, _ := readResponse(t, conn)
+	assert.Equal(t, http.StatusOK, status)
+	close(ended)
+	crowd.Wait()
+}
+
 // Guards against requests of more memory that are ended, before idle connections, to make room for connections.
 func TestConnectionsMakeRoomByAge(t *testing.T) {
 	limiter, _, _ := newLimiter(16<<20, 2)
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -224,10 +224,11 @@
 	isConn  bool
 	// The following fields are guarded by the Limiter's mutex. element is the holder's
 	// element in the list of class, nil while it can't be evicted, and connElement that in
-	// the list of connections.
+	// the list of connections, in which it is since then.
 	held                 int64
 	class                int
 	element, connElement *list.Element
+	since                time.Time
 	evicted              bool
 	ended                bool
 }
@@ -281,6 +282,18 @@
 	return holder
 }
 
+// untilRoom returns the time until there is room for a connection or the oldest that waits has
+// waited for minWait, 0 if none waits.
+func (limiter *Limiter) untilRoom(now time.Time) time.Duration {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	oldest := limiter.waitingConns.Front()
+	if limit := limiter.config.Connections; limit <= 0 || limiter.conns < limit || oldest == nil {
+		return 0
+	}
+	return max(0, minWait-now.Sub(oldest.Value.(*Holder).since))
+}
+
 // Reserve charges n bytes to the holder, or returns false if there is no room or the holder was
 // evicted.
 func (holder *Holder) Reserve(n int64) bool { return holder.limiter.reserve(n, holder, false) }
@@ -375,6 +388,7 @@
 	holder.element = limiter.waiting[holder.class].PushBack(holder)
 	limiter.evictable[holder.class] += holder.held
 	if holder.isConn {
+		holder.since = time.Now()
 		holder.connElement = limiter.waitingConns.PushBack(holder)
 	}
 }
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -17,9 +17,16 @@
 	return &Listener{Listener: listener, limiter: limiter}
 }
 
-// Accept implements net.Listener. It refuses connections for which there is no room.
+// minWait is how long a connection may wait for a request before it makes room for a new one. It
+// covers a network latency of 50 ms each way and the same again for busy machines.
+const minWait = 200 * time.Millisecond
+
+// Accept implements net.Listener. While the connections that could make room are new, it waits: a
+// client's request arrives meanwhile, and is served at once. It refuses connections for which there
+// is no room.
 func (listener *Listener) Accept() (net.Conn, error) {
 	for {
+		time.Sleep(listener.limiter.untilRoom(time.Now()))
 		raw, err := listener.Listener.Accept()
 		if err != nil {
 			return nil, err
