--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,12 +22,13 @@
 )
 
 // errUsage is the error for wrong arguments.
-var errUsage = errors.New("usage: standin2 late-leave|long-turns")
+var errUsage = errors.New("usage: standin2 late-leave|long-turns|moved-store")
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *site, trouble bool) (bool, error){
-	"late-leave": playLateLeave,
-	"long-turns": playLongTurns,
+	"late-leave":  playLateLeave,
+	"long-turns":  playLongTurns,
+	"moved-store": playMovedStore,
 }
 
 func main() {
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -90,12 +90,14 @@
 
 // site is the platform with its store, endpoints and entry instances.
 type site struct {
-	record    *record
-	dir       string
-	memory    *storetest.Memory
-	store     *platformtest.StoreServer
-	endpoints []*platformtest.Endpoint
-	fronts    []*front
+	record *record
+	dir    string
+	memory *storetest.Memory
+	store  *platformtest.StoreServer
+	// movedStore serves the same store at another address; nil before that.
+	movedStore *platformtest.StoreServer
+	endpoints  []*platformtest.Endpoint
+	fronts     []*front
 }
 
 // newSite returns a site with an empty store.
@@ -117,6 +119,9 @@
 	for _, endpoint := range s.endpoints {
 		endpoint.Close()
 	}
+	if s.movedStore != nil {
+		s.movedStore.Close()
+	}
 	s.store.Close()
 	_ = os.RemoveAll(s.dir)
 }
