--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts of the second review. It runs in the repository root, after
-# the build of the deploy file.
+# Builds the stand-ins of the scripts of the second review, and those of the first that they use.
+# The deploy file's build comes first.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-standin-2 ./review/standin2
+go build -tags review -o target/review/standin ./review/standin
+go build -tags review -o target/review/standin2 ./review/standin2
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 plays the cases of the second review that are scripts: it starts entry
 // instances as processes with the command of the deploy file, and the platform, endpoints
 // and callers as stand-ins on loopback.
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
