review: programs are told that their budgets are spent after a loss of power

Cause: nobody releases the escrow of instances that died together with their witnesses, and it counts as spent for programs that begin later, too.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(s *site, trouble bool) (bool, error){
 	"late-leave":  playLateLeave,
 	"long-turns":  playLongTurns,
+	"power-loss":  playPowerLoss,
 	"moved-store": playMovedStore,
 }
 
