upstream: responses whose status is none are not passed on

Callers saw: an endpoint in trouble sent status 000, 099 or another protocol's 101, then a whole 200 on the connection: they received that 200, on every kind of route. A status of 600 or 999, or a version other than HTTP/1, reached them as it was. A health check answered by 000 and then a 200, or by 600, counted as a sign of life.

Cause: readHead took any status under 200 for an interim one and went on to the bytes behind it; http.ReadResponse takes any three characters that Atoi takes, and any version.

Change: a reader under the connection's buffer checks each head, line by line, against the status line of RFC 9112: HTTP/1, three digits, 100 to 599, and no 101, which no request asks for. What breaks a rule fails the exchange in the stage Head: it may have run (502, no promise), the connection is closed, the next request is served.

Statuses of one digit too few or too many were rejected before; their cases stay.

golang.org/x/net, so far an indirect dependency, is used for the characters.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -17,22 +17,33 @@
 	"github.com/wagtaildrum/wagtaildrum/store"
 )
 
+// rawHealth is the response of a rawEndpoint that lives to health checks.
+const rawHealth = "HTTP/1.1 200 OK\r\nX-Instance: raw\r\nContent-Length: 0\r\n\r\n"
+
 // rawEndpoint listens for an endpoint whose responses are bytes that a test chooses.
 type rawEndpoint struct {
 	listener net.Listener
+	// health is the response to health checks.
+	health string
 	// respond handles a request on a connection. It returns false to close the connection.
 	respond func(conn *net.TCPConn, r *http.Request) bool
 }
 
 // startRawEndpoint starts a tool endpoint, the only one of the fixture.
 func (b *fixture) startRawEndpoint(respond func(conn *net.TCPConn, r *http.Request) bool) {
+	b.t.Helper()
+	b.startRawEndpointOfHealth(rawHealth, respond)
+}
+
+// startRawEndpointOfHealth is startRawEndpoint with a response to health checks.
+func (b *fixture) startRawEndpointOfHealth(health string, respond func(conn *net.TCPConn, r *http.Request) bool) {
 	b.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
 	b.t.Cleanup(func() { _ = listener.Close() })
 	b.tool.Unregister(b.memory)
 	b.putEntry("raw", entryWith(listener.Addr().String(), ""))
-	endpoint := &rawEndpoint{listener: listener, respond: respond}
+	endpoint := &rawEndpoint{listener: listener, health: health, respond: respond}
 	go endpoint.serve()
 }
 
@@ -53,7 +64,7 @@
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
 				if r.URL.Path == "/health" {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Instance: raw\r\nContent-Length: 0\r\n\r\n")
+					_, _ = io.WriteString(conn, endpoint.health)
 					continue
 				}
 				if !endpoint.respond(conn.(*net.TCPConn), r) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -118,7 +118,8 @@
 	net.Conn
 	address string
 	limit   *limitReader
-	reader  *bufio.Reader // of limit
+	heads   *headReader   // of limit
+	reader  *bufio.Reader // of heads
 	expires time.Time
 	// served is set once a response was read from the connection.
 	served bool
@@ -204,18 +205,23 @@
 
 // readHead reads the head of the response to request. It skips interim (1xx)
 // responses and up to maxMismatched responses to earlier requests. It returns a
-// *ResponseMismatchError for one that it cannot skip, and a *HeadTooLongError if more than
-// maxHeadBytes or maxHeadLines come without a head.
+// *ResponseMismatchError for one that it cannot skip, an *InvalidHeadError for what is no
+// response, and a *HeadTooLongError if more than maxHeadBytes or maxHeadLines come without a
+// head.
 func (c *conn) readHead(request *Request) (*responseHead, error) {
 	mismatched := 0
 	c.limit.remaining, c.limit.lines = maxHeadBytes, maxHeadLines
 	defer func() { c.limit.remaining = unlimited }()
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
+		if err := c.heads.expect(buffered); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < 200 {
+		if isInterimStatus(response.StatusCode) {
 			continue
 		}
 		want := request.Header.Get(request.IDHeader)
@@ -282,7 +288,8 @@
 // newConn returns an open connection to the endpoint at address.
 func newConn(raw net.Conn, address string) *conn {
 	limit := &limitReader{reader: raw, remaining: unlimited}
-	return &conn{Conn: raw, address: address, limit: limit, reader: bufio.NewReader(limit)}
+	heads := &headReader{reader: limit}
+	return &conn{Conn: raw, address: address, limit: limit, heads: heads, reader: bufio.NewReader(heads)}
 }
 
 // takeIdle removes and returns the most recently used idle connection to
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// InvalidHeadError is the cause of an Error if what was received is not the head of a
+// response as RFC 9112 defines it. It does not repeat what was received, which may hold
+// secrets.
+type InvalidHeadError struct {
+	line   int
+	reason string
+}
+
+// Error returns the number of the line, counted from 1, and what is wrong with it.
+func (e *InvalidHeadError) Error() string {
+	return fmt.Sprintf("invalid response head: line %d: %s", e.line, e.reason)
+}
+
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+// IsFinalStatus reports whether status may be that of a final response.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+
+// isInterimStatus reports whether status may be that of an interim response. What follows
+// one with http.StatusSwitchingProtocols is none of HTTP/1, and requests ask for no other
+// protocol.
+func isInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// headReader checks the heads of the responses that are read from reader. net/http accepts
+// more than the protocol allows: what it skips or drops would let the bytes that follow pass
+// for a response, or for its body.
+type headReader struct {
+	reader io.Reader
+	head   headChecker
+	// invalid is the first error of a check. It is kept since a bufio.Reader drops an error
+	// that follows a part of a line.
+	invalid error
+}
+
+// expect makes the next bytes, of which those in received have been read, those of a head.
+func (r *headReader) expect(received []byte) error {
+	r.head.start()
+	return r.check(received)
+}
+
+// Read implements io.Reader. It returns an *InvalidHeadError in place of the data in which a
+// head turns out to be invalid, and from then on.
+func (r *headReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if invalid := r.check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// check checks the next bytes received.
+func (r *headReader) check(data []byte) error {
+	if r.invalid == nil {
+		r.invalid = r.head.check(data)
+	}
+	return r.invalid
+}
+
+// headChecker checks the lines of a final response's head, and of those of the interim
+// responses before it, as their bytes arrive.
+type headChecker struct {
+	// isOpen is set from the start of a head to the end of that of the final response.
+	isOpen bool
+	// line holds the beginning of a line whose end has not arrived.
+	line []byte
+	// lines is the number of whole lines received of the head, and status is that of the
+	// first one.
+	lines, status int
+}
+
+// start makes the next byte the first one of a head.
+func (head *headChecker) start() { *head = headChecker{isOpen: true} }
+
+// check checks the next bytes received, which may go beyond the head. It returns an
+// *InvalidHeadError if the head is invalid.
+func (head *headChecker) check(data []byte) error {
+	for head.isOpen && len(data) > 0 {
+		line, rest, isWhole := bytes.Cut(data, []byte{'\n'})
+		if !isWhole {
+			head.line = append(head.line, line...)
+			return nil
+		}
+		if len(head.line) > 0 {
+			line = append(head.line, line...)
+		}
+		head.line, data = nil, rest
+		head.lines++
+		if reason := head.checkLine(string(bytes.TrimSuffix(line, []byte{'\r'}))); reason != "" {
+			return &InvalidHeadError{line: head.lines, reason: reason}
+		}
+	}
+	return nil
+}
+
+// checkLine checks a line without its end and returns what is wrong with it, "" for nothing.
+func (head *headChecker) checkLine(line string) (reason string) {
+	switch {
+	case head.lines == 1:
+		return head.checkStatusLine(line)
+	case line == "":
+		head.end()
+	}
+	return ""
+}
+
+// checkStatusLine checks the first line of a head.
+func (head *headChecker) checkStatusLine(line string) (reason string) {
+	version, rest, _ := strings.Cut(line, " ")
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+		return "not a status line of HTTP/1"
+	}
+	code, phrase, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err := strconv.ParseUint(code, 10, 16)
+	head.status = int(status)
+	if err != nil || len(code) != statusDigits || !isInterimStatus(head.status) && !IsFinalStatus(head.status) {
+		return "invalid status"
+	}
+	if !httpguts.ValidHeaderFieldValue(phrase) { // the characters of both are the same
+		return "invalid reason phrase"
+	}
+	return ""
+}
+
+// end ends the head. An interim response has no body: another head follows.
+func (head *headChecker) end() {
+	if isInterimStatus(head.status) {
+		head.start()
+		return
+	}
+	head.isOpen = false
+}
