upstream: responses with invalid header fields or framing are not passed on

Callers saw: a blank in or after the name of a field gave a 200 without that line; after Content-Length or Transfer-Encoding, a 200 whose body was not the engine's (chunk sizes as data, a length that was not held). Found beside it: a Transfer-Encoding in a response of HTTP/1.0 also made chunk sizes data, and a line that begins with a blank was joined to the field before it, also where it was meant to frame the body. A blank after the name of the endpoint's ID in a response to a health check counted as another endpoint at the address, that is, as a crash.

Cause: net/textproto keeps names with blanks, under a name that nothing looks up; net/http drops them as it writes, drops Transfer-Encoding of 1.0, and lets it override a length.

Change: each line of a head has to be a field line (RFC 9112, section 5): a token, a colon, a value without control bytes. A transfer coding together with a length, or in a response of 1.0, is faulty framing (sections 6.1 and 6.3). A response with a blank after a name, which a proxy that forwards it has to repair (5.1), and a continued line, which it may join or reject (5.2), are rejected: the endpoint is in trouble, and what is left of the head can't be trusted to frame the body. The exchange fails as for an invalid status.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -79,9 +79,12 @@
 	isOpen bool
 	// line holds the beginning of a line whose end has not arrived.
 	line []byte
-	// lines is the number of whole lines received of the head, and status is that of the
-	// first one.
-	lines, status int
+	// lines is the number of whole lines received of the head.
+	lines int
+	// minor and status are the minor version and the status of the first line.
+	minor, status int
+	// hasLength and hasCoding are set if fields of the head frame the body.
+	hasLength, hasCoding bool
 }
 
 // start makes the next byte the first one of a head.
@@ -114,17 +117,20 @@
 	case head.lines == 1:
 		return head.checkStatusLine(line)
 	case line == "":
-		head.end()
+		return head.end()
+	default:
+		return head.checkField(line)
 	}
-	return ""
 }
 
 // checkStatusLine checks the first line of a head.
 func (head *headChecker) checkStatusLine(line string) (reason string) {
 	version, rest, _ := strings.Cut(line, " ")
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
 		return "not a status line of HTTP/1"
 	}
+	head.minor = minor
 	code, phrase, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.ParseUint(code, 10, 16)
 	head.status = int(status)
@@ -137,11 +143,33 @@
 	return ""
 }
 
-// end ends the head. An interim response has no body: another head follows.
-func (head *headChecker) end() {
-	if isInterimStatus(head.status) {
+// checkField checks a line after the first one. One that continues the line before it has no
+// valid name; gateways may reject it (RFC 9112, section 5.2).
+func (head *headChecker) checkField(line string) (reason string) {
+	name, value, isField := strings.Cut(line, ":")
+	if !isField || !httpguts.ValidHeaderFieldName(name) {
+		return "invalid field name"
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return "invalid field value"
+	}
+	head.hasLength = head.hasLength || strings.EqualFold(name, "Content-Length")
+	head.hasCoding = head.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
+	return ""
+}
+
+// end ends the head and returns what is wrong with the framing of its body. An interim
+// response has no body: another head follows.
+func (head *headChecker) end() (reason string) {
+	switch {
+	case head.hasCoding && head.minor == 0:
+		return "transfer coding in a response of version 1.0"
+	case head.hasCoding && head.hasLength:
+		return "transfer coding and length"
+	case isInterimStatus(head.status):
 		head.start()
-		return
+	default:
+		head.isOpen = false
 	}
-	head.isOpen = false
+	return ""
 }
