tcp: a stream that a reset ends during a write does not count as ended in order

Callers saw: an endpoint answered a long upload at once with a 200 (or a 500) without a length, sent part of the body and reset the connection while the upload was being written: they received the part as a whole response, on routes of every kind.

Cause: the kernel reports a reset to one system call. If the write of the upload takes it, the read sees the end of the stream, which ends a body without a length. The same holds for a connection that is given up because the peer is silent.

Change: a connection's Read returns io.EOF only if the peer has closed its side. It asks the kernel for the state of the connection, at the end of a stream alone: if it is closed altogether, it was reset or given up, after the peer had closed its side only if the error is EPIPE (pending, or taken by the first write that failed). Otherwise Read returns ECONNRESET and the response is not whole.

Ruled out: to wait until the upload is written. An endpoint that closes its side in order and then stops reading has sent a whole response (RFC 9112, section 8); it would be held back until the upload ends, or dropped. To ask the writer for its error alone: it may not have reported it yet.

The change is in package tcp, so that calls between instances and to the store, which use the same dialer, have it as well.

With the old Read, TestStreamEndsOnlyIfPeerClosedIt and TestStreamIsReadDuringWrite fail each time.

--- a/tcp/dialer.go
+++ b/tcp/dialer.go
@@ -1,7 +1,9 @@
-// Package tcp creates TCP connections that detect unreachable peers quickly.
+// Package tcp creates TCP connections that detect unreachable peers quickly, and that tell
+// a stream that ended from one that broke off.
 package tcp
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -18,13 +20,18 @@
 	keepAliveCount    = 2
 )
 
+// Dialer opens connections as the Dialer in it does. The zero value has no time limits.
+type Dialer struct {
+	net.Dialer
+}
+
 // NewDialer returns a dialer whose connection attempts time out after
 // connectTimeout, and whose connections fail when sent data stays
 // unacknowledged for ackTimeout, as after a network partition or a power loss.
 // Without ackTimeout, a write to an unreachable peer succeeds and its caller
 // waits for a response.
-func NewDialer(connectTimeout, ackTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func NewDialer(connectTimeout, ackTimeout time.Duration) *Dialer {
+	return &Dialer{Dialer: net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -36,5 +43,23 @@
 			}
 			return err
 		},
+	}}
+}
+
+// Dial opens a connection to address, a HOST:PORT. Errors are those of net.Dialer.
+func (dialer *Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
+	conn, err := dialer.Dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(conn.(*net.TCPConn)), nil
+}
+
+// DialContext is Dial for an http.Transport. The network has to be "tcp".
+func (dialer *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	conn, err := dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, err // not a nil *Conn
 	}
+	return conn, nil
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -101,7 +101,7 @@
 // Client sends requests to endpoints and keeps idle connections to them. It is
 // safe for concurrent use. Use NewClient.
 type Client struct {
-	dialer *net.Dialer
+	dialer *tcp.Dialer
 	opened atomic.Int64
 
 	mu sync.Mutex
@@ -115,7 +115,7 @@
 
 // conn is a connection to an endpoint. expires is set while it is idle.
 type conn struct {
-	net.Conn
+	*tcp.Conn
 	address string
 	limit   *limitReader
 	heads   *headReader   // of limit
@@ -187,8 +187,7 @@
 func (c *conn) send(head, body []byte) <-chan error {
 	sent := make(chan error, 1)
 	go func() {
-		buffers := net.Buffers{head, body}
-		_, err := buffers.WriteTo(c.Conn)
+		_, err := c.WriteBuffers(net.Buffers{head, body})
 		sent <- err
 	}()
 	return sent
@@ -277,7 +276,7 @@
 	if c := client.takeIdle(request.Address); c != nil {
 		return c, nil
 	}
-	raw, err := client.dialer.DialContext(ctx, "tcp", request.Address)
+	raw, err := client.dialer.Dial(ctx, request.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -286,7 +285,7 @@
 }
 
 // newConn returns an open connection to the endpoint at address.
-func newConn(raw net.Conn, address string) *conn {
+func newConn(raw *tcp.Conn, address string) *conn {
 	limit := &limitReader{reader: raw, remaining: unlimited}
 	heads := &headReader{reader: limit}
 	return &conn{Conn: raw, address: address, limit: limit, heads: heads, reader: bufio.NewReader(heads)}
@@ -325,11 +324,7 @@
 // clean reports whether the connection is open and has received no data since
 // the last response.
 func (c *conn) clean() bool {
-	tcpConn, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcpConn.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -92,7 +92,7 @@
 func (client *Client) probeOnce(ctx context.Context, key probeKey) (result Liveness, isClosed bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	raw, err := client.dialer.DialContext(ctx, "tcp", key.address)
+	raw, err := client.dialer.Dial(ctx, key.address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return LivenessRefused, false
@@ -168,7 +168,7 @@
 	if c == nil {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		raw, err := client.dialer.DialContext(ctx, "tcp", address)
+		raw, err := client.dialer.Dial(ctx, address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return LivenessRefused
