entrypeer: invalid responses of other instances fail a call

Seen: a response of another instance with status 000 or 101, of HTTP/2.0, or with a field that is none, counted as the success of the call. A call that expects no result (escrow repaid, tokens given back, reports of crashes) then counted as done.

Cause: net/http's Transport returns them, as http.ReadResponse does for the gateway's client, and a call succeeds with any status under 300.

A connection learns from the transport's trace (GotConn) that a head follows: bytes alone do not tell where a body ends. What is invalid fails the call as one whose outcome is unknown.

Ruled out: a check of the parsed response. A transfer coding of 1.0 and a continued field no longer show there. To read these responses by the client of endpoints: it keeps connections and bounds of another kind.

--- a/entrypeer/client.go
+++ b/entrypeer/client.go
@@ -79,8 +79,8 @@
 // NewClient returns a client for the instances in directory. It reports the
 // metrics peer_calls and peer_bytes to scope, tagged with the path of the call.
 func NewClient(directory *Directory, scope tally.Scope) *Client {
-	transport := &http.Transport{DialContext: tcp.NewDialer(connectTimeout, unackedTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: upstream.MaxHeaderBytes}
-	return &Client{directory: directory, http: &http.Client{Transport: transport}, repeating: make(chan struct{}, maxRepeating), calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerInstance, IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: upstream.MaxHeaderBytes}
+	return &Client{directory: directory, http: &http.Client{Transport: upstream.CheckResponses(transport, tcp.NewDialer(connectTimeout, unackedTimeout))}, repeating: make(chan struct{}, maxRepeating), calls: debug.NewCounters(scope, "peer_calls", "call"), bytes: debug.NewCounters(scope, "peer_bytes", "call")}
 }
 
 // ReleaseUnused implements account.Owners. It calls each instance that owns one of
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -43,35 +43,24 @@
 type headReader struct {
 	reader io.Reader
 	head   headChecker
-	// invalid is the first error of a check. It is kept since a bufio.Reader drops an error
-	// that follows a part of a line.
-	invalid error
 }
 
 // expect makes the next bytes, of which those in received have been read, those of a head.
 func (r *headReader) expect(received []byte) error {
 	r.head.start()
-	return r.check(received)
+	return r.head.check(received)
 }
 
 // Read implements io.Reader. It returns an *InvalidHeadError in place of the data in which a
 // head turns out to be invalid, and from then on.
 func (r *headReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	if invalid := r.check(p[:n]); invalid != nil {
+	if invalid := r.head.check(p[:n]); invalid != nil {
 		return 0, invalid
 	}
 	return n, err
 }
 
-// check checks the next bytes received.
-func (r *headReader) check(data []byte) error {
-	if r.invalid == nil {
-		r.invalid = r.head.check(data)
-	}
-	return r.invalid
-}
-
 // headChecker checks the lines of a final response's head, and of those of the interim
 // responses before it, as their bytes arrive.
 type headChecker struct {
@@ -85,19 +74,22 @@
 	minor, status int
 	// hasLength and hasCoding are set if fields of the head frame the body.
 	hasLength, hasCoding bool
+	// invalid is the first error found. It is kept since a bufio.Reader drops an error that
+	// follows a part of a line.
+	invalid error
 }
 
 // start makes the next byte the first one of a head.
-func (head *headChecker) start() { *head = headChecker{isOpen: true} }
+func (head *headChecker) start() { *head = headChecker{isOpen: true, invalid: head.invalid} }
 
 // check checks the next bytes received, which may go beyond the head. It returns an
-// *InvalidHeadError if the head is invalid.
+// *InvalidHeadError if this head or one before was invalid.
 func (head *headChecker) check(data []byte) error {
-	for head.isOpen && len(data) > 0 {
+	for head.isOpen && head.invalid == nil && len(data) > 0 {
 		line, rest, isWhole := bytes.Cut(data, []byte{'\n'})
 		if !isWhole {
 			head.line = append(head.line, line...)
-			return nil
+			break
 		}
 		if len(head.line) > 0 {
 			line = append(head.line, line...)
@@ -105,10 +97,10 @@
 		head.line, data = nil, rest
 		head.lines++
 		if reason := head.checkLine(string(bytes.TrimSuffix(line, []byte{'\r'}))); reason != "" {
-			return &InvalidHeadError{line: head.lines, reason: reason}
+			head.invalid = &InvalidHeadError{line: head.lines, reason: reason}
 		}
 	}
-	return nil
+	return head.invalid
 }
 
 // checkLine checks a line without its end and returns what is wrong with it, "" for nothing.
--- /dev/null
+++ b/upstream/transport.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/wagtaildrum/wagtaildrum/tcp"
+)
+
+// DefaultDialer returns a dialer with the time limits of http.DefaultTransport.
+func DefaultDialer() *tcp.Dialer {
+	return &tcp.Dialer{Dialer: net.Dialer{Timeout: 30 * time.Second, KeepAlive: 30 * time.Second}}
+}
+
+// CheckResponses returns a RoundTripper like transport that opens connections with dialer. It
+// fails with an *InvalidHeadError for what is no valid response, and the body of a response
+// without a length fails unless the other end has closed the connection in order. Heads of
+// responses over TLS are not checked.
+func CheckResponses(transport *http.Transport, dialer *tcp.Dialer) http.RoundTripper {
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		conn, err := dialer.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: conn}, nil
+	}
+	return &checkingTransport{RoundTripper: transport}
+}
+
+// checkingTransport has the connections of a transport expect a head for each request.
+type checkingTransport struct {
+	http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (transport *checkingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*checkedConn); ok {
+			conn.expectHead()
+		}
+	}}
+	return transport.RoundTripper.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// checkedConn is a connection of an http.Transport that checks the heads of responses.
+type checkedConn struct {
+	net.Conn
+
+	mu   sync.Mutex // requests are sent and responses read by different goroutines
+	head headChecker
+}
+
+// expectHead makes the next byte that is read the first one of a head.
+func (conn *checkedConn) expectHead() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.head.start()
+}
+
+// Read implements net.Conn as headReader does io.Reader.
+func (conn *checkedConn) Read(p []byte) (int, error) {
+	n, err := conn.Conn.Read(p)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if invalid := conn.head.check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
