--- a/tcp/conn_test.go
+++ b/tcp/conn_test.go
@@ -1,7 +1,6 @@
 package tcp_test
 
 import (
-	"context"
 	"io"
 	"net"
 	"syscall"
@@ -120,12 +119,3 @@
 		assert.Error(t, <-written)
 	}
 }
-
-// Guards against a failed attempt to connect that returns a connection.
-func TestFailedDialReturnsNoConnection(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	conn, err := tcp.NewDialer(connectTimeout, ackTimeout).DialContext(ctx, "tcp", "127.0.0.1:1")
-	assert.Error(t, err)
-	assert.True(t, conn == nil)
-}
--- a/tcp/dialer.go
+++ b/tcp/dialer.go
@@ -54,12 +54,3 @@
 	}
 	return NewConn(conn.(*net.TCPConn)), nil
 }
-
-// DialContext is Dial for an http.Transport. The network has to be "tcp".
-func (dialer *Dialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	conn, err := dialer.Dial(ctx, address)
-	if err != nil {
-		return nil, err // not a nil *Conn
-	}
-	return conn, nil
-}
