sidecar: invalid responses and parts of responses fail a call

Seen, through the product's own interface: a tool's chunk sizes as its result, a blank in the name of a field, a 200 of HTTP/2.0, each as a successful call; an endpoint that answered a long call at once without a length, sent a part and reset the connection: the part as the whole result or stream. A 000 in answer to a poll of cache events was no failure; by reading, all blocks then count as removed.

Cause: as for endpoints behind the gateway; net/http's Transport reads these responses, and a write of it can take the error of a reset, too.

Change: the sidecar's transport checks responses, and its connections tell an end in order from one that is not.

Evidence, before: TestInvalidResponsesOfEndpointFailCalls failed in 18 of 26 cases, TestInvalidResponsesAreNoCacheEvents in 10 of 13, TestPartOfAnEarlyResponseFailsTheCall in 16 and 17 of 20 runs of an upload (two runs of the test). Statuses were rejected before for calls. Valid responses (6 shapes) pass before and after.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -71,7 +71,8 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = s.MaxConcurrent, s.MaxConcurrent
 	transport.MaxResponseHeaderBytes = upstream.MaxHeaderBytes
-	hc := &http.Client{Transport: transport}
+	checked := upstream.CheckResponses(transport, upstream.DefaultDialer())
+	hc := &http.Client{Transport: checked}
 	endpoint := sling.New().Client(hc).Base(s.Endpoint)
 	order, err := admission.NewOrder(s.Order)
 	if err != nil {
@@ -81,7 +82,7 @@
 	return &Sidecar{
 		role:       s.Role,
 		endpoint:   endpoint,
-		cache:      newCacheWatcher(sling.New().Client(&http.Client{Transport: upstream.LimitBodies(transport, maxAnswerBytes)}).Base(s.Endpoint), log),
+		cache:      newCacheWatcher(sling.New().Client(&http.Client{Transport: upstream.LimitBodies(checked, maxAnswerBytes)}).Base(s.Endpoint), log),
 		modelCalls: newModelCalls(),
 		http:       hc,
 		gate:       admission.NewGate(order, limits, clk),
