tableservice: invalid responses leave open whether a write was applied

Seen: a response of the table service of HTTP/2.0, or with a field that is none, counted as the success of a write, or as a record.

Cause and change: as for the platform's store; the transport checks responses.

Evidence, before: TestInvalidResponsesTellNothing failed in 14 of 26 cases (13 shapes; put and get). Handled before: invalid statuses, which are FailureUnavailable, and chunk sizes as data (no JSON). Valid responses (6 shapes) pass before and after.

--- a/tableservice/client.go
+++ b/tableservice/client.go
@@ -44,7 +44,8 @@
 func NewClient(baseURL string, timeout time.Duration) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = upstream.MaxHeaderBytes
-	httpClient := &http.Client{Timeout: timeout, Transport: upstream.LimitBodies(transport, maxResponseBytes)}
+	checked := upstream.CheckResponses(transport, upstream.DefaultDialer())
+	httpClient := &http.Client{Timeout: timeout, Transport: upstream.LimitBodies(checked, maxResponseBytes)}
 	return &Client{base: sling.New().Client(httpClient).Base(baseURL)}
 }
 
