entry: invalid replies to forwarded requests are not relayed

Seen, through the product's own interface: what the owner of a program replied to a forwarded request reached the caller without a check. A refused or failed reply, or one that was nothing but its end, became an empty 200; data without a head, or with a head of status 103, a 200; status 600 and a field whose name held a blank were passed on, the latter without that line; status 0 made the handler panic. A failure after a part of the response ended it as a whole one.

Cause: relayWriter took frames in any order and ignored the final one's type; net/http makes a response without a head one of status 200.

Change: a reply is one valid head, data and its end.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -12,6 +12,7 @@
 	"github.com/wagtaildrum/wagtaildrum/codec"
 	"github.com/wagtaildrum/wagtaildrum/peer"
 	"github.com/wagtaildrum/wagtaildrum/program"
+	"github.com/wagtaildrum/wagtaildrum/upstream"
 )
 
 // forwardedHeader marks a request that another entry instance forwarded. It
@@ -93,33 +94,64 @@
 	return caller.NewError(http.StatusServiceUnavailable, caller.TypeUnavailable, "not run: the instance that owns the program cannot be reached").WithRetryAfter(retryAfterForward)
 }
 
+// InvalidReplyError is returned if another instance replies to a forwarded request with
+// something else than a response.
+type InvalidReplyError struct {
+	reason string
+}
+
+// Error returns what is wrong with the reply.
+func (e *InvalidReplyError) Error() string {
+	return "invalid reply to a forwarded request: " + e.reason
+}
+
 // relayWriter relays the response to a forwarded request to the caller.
 type relayWriter struct {
 	w       http.ResponseWriter
 	started bool
 }
 
-// writeFrame writes the header or the data in f to the caller.
+// writeFrame writes the header or the data in f to the caller. It returns an
+// *InvalidReplyError unless the reply is one valid head, data and its end: a response
+// without a head would otherwise become one of status 200.
 func (r *relayWriter) writeFrame(f peer.Frame) error {
-	switch f.Type {
-	case peer.FrameHead:
-		var head peer.ForwardHead
-		if err := codec.Unmarshal(f.Data, &head); err != nil {
-			return err
-		}
-		for name, value := range head.Header {
-			r.w.Header().Set(name, value)
-		}
-		r.started = true
-		r.w.WriteHeader(head.Status)
-	case peer.FrameData:
+	switch {
+	case f.Type == peer.FrameHead && !r.started:
+		return r.writeHead(f.Data)
+	case f.Type == peer.FrameData && r.started:
 		if _, err := r.w.Write(f.Data); err != nil {
 			return err
 		}
 		if fl, ok := r.w.(http.Flusher); ok {
 			fl.Flush()
 		}
+		return nil
+	case f.Type == peer.FrameEnd && r.started:
+		return nil
+	default:
+		return &InvalidReplyError{reason: "unexpected frame " + f.Type.String()}
+	}
+}
+
+// writeHead writes the header in data, an encoded peer.ForwardHead, to the caller.
+func (r *relayWriter) writeHead(data []byte) error {
+	var head peer.ForwardHead
+	if err := codec.Unmarshal(data, &head); err != nil {
+		return err
+	}
+	if !upstream.IsFinalStatus(head.Status) {
+		return &InvalidReplyError{reason: "invalid status"}
+	}
+	for name, value := range head.Header {
+		if !upstream.IsField(name, value) {
+			return &InvalidReplyError{reason: "invalid field"}
+		}
+	}
+	for name, value := range head.Header {
+		r.w.Header().Set(name, value)
 	}
+	r.started = true
+	r.w.WriteHeader(head.Status)
 	return nil
 }
 
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -37,6 +37,11 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
+// IsField reports whether a header field may have the name and the value.
+func IsField(name, value string) bool {
+	return httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value)
+}
+
 // headReader checks the heads of the responses that are read from reader. net/http accepts
 // more than the protocol allows: what it skips or drops would let the bytes that follow pass
 // for a response, or for its body.
@@ -139,11 +144,8 @@
 // valid name; gateways may reject it (RFC 9112, section 5.2).
 func (head *headChecker) checkField(line string) (reason string) {
 	name, value, isField := strings.Cut(line, ":")
-	if !isField || !httpguts.ValidHeaderFieldName(name) {
-		return "invalid field name"
-	}
-	if !httpguts.ValidHeaderFieldValue(value) {
-		return "invalid field value"
+	if !isField || !IsField(name, value) {
+		return "invalid field"
 	}
 	head.hasLength = head.hasLength || strings.EqualFold(name, "Content-Length")
 	head.hasCoding = head.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
