upstream: a test for each rule of a head without net/http

Each rule of headChecker was taken out in turn. Five could go without a failing test: net/http rejects a status of four digits and a control byte in a value as well, a connection checks again what follows an interim response, and two conditions told nothing more. The conditions are gone; TestHeadCheckerAlone and a case of an invalid head after an interim one hold the rest.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -220,7 +220,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if isInterimStatus(response.StatusCode) {
+		if response.StatusCode < 200 {
 			continue
 		}
 		want := request.Header.Get(request.IDHeader)
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -79,22 +79,25 @@
 	minor, status int
 	// hasLength and hasCoding are set if fields of the head frame the body.
 	hasLength, hasCoding bool
-	// invalid is the first error found. It is kept since a bufio.Reader drops an error that
-	// follows a part of a line.
+	// invalid is the error found. It is kept since a bufio.Reader drops an error that follows
+	// a part of a line.
 	invalid error
 }
 
 // start makes the next byte the first one of a head.
-func (head *headChecker) start() { *head = headChecker{isOpen: true, invalid: head.invalid} }
+func (head *headChecker) start() { *head = headChecker{isOpen: true} }
 
 // check checks the next bytes received, which may go beyond the head. It returns an
-// *InvalidHeadError if this head or one before was invalid.
+// *InvalidHeadError if the head is invalid.
 func (head *headChecker) check(data []byte) error {
-	for head.isOpen && head.invalid == nil && len(data) > 0 {
+	if head.invalid != nil {
+		return head.invalid
+	}
+	for head.isOpen && len(data) > 0 {
 		line, rest, isWhole := bytes.Cut(data, []byte{'\n'})
 		if !isWhole {
 			head.line = append(head.line, line...)
-			break
+			return nil
 		}
 		if len(head.line) > 0 {
 			line = append(head.line, line...)
@@ -103,9 +106,10 @@
 		head.lines++
 		if reason := head.checkLine(string(bytes.TrimSuffix(line, []byte{'\r'}))); reason != "" {
 			head.invalid = &InvalidHeadError{line: head.lines, reason: reason}
+			return head.invalid
 		}
 	}
-	return head.invalid
+	return nil
 }
 
 // checkLine checks a line without its end and returns what is wrong with it, "" for nothing.
@@ -129,9 +133,9 @@
 	}
 	head.minor = minor
 	code, phrase, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	status, err := strconv.ParseUint(code, 10, 16)
+	status, _ := strconv.ParseUint(code, 10, 16) // no valid status if it fails
 	head.status = int(status)
-	if err != nil || len(code) != statusDigits || !isInterimStatus(head.status) && !IsFinalStatus(head.status) {
+	if len(code) != statusDigits || !isInterimStatus(head.status) && !IsFinalStatus(head.status) {
 		return "invalid status"
 	}
 	if !httpguts.ValidHeaderFieldValue(phrase) { // the characters of both are the same
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -56,6 +56,7 @@
 	"blank after the coding":        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"chunks of version 1.0":         "HTTP/1.0 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"chunks and a length":           "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 15\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"chunks, a field and a length":  "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\nX-A: b\r\nContent-Length: 15\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"unknown coding":                "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	"lengths that differ":           "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwhole",
 	"length with a sign":            "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: +5\r\n\r\nwhole",
--- a/upstream/upstreamtest/raw.go
+++ b/upstream/upstreamtest/raw.go
@@ -92,5 +92,6 @@
 		"chunks of version 1.0":  "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body),
 		"chunks and a length":    ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body),
 		"invalid interim":        "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n" + Valid(body),
+		"invalid after interim":  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + withLength(ok+"X A: b\r\n", body),
 	}
 }
