gateway: broken responses do not look whole to callers of HTTP/1.0

Callers saw: a caller of HTTP/1.0 received a stream whose endpoint had reset its connection, and a large response that was cut, as whole ones.

Cause: a response that breaks off after it has begun ends with the caller's connection. To HTTP/1.1 the last chunk is missing; to HTTP/1.0, which has no chunks, the end of the connection is that of the response.

Change: an aborted response to HTTP/1.0 ends with a reset, here and at the listeners of other instances and of the product's own interface.

Whole responses end as before, and those to HTTP/1.1 are not reset.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -195,6 +195,17 @@
 	return conn.Conn.Close()
 }
 
+// SetLinger sets what Close of a TCP connection does, as net.TCPConn.SetLinger.
+func (conn *Conn) SetLinger(seconds int) error { return SetLinger(conn.Conn, seconds) }
+
+// SetLinger calls the method SetLinger of conn, if it has one.
+func SetLinger(conn net.Conn, seconds int) error {
+	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil // a pipe has no reset
+}
+
 // CloseWrite shuts down the write side of a TCP connection.
 func (conn *Conn) CloseWrite() error {
 	if half, ok := conn.Conn.(interface{ CloseWrite() error }); ok {
--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -410,3 +411,24 @@
 		})
 	}
 }
+
+// Guards against an aborted response that a client of HTTP/1.0, to which the end of the
+// connection ends the body, receives as a whole one.
+func TestAbortedResponseDoesNotLookWhole(t *testing.T) {
+	limiter := connlimit.New(connlimit.Config{Name: "test", Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
+	address := serve(t, limiter, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/aborted" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	received, err := io.ReadAll(dial(t, address, "GET /aborted HTTP/1.0\r\n\r\n"))
+	assert.ErrorIs(t, err, syscall.ECONNRESET, "%q", received)
+	received, err = io.ReadAll(dial(t, address, "GET /whole HTTP/1.0\r\n\r\n"))
+	assert.NoError(t, err)
+	assert.True(t, strings.HasSuffix(string(received), "\r\n\r\npart"), "%q", received)
+	received, err = io.ReadAll(dial(t, address, "GET /aborted HTTP/1.1\r\nHost: h\r\n\r\n"))
+	assert.NoError(t, err, "the missing last chunk tells")
+	assert.True(t, strings.HasSuffix(string(received), "\r\n\r\n4\r\npart\r\n"), "%q", received)
+}
--- a/connlimit/server.go
+++ b/connlimit/server.go
@@ -60,10 +60,25 @@
 			return
 		}
 		r.Body = &body{ReadCloser: r.Body, conn: conn}
+		defer ResetAborted(r, conn)
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// ResetAborted is deferred by handlers of requests on conn. If the handler panics, as it does to
+// abort a response, the connection of a request of HTTP/1.0 ends with a reset: a response to it
+// may have no length and be whole once the connection is closed.
+func ResetAborted(r *http.Request, conn net.Conn) {
+	aborted := recover()
+	if aborted == nil {
+		return
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		_ = SetLinger(conn, 0)
+	}
+	panic(aborted)
+}
+
 // body charges a request's body to its connection while it is read.
 type body struct {
 	io.ReadCloser
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -106,6 +106,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn := callerConnOf(r); conn != nil {
 			conn.requestStarted()
+			defer connlimit.ResetAborted(r, conn)
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -209,6 +210,9 @@
 	conn.request = id
 }
 
+// SetLinger sets what Close does, as net.TCPConn.SetLinger.
+func (conn *callerConn) SetLinger(seconds int) error { return connlimit.SetLinger(conn.Conn, seconds) }
+
 // CloseWrite shuts down the write side. net/http calls it before closing a
 // connection, so that the caller receives the complete response.
 func (conn *callerConn) CloseWrite() error {
