upstream: invalid statuses and fields are rejected over TLS as well

Cause: the settings of a sidecar and of the table service allow https, and the bytes of heads that a checkedConn sees are encrypted there.

Change: the head that net/http has decoded is checked as well, by the same rules. What it drops before that is not seen: a transfer coding of HTTP/1.0, the beginning of a continued line.

Evidence: without either condition TestTransportReturnsNoInvalidResponseOverTLS fails.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -15,7 +15,7 @@
 // response as RFC 9112 defines it. It does not repeat what was received, which may hold
 // secrets.
 type InvalidHeadError struct {
-	line   int
+	line   int // 0 if unknown
 	reason string
 }
 
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -18,8 +18,8 @@
 
 // CheckResponses returns a RoundTripper like transport that opens connections with dialer. It
 // fails with an *InvalidHeadError for what is no valid response, and the body of a response
-// without a length fails unless the other end has closed the connection in order. Heads of
-// responses over TLS are not checked.
+// without a length fails unless the other end has closed the connection in order. Over TLS,
+// statuses and fields are checked, and what net/http drops before is not.
 func CheckResponses(transport *http.Transport, dialer *tcp.Dialer) http.RoundTripper {
 	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := dialer.Dial(ctx, address)
@@ -43,7 +43,30 @@
 			conn.expectHead()
 		}
 	}}
-	return transport.RoundTripper.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	response, err := transport.RoundTripper.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkDecoded(response); err != nil {
+		_ = response.Body.Close() // which closes the connection, unless nothing was left to read
+		return nil, err
+	}
+	return response, nil
+}
+
+// checkDecoded checks what is left of a head that net/http has decoded.
+func checkDecoded(response *http.Response) error {
+	if !IsFinalStatus(response.StatusCode) {
+		return &InvalidHeadError{line: 1, reason: "invalid status"}
+	}
+	for name, values := range response.Header {
+		for _, value := range values {
+			if !IsField(name, value) {
+				return &InvalidHeadError{reason: "invalid field"}
+			}
+		}
+	}
+	return nil
 }
 
 // checkedConn is a connection of an http.Transport that checks the heads of responses.
--- a/upstream/transport_test.go
+++ b/upstream/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -66,6 +67,39 @@
 	}
 }
 
+// Guards against the same over TLS, where the bytes of a head are not seen.
+func TestTransportReturnsNoInvalidResponseOverTLS(t *testing.T) {
+	var raw string
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	transport := server.Client().Transport.(*http.Transport).Clone()
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: upstream.CheckResponses(transport, upstream.DefaultDialer())}
+	get := func() error {
+		response, err := client.Get(server.URL)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err
+	}
+	invalid := upstreamtest.InvalidResponses("whole")
+	for _, name := range []string{"status 000", "status 600", "another protocol", "blank in a name", "blank after a name", "control byte in a name", "blank after the length", "blank after the coding"} {
+		raw = invalid[name]
+		assert.Error(t, get(), name)
+	}
+	for name, response := range upstreamtest.ValidResponses("whole") {
+		raw = response
+		assert.NoError(t, get(), name)
+	}
+}
+
 // Guards against clients of other services that receive a part of a response as a whole one: it
 // has no length, and the connection is reset while the request is sent. One that ends in order
 // is whole.
