upstream: an invalid head fails a request before the rest of it arrives

Cause: a bufio.Reader drops an error that follows a part of a line, and reads on. headReader returned the error again only with the next data, so that an endpoint that sent an invalid status line in two parts and nothing more held its request up to the deadline.

Change: the readers return the error without reading. TestInvalidHeadFailsBeforeItsEnd failed before (3.0 s, its deadline), for the client of endpoints and for a transport; TestInvalidHeadInAnyPartsIsNoResponse tries all ways to receive six heads in three parts.

--- a/gateway/earlyresponse_test.go
+++ b/gateway/earlyresponse_test.go
@@ -72,7 +72,10 @@
 		return
 	}
 	_, _ = io.WriteString(conn, raw)
-	time.Sleep(20 * time.Millisecond) // the response is read and the upload blocks
+	if !end.readsUpload {
+		_, _ = io.ReadFull(conn, make([]byte, 1)) // more of the upload has arrived
+	}
+	time.Sleep(20 * time.Millisecond) // the response is read
 	end.end(conn, r.Body)
 }
 
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// Read implements net.Conn. It returns ECONNRESET in a *net.OpError if the stream ends since
-// the connection broke.
+// Read implements net.Conn. It returns ECONNRESET in a *net.OpError in place of io.EOF if the
+// connection broke before the peer ended its stream.
 func (conn *Conn) Read(p []byte) (int, error) {
 	n, err := conn.tcp.Read(p)
 	if err == io.EOF && !conn.endedInOrder() {
@@ -66,8 +66,8 @@
 	return n, err
 }
 
-// endedInOrder reports whether the peer closed its side of the connection, whose end has been
-// read, before the connection broke, if it did.
+// endedInOrder reports whether the end of the stream, which has been read, is that of the peer's
+// data and not that of a broken connection. The connection may have broken afterwards.
 func (conn *Conn) endedInOrder() bool {
 	raw, err := conn.tcp.SyscallConn()
 	if err != nil {
@@ -90,7 +90,8 @@
 		defer conn.mu.Unlock()
 		cause = conn.writeErr
 	}
-	// A reset is EPIPE if the peer had closed its side before, and ECONNRESET otherwise.
+	// A reset is reported as EPIPE if the peer had closed its side before, and otherwise as
+	// ECONNRESET.
 	return errors.Is(cause, syscall.EPIPE)
 }
 
--- a/tcp/conn_test.go
+++ b/tcp/conn_test.go
@@ -31,10 +31,12 @@
 	conn, err = tcp.NewDialer(connectTimeout, ackTimeout).Dial(t.Context(), listener.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	accepted, err := listener.Accept()
-	require.NoError(t, err)
-	peer = accepted.(*net.TCPConn)
-	t.Cleanup(func() { _ = peer.Close() })
+	for peer == nil || peer.RemoteAddr().String() != conn.LocalAddr().String() { // others may use the port of an earlier listener
+		accepted, err := listener.Accept()
+		require.NoError(t, err)
+		peer = accepted.(*net.TCPConn)
+		t.Cleanup(func() { _ = accepted.Close() })
+	}
 	require.NoError(t, peer.SetReadBuffer(8<<10))
 	return conn, peer
 }
@@ -56,11 +58,15 @@
 		end     func(t *testing.T, peer *net.TCPConn)
 		isWhole bool
 	}{
-		"closed":                 {end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.Close()) }, isWhole: true},
-		"closed on one side":     {end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.CloseWrite()) }, isWhole: true},
-		"reset":                  {end: reset},
-		"reset in a write":       {uploads: true, end: reset},
-		"data unread":            {uploads: true, end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.Close()) }},
+		"closed":             {end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.Close()) }, isWhole: true},
+		"closed on one side": {end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.CloseWrite()) }, isWhole: true},
+		"reset":              {end: reset},
+		"reset in a write":   {uploads: true, end: reset},
+		"data unread": {uploads: true, end: func(t *testing.T, peer *net.TCPConn) {
+			_, err := io.ReadFull(peer, make([]byte, 1))
+			require.NoError(t, err, "more of the write has arrived")
+			require.NoError(t, peer.Close())
+		}},
 		"silent":                 {uploads: true, end: func(*testing.T, *net.TCPConn) {}},
 		"closed, then reset":     {end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.CloseWrite()); reset(t, peer) }, isWhole: true},
 		"closed, reset in write": {uploads: true, end: func(t *testing.T, peer *net.TCPConn) { require.NoError(t, peer.CloseWrite()); reset(t, peer) }, isWhole: true},
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -34,9 +34,9 @@
 // IsFinalStatus reports whether status may be that of a final response.
 func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
 
-// isInterimStatus reports whether status may be that of an interim response. What follows
-// one with http.StatusSwitchingProtocols is none of HTTP/1, and requests ask for no other
-// protocol.
+// isInterimStatus reports whether status may be that of an interim response.
+// http.StatusSwitchingProtocols may not: what follows is not HTTP/1, and no request asks for
+// another protocol.
 func isInterimStatus(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
@@ -54,15 +54,19 @@
 	head   headChecker
 }
 
-// expect makes the next bytes, of which those in received have been read, those of a head.
+// expect starts a head with the bytes received, which have been read already. It returns an
+// *InvalidHeadError if they make it invalid.
 func (r *headReader) expect(received []byte) error {
 	r.head.start()
 	return r.head.check(received)
 }
 
 // Read implements io.Reader. It returns an *InvalidHeadError in place of the data in which a
-// head turns out to be invalid, and from then on.
+// head turns out to be invalid, and from then on without waiting for more.
 func (r *headReader) Read(p []byte) (int, error) {
+	if r.head.invalid != nil {
+		return 0, r.head.invalid
+	}
 	n, err := r.reader.Read(p)
 	if invalid := r.head.check(p[:n]); invalid != nil {
 		return 0, invalid
@@ -83,8 +87,8 @@
 	minor, status int
 	// hasLength and hasCoding are set if fields of the head frame the body.
 	hasLength, hasCoding bool
-	// invalid is the error found. It is kept since a bufio.Reader drops an error that follows
-	// a part of a line.
+	// invalid is the error found. Readers keep returning it, since a bufio.Reader drops an
+	// error that follows a part of a line.
 	invalid error
 }
 
@@ -94,9 +98,6 @@
 // check checks the next bytes received, which may go beyond the head. It returns an
 // *InvalidHeadError if the head is invalid.
 func (head *headChecker) check(data []byte) error {
-	if head.invalid != nil {
-		return head.invalid
-	}
 	for head.isOpen && len(data) > 0 {
 		line, rest, isWhole := bytes.Cut(data, []byte{'\n'})
 		if !isWhole {
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -73,6 +74,7 @@
 	"at once": func(conn net.Conn, raw string) { _, _ = io.WriteString(conn, raw) },
 	"in pieces": func(conn net.Conn, raw string) {
 		for i := range len(raw) {
+			time.Sleep(100 * time.Microsecond) // so that it arrives in pieces
 			if _, err := conn.Write([]byte(raw[i : i+1])); err != nil {
 				return
 			}
@@ -87,15 +89,15 @@
 			t.Run(name+"/"+how, func(t *testing.T) {
 				t.Parallel()
 				closed := make(chan struct{})
-				address := serve(t, func(n int, conn net.Conn, reader *bufio.Reader) {
-					_, _, _, _ = read(reader)
-					if n > 1 {
-						_, _ = io.WriteString(conn, wholeResponse)
-						return
+				address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+					switch id, _, _, _ := read(reader); id {
+					case "1":
+						write(conn, raw)
+						_, _ = io.Copy(io.Discard, reader) // until the client closes the connection
+						close(closed)
+					case "2":
+						respond(conn, id, "", "whole")
 					}
-					write(conn, raw)
-					_, _ = io.Copy(io.Discard, reader) // until the client closes the connection
-					close(closed)
 				})
 				client := upstream.NewClient()
 				body, _, err := do(t, client, request(address, "1", "x"))
@@ -106,7 +108,7 @@
 				case <-time.After(time.Second):
 					t.Error("the connection stays open")
 				}
-				body, _, err = do(t, client, request(address, "1", "x"))
+				body, _, err = do(t, client, request(address, "2", "x"))
 				require.NoError(t, err, "the endpoint lives")
 				assert.Equal(t, "whole", body)
 			})
@@ -114,6 +116,25 @@
 	}
 }
 
+// Guards against a request that waits for the rest of a head that is known to be invalid.
+func TestInvalidHeadFailsBeforeItsEnd(t *testing.T) {
+	for how, write := range writers {
+		address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+			_, _, _, _ = read(reader)
+			write(conn, "HTTP/1.1 000 \r\n")
+			_, _ = io.Copy(io.Discard, reader)
+		})
+		began := time.Now()
+		_, _, err := do(t, upstream.NewClient(), request(address, "1", "x"))
+		assert.Equal(t, upstream.StageHead, stage(t, err), how)
+		client := &http.Client{Transport: newTransport(t), Timeout: 3 * time.Second}
+		_, err = post(client, address, 1)
+		var invalid *upstream.InvalidHeadError
+		assert.ErrorAs(t, err, &invalid, how)
+		assert.Less(t, time.Since(began), 2*time.Second, how)
+	}
+}
+
 // Guards against valid responses that are rejected.
 func TestValidHeadsAreResponses(t *testing.T) {
 	for name, raw := range map[string]string{
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -10,10 +10,11 @@
 	"github.com/wagtaildrum/wagtaildrum/tcp"
 )
 
-// CheckResponses returns a RoundTripper like transport that opens connections with dialer. It
-// fails with an *InvalidHeadError for what is no valid response, and the body of a response
-// without a length fails unless the other end has closed the connection in order. Over TLS,
-// statuses and fields are checked, and what net/http drops before is not.
+// CheckResponses returns a RoundTripper that sends requests by transport, whose connections it
+// opens with dialer. It returns an error that wraps an *InvalidHeadError for what is no valid
+// response, and reading the body of a response without a length fails unless the other end
+// closed the connection in order. Over TLS it checks statuses and fields as net/http has decoded
+// them, which leaves out what net/http drops.
 func CheckResponses(transport *http.Transport, dialer *tcp.Dialer) http.RoundTripper {
 	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := dialer.Dial(ctx, address)
@@ -80,6 +81,9 @@
 
 // Read implements net.Conn as headReader does io.Reader.
 func (conn *checkedConn) Read(p []byte) (int, error) {
+	if err := conn.invalid(); err != nil {
+		return 0, err
+	}
 	n, err := conn.Conn.Read(p)
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
@@ -88,3 +92,10 @@
 	}
 	return n, err
 }
+
+// invalid returns the error of a head that was found to be invalid, nil if there is none.
+func (conn *checkedConn) invalid() error {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.head.invalid
+}
