gateway, archive, connlimit: conversations are read once there is room for them

What callers saw: in a burst of conversations with large turns, or of some hundreds with ordinary ones, instances exceeded their memory and were killed.

Cause: a turn read its whole conversation and built the prompt as a copy of it before any memory was reserved; the turns were never charged. Reading and storing a turn took several times its size, uncounted. The refusal for lack of memory came when all had been spent.

Change: each turn is stored with the memory that its ancestors take, so that its successor can reserve for the whole conversation before it reads it. If there is no room the turn waits in order (Holder.Await), holding neither memory of the conversation nor a slot of the service; a reservation that might wait for others that wait for it is refused at once. Room for storing the turn is reserved with it. Endpoints are sent the turns themselves, not a copy. Calls to the store in progress share the memory of the cache, large turns are encoded and decoded one at a time, and turns for other instances are charged.

Evidence: peaks followed the conversations that were read at a time (228 to 308 MB with 8 of six turns of 3 or 4 MB, 160 MB with 200 of 100 KB), while the limiter of callers stayed below its 46 MB and the cache (metrics added) below 18 of 23 MB. What stays after a burst is garbage: 70 MB allocated with 107 MB as the goal of the next collection, nothing charged.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -241,6 +241,14 @@
 	}
 }
 
+// Abandon frees a slot in place of the function that Acquire returned, without recording how long
+// it was held: the call made no use of it.
+func (g *Gate[O]) Abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.releaseSlot()
+}
+
 // releaseSlot frees a slot, admits queued calls to it and closes drained once the
 // gate is empty.
 func (g *Gate[O]) releaseSlot() {
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/admission"
@@ -168,3 +169,19 @@
 	l.submit("patient", admission.Ticket{Deadline: l.clk.Now().Add(time.Minute)})
 	require.Empty(t, l.refused)
 }
+
+// Guards against calls that are taken for short or long ones since they left their slot without using it.
+func TestAbandonedSlotIsFreeAndNotMeasured(t *testing.T) {
+	clk := clock.NewFake(time.Unix(1000, 0))
+	gate := admission.NewGate(admission.EarliestFinish{}, admission.Limits{Running: 1, Waiting: 1}, clk)
+	_, err := gate.Acquire(context.Background(), admission.Ticket{})
+	require.NoError(t, err)
+	clk.Advance(time.Second)
+	gate.Abandon()
+	assert.Zero(t, gate.MeanServiceTime())
+	release, err := gate.Acquire(context.Background(), admission.Ticket{})
+	require.NoError(t, err)
+	clk.Advance(time.Second)
+	release()
+	assert.Positive(t, gate.MeanServiceTime())
+}
--- a/archive/archive.go
+++ b/archive/archive.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -52,15 +53,19 @@
 	peers    Peers
 	rowBytes int
 	cache    *cache
+	work     *work
 	log      *slog.Logger
 
 	kept, read, hits, retried, fetched, missed tally.Counter
 }
 
-// New returns an Archive over s, whose rows hold up to rowBytes, with a cache of
-// cacheBytes. It fetches turns from peers before it reads s.
+// New returns an Archive over s, whose rows hold up to rowBytes, with cacheBytes for a cache and
+// for calls to s in progress. It fetches turns from peers before it reads s.
 func New(s store.Store, peers Peers, rowBytes, cacheBytes int, log *slog.Logger, scope tally.Scope) *Archive {
-	return &Archive{store: s, peers: peers, rowBytes: int(maxRowFill * float64(rowBytes)), cache: newCache(cacheBytes), log: log,
+	cache := newCache(int64(cacheBytes))
+	cache.sizeGauge, cache.lentGauge = scope.Gauge("turn_cache_bytes"), scope.Gauge("turn_call_bytes")
+	work := newWork(cache)
+	return &Archive{store: &boundedStore{Store: s, work: work}, peers: peers, rowBytes: int(maxRowFill * float64(rowBytes)), cache: cache, work: work, log: log,
 		kept: scope.Counter("turns_kept"), read: scope.Counter("turns_read"), hits: scope.Counter("turns_in_memory"), retried: scope.Counter("turn_write_retries"),
 		fetched: scope.Counter("turns_fetched"), missed: scope.Counter("turn_fetches_missed")}
 }
@@ -69,11 +74,12 @@
 // to organisation, which is empty for callers without one. Unless the turn is
 // cached, Chain first requests the turns from the instance holder, which may
 // have them in memory and is empty if unknown, and reads the remaining ones from
-// the store. Chain returns an *UnknownTurnError if the store holds no such turn
-// of the organisation, and a *ReadError if reading fails.
-func (archive *Archive) Chain(ctx context.Context, organisation, id, holder string) ([]*history.Turn, error) {
+// the store. It reserves memory for the turns before it reads them, or before it decodes the
+// first of them, whose size is not known. Chain returns an *UnknownTurnError if the store holds no
+// such turn of the organisation, a *ReadError if reading fails, and the error of memory.
+func (archive *Archive) Chain(ctx context.Context, organisation, id, holder string, memory Memory) ([]*history.Turn, error) {
 	fetched := archive.fetch(ctx, id, holder)
-	chain, err := archive.chain(ctx, organisation, id)
+	chain, err := archive.chain(ctx, organisation, id, memory)
 	if lookup := FailedLookup(err); lookup != nil {
 		lookup.peer = fetched
 	}
@@ -81,17 +87,36 @@
 }
 
 // chain returns the turn id and its ancestors from the cache and the store.
-func (archive *Archive) chain(ctx context.Context, organisation, id string) ([]*history.Turn, error) {
-	last, err := archive.turn(ctx, id)
+func (archive *Archive) chain(ctx context.Context, organisation, id string, memory Memory) ([]*history.Turn, error) {
+	reserved := &chainMemory{memory: memory}
+	for {
+		chain, err := archive.chainWithin(ctx, organisation, id, reserved)
+		var noRoom *noRoomError
+		if !errors.As(err, &noRoom) {
+			return chain, err
+		}
+		if err := reserved.await(ctx, noRoom.needed); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// chainWithin is chain for a conversation that may need more memory than there is at the moment. It
+// then returns a *noRoomError.
+func (archive *Archive) chainWithin(ctx context.Context, organisation, id string, memory *chainMemory) ([]*history.Turn, error) {
+	last, err := archive.turn(ctx, id, memory)
 	if err != nil {
 		return nil, err
 	}
 	if last.Organisation != organisation {
 		return nil, &UnknownTurnError{lookup: &Lookup{turn: id, result: ResultOtherOrganisation}}
 	}
+	if err := memory.expect(last.AncestorBytes); err != nil {
+		return nil, err
+	}
 	chain := make([]*history.Turn, len(last.Ancestors)+1)
 	chain[len(last.Ancestors)] = last
-	if err := archive.ancestors(ctx, last, chain); err != nil {
+	if err := archive.ancestors(ctx, last, chain, memory); err != nil {
 		return nil, err
 	}
 	return chain, nil
@@ -99,7 +124,7 @@
 
 // ancestors sets chain[i] to the ancestor i of last for all its ancestors, reading
 // up to parallelReads turns at a time. It returns the first error.
-func (archive *Archive) ancestors(ctx context.Context, last *history.Turn, chain []*history.Turn) error {
+func (archive *Archive) ancestors(ctx context.Context, last *history.Turn, chain []*history.Turn, memory *chainMemory) error {
 	type result struct {
 		index int
 		turn  *history.Turn
@@ -108,9 +133,13 @@
 	results := make(chan result, len(last.Ancestors))
 	slots := make(chan struct{}, parallelReads)
 	pending := 0
+	var firstErr error
 	for i, id := range last.Ancestors {
-		if turn := archive.cache.get(id); turn != nil {
-			archive.hits.Inc(1)
+		if turn := archive.cached(id); turn != nil {
+			if err := memory.use(turn.Memory()); err != nil {
+				firstErr = err
+				break
+			}
 			chain[i] = turn
 			continue
 		}
@@ -118,16 +147,18 @@
 		go func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			turn, err := archive.turn(ctx, id)
+			turn, err := archive.turn(ctx, id, memory)
 			results <- result{index: i, turn: turn, err: err}
 		}()
 	}
-	var firstErr error
 	for range pending {
 		got := <-results
 		if got.err != nil && firstErr == nil {
 			firstErr = got.err
 			lookup := FailedLookup(firstErr)
+			if lookup == nil {
+				continue // there is no room
+			}
 			lookup.descendant = last.ID
 			if lookup.result == ResultNotStored {
 				// A turn is written only after its ancestors, so a missing
@@ -140,59 +171,124 @@
 	return firstErr
 }
 
-// turn returns a turn from the cache or the store. It returns an
-// *UnknownTurnError if the store has no rows of the turn, and a *ReadError if
-// reading or decoding them fails.
-func (archive *Archive) turn(ctx context.Context, id string) (*history.Turn, error) {
-	if turn := archive.cache.get(id); turn != nil {
+// cached returns a turn from the cache, nil if it isn't there.
+func (archive *Archive) cached(id string) *history.Turn {
+	turn := archive.cache.get(id)
+	if turn != nil {
 		archive.hits.Inc(1)
-		return turn, nil
 	}
-	values, reads, err := archive.rows(ctx, id)
-	if err != nil {
-		return nil, &ReadError{lookup: &Lookup{turn: id, result: ResultUnread, reads: reads}, cause: err}
+	return turn
+}
+
+// turn returns a turn from the cache or the store. It returns an
+// *UnknownTurnError if the store has no rows of the turn, a *ReadError if
+// reading or decoding them fails, and a *noRoomError if there is no memory for it at the moment.
+func (archive *Archive) turn(ctx context.Context, id string, memory *chainMemory) (*history.Turn, error) {
+	if turn := archive.cached(id); turn != nil {
+		return turn, memory.use(turn.Memory())
 	}
-	if len(values) == 0 {
+	var turn *history.Turn
+	result, decoded := ResultUnread, int64(0)
+	reads, err := archive.withRows(ctx, id, func(rows [][]byte) (err error) {
+		if len(rows) == 0 {
+			result = ResultNotStored
+			return nil
+		}
+		result = ResultInvalid
+		turn, err = history.DecodeWithin(id, rows, func(size int64) error {
+			decoded = size
+			return memory.use(size)
+		})
+		return err
+	})
+	var noRoom *noRoomError
+	switch {
+	case errors.As(err, &noRoom):
+		return nil, err
+	case err != nil && result == ResultInvalid:
+		err = store.NewError(store.FailureInvalid, "read turn", err.Error())
+		fallthrough
+	case err != nil:
+		return nil, &ReadError{lookup: &Lookup{turn: id, result: result, reads: reads}, cause: err}
+	case turn == nil:
 		return nil, &UnknownTurnError{lookup: &Lookup{turn: id, result: ResultNotStored, reads: reads}}
 	}
-	turn, err := history.Decode(id, values)
-	if err != nil {
-		return nil, &ReadError{lookup: &Lookup{turn: id, result: ResultInvalid, reads: reads}, cause: store.NewError(store.FailureInvalid, "read turn", err.Error())}
+	if err := memory.use(turn.Memory() - decoded); err != nil {
+		return nil, err
 	}
 	archive.read.Inc(1)
 	archive.cache.put(turn)
 	return turn, nil
 }
 
-// rows returns the values of a turn's rows, in order, from its primary partition
-// or else from its secondary one, and the outcome of each read. It returns no rows
-// and no error only if it read both partitions.
-func (archive *Archive) rows(ctx context.Context, id string) ([][]byte, []partitionRead, error) {
+// withRows calls use with the values of a turn's rows, in order, from its primary partition or
+// else from its secondary one. The rows are within the memory for calls until use returns. It
+// returns the outcome of each read, and the error of use. It calls use with no rows only if it
+// read both partitions.
+func (archive *Archive) withRows(ctx context.Context, id string, use func(rows [][]byte) error) ([]partitionRead, error) {
 	primary, secondary := turnPartitions(id)
-	values, err := archive.rowsIn(ctx, primary, id)
+	values, release, err := archive.rowsIn(ctx, primary, id)
 	reads := []partitionRead{{partition: primary, rows: len(values), err: err}}
 	if err == nil && len(values) > 0 {
-		return values, reads, nil
+		defer release()
+		return reads, use(values)
 	}
-	secondaryValues, secondaryErr := archive.rowsIn(ctx, secondary, id)
+	secondaryValues, release, secondaryErr := archive.rowsIn(ctx, secondary, id)
 	reads = append(reads, partitionRead{partition: secondary, rows: len(secondaryValues), err: secondaryErr})
 	if secondaryErr != nil {
-		return nil, reads, secondaryErr
+		return reads, secondaryErr
 	}
 	if len(secondaryValues) > 0 {
-		return secondaryValues, reads, nil
+		defer release()
+		return reads, use(secondaryValues)
+	}
+	if err != nil {
+		return reads, err
 	}
-	return nil, reads, err
+	return reads, use(nil)
 }
 
 // rowsIn returns the values of a turn's rows in one partition, in order. It returns
 // none if the first row is missing, and ignores rows beyond those that the first row
-// counts, since a writer may have abandoned them.
-func (archive *Archive) rowsIn(ctx context.Context, partition, id string) ([][]byte, error) {
-	var values [][]byte
-	from := rowName(id, 0)
+// counts, since a writer may have abandoned them. If there are any, the caller must call release.
+func (archive *Archive) rowsIn(ctx context.Context, partition, id string) (values [][]byte, release func(), err error) {
+	// The first row is read alone, since only it tells how much memory the others take.
+	release, err = archive.work.acquire(ctx, archive.readMemory(1))
+	if err != nil {
+		return nil, nil, err
+	}
+	page, err := archive.store.Read(ctx, store.Range{Table: table, Partition: partition, From: rowName(id, 0), To: rowEnd(id), Limit: 1})
+	if err != nil || len(page.Rows) == 0 || page.Rows[0].Key.Name != rowName(id, 0) {
+		release()
+		return nil, nil, err
+	}
+	values = append(values, page.Rows[0].Value)
+	count := history.RowCount(values[0])
+	if count <= 1 || !page.More {
+		return values, release, nil
+	}
+	release()
+	if release, err = archive.work.acquire(ctx, archive.readMemory(count)); err != nil {
+		return nil, nil, err
+	}
+	if values, err = archive.furtherRows(ctx, partition, id, values); err != nil {
+		release()
+		return nil, nil, err
+	}
+	return values, release, nil
+}
+
+// readMemory returns the memory that reading count rows takes at most, in bytes.
+func (archive *Archive) readMemory(count int) int64 {
+	values := int64(count) * int64(archive.rowBytes)
+	return values + messageCopies*min(2*values, maxPageBytes) // as text, values are a third longer
+}
+
+// furtherRows returns the values of all rows of a turn, of which values has the first.
+func (archive *Archive) furtherRows(ctx context.Context, partition, id string, values [][]byte) ([][]byte, error) {
+	from := rowName(id, 0) + " "
 	for {
-		page, err := archive.store.Read(ctx, store.Range{Table: table, Partition: partition, From: from, To: rowEnd(id)})
+		page, err := archive.store.Read(ctx, store.Range{Table: table, Partition: partition, From: from, To: rowEnd(id), Limit: history.RowCount(values[0])})
 		if err != nil {
 			return nil, err
 		}
@@ -200,7 +296,7 @@
 			if row.Key.Name == rowName(id, len(values)) {
 				values = append(values, row.Value)
 			}
-			if len(values) > 0 && len(values) == history.RowCount(values[0]) {
+			if len(values) == history.RowCount(values[0]) {
 				return values, nil
 			}
 			from = row.Key.Name + " "
@@ -263,14 +359,13 @@
 // verifyStored returns nil if the stored rows of the turn id equal values, and a
 // *TurnConflictError if they differ.
 func (archive *Archive) verifyStored(ctx context.Context, id string, values [][]byte) error {
-	stored, _, err := archive.rows(ctx, id)
-	if err != nil {
-		return err
-	}
-	if !slices.EqualFunc(stored, values, bytes.Equal) {
-		return &TurnConflictError{id: id}
-	}
-	return nil
+	_, err := archive.withRows(ctx, id, func(rows [][]byte) error {
+		if !slices.EqualFunc(rows, values, bytes.Equal) {
+			return &TurnConflictError{id: id}
+		}
+		return nil
+	})
+	return err
 }
 
 // turnPartitions returns the two partitions that may hold a turn: the primary
--- a/archive/cache.go
+++ b/archive/cache.go
@@ -4,38 +4,29 @@
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtaildrum/wagtaildrum/history"
 )
 
-// cache holds recently used turns with a total size of up to maxBytes.
+// cache holds recently used turns with a total size of up to maxBytes, less what is lent.
 type cache struct {
-	mu       sync.Mutex
-	turns    *simplelru.LRU[string, *history.Turn]
-	size     int
-	maxBytes int
+	mu             sync.Mutex
+	turns          *simplelru.LRU[string, *history.Turn]
+	size, maxBytes int64
+	// lent is the memory that is used for other purposes for a while.
+	lent                 int64
+	sizeGauge, lentGauge tally.Gauge
 }
 
 // maxCachedTurns bounds the number of cached turns regardless of their size.
 const maxCachedTurns = 1 << 16
 
-// turnOverhead and partOverhead are the memory of a cached turn besides its data, and of each event
-// and ancestor: structures, the headers of slices and the rounding up of allocations.
-const (
-	turnOverhead = 384
-	partOverhead = 48
-)
-
-// cachedSize returns the memory that a turn takes in the cache, in bytes.
-func cachedSize(turn *history.Turn) int {
-	return turn.Size() + turnOverhead + partOverhead*(len(turn.Events)+len(turn.Ancestors))
-}
-
 // newCache returns an empty cache for turns of up to maxBytes in total.
-func newCache(maxBytes int) *cache {
-	c := &cache{maxBytes: maxBytes}
+func newCache(maxBytes int64) *cache {
+	c := &cache{maxBytes: maxBytes, sizeGauge: tally.NoopScope.Gauge(""), lentGauge: tally.NoopScope.Gauge("")}
 	// NewLRU fails only for a size that isn't positive.
-	c.turns, _ = simplelru.NewLRU(maxCachedTurns, func(_ string, turn *history.Turn) { c.size -= cachedSize(turn) })
+	c.turns, _ = simplelru.NewLRU(maxCachedTurns, func(_ string, turn *history.Turn) { c.size -= turn.Memory() })
 	return c
 }
 
@@ -47,7 +38,7 @@
 	return turn
 }
 
-// put adds a turn and evicts the least recently used ones that exceed maxBytes.
+// put adds a turn and evicts the least recently used ones that exceed the limit.
 func (c *cache) put(turn *history.Turn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,8 +46,23 @@
 		return
 	}
 	c.turns.Add(turn.ID, turn)
-	c.size += cachedSize(turn)
-	for c.size > c.maxBytes && c.turns.Len() > 0 {
+	c.size += turn.Memory()
+	c.evict()
+}
+
+// lend makes room for n bytes that are used for another purpose, until it is called with -n.
+func (c *cache) lend(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lent += n
+	c.evict()
+}
+
+// evict removes the least recently used turns that exceed the limit. The caller must hold mu.
+func (c *cache) evict() {
+	for c.size > c.maxBytes-c.lent && c.turns.Len() > 0 {
 		c.turns.RemoveOldest()
 	}
+	c.sizeGauge.Update(float64(c.size))
+	c.lentGauge.Update(float64(c.lent))
 }
--- a/archive/peer.go
+++ b/archive/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -18,8 +19,16 @@
 	// instance. A link of 30 Mbit/s transfers this much in 35 ms, which is
 	// within peerTimeout. Turns have a few KB each.
 	maxHeldBytes = 128 << 10
+	// maxHeldMemory bounds the memory of the turns that are encoded for one response, or
+	// decoded from each turn of one.
+	maxHeldMemory = 4 * maxHeldBytes
+	// CachedMemory is the memory that Cached and sending its result take at most, in bytes.
+	CachedMemory = maxHeldMemory + 2*maxHeldBytes
 )
 
+// errNotHeld is the error for a turn from another instance that is larger than any it should send.
+var errNotHeld = errors.New("turn is too large to be sent by another instance")
+
 // Peers requests turns from the caches of the other instances. The turns of a
 // program are served by several instances, and without peers each instance would
 // read the complete conversation from the store: 55 calls for a conversation of
@@ -37,20 +46,23 @@
 }
 
 // Cached returns the cached turns of the conversation that ends with the turn id,
-// newest first, up to maxHeldBytes in total. It returns nil if the turn id isn't
-// cached. All turns returned are also in the store.
+// newest first, up to maxHeldBytes in total when encoded, and up to maxHeldMemory before. It returns
+// nil if the turn id isn't cached. All turns returned are also in the store.
 func (archive *Archive) Cached(id string) []EncodedTurn {
 	last := archive.cache.get(id)
 	if last == nil {
 		return nil
 	}
 	var cached []EncodedTurn
-	size := 0
+	size, memory := 0, int64(0)
 	for _, id := range slices.Backward(last.Chain()) {
 		turn := archive.cache.get(id)
 		if turn == nil {
 			continue
 		}
+		if memory += turn.Memory(); memory > maxHeldMemory {
+			break
+		}
 		rows, err := turn.Encode(archive.rowBytes)
 		if err != nil {
 			archive.log.Warn("turn not encoded for another instance; it will read the turn from the store", "turn", id, "err", err)
@@ -83,7 +95,12 @@
 		return peerFetch{instance: holder, err: err}
 	}
 	for _, kept := range received {
-		turn, err := history.Decode(kept.ID, kept.Rows)
+		turn, err := history.DecodeWithin(kept.ID, kept.Rows, func(size int64) error {
+			if size > maxHeldMemory {
+				return errNotHeld
+			}
+			return nil
+		})
 		if err != nil {
 			archive.log.Warn("cannot decode turn from another instance; reading it from the store", "turn", kept.ID, "instance", holder, "err", err)
 			continue
--- a/archive/writer_internal_test.go
+++ b/archive/writer_internal_test.go
@@ -39,8 +39,11 @@
 func stored(t *testing.T, memory *storetest.Memory) [][]byte {
 	t.Helper()
 	a := New(memory, nil, testRowBytes, 0, slog.New(slog.DiscardHandler), tally.NoopScope)
-	rows, err := a.rowsIn(context.Background(), "p", "t")
+	rows, release, err := a.rowsIn(context.Background(), "p", "t")
 	require.NoError(t, err)
+	if release != nil {
+		release()
+	}
 	return rows
 }
 
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -6,6 +6,7 @@
 package codec
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 
@@ -53,6 +54,28 @@
 	return data, eris.Wrap(err, "encode")
 }
 
+// encMode encodes into buffers of its caller, which the encoder does not keep.
+var encMode = mustEncMode(cbor.EncOptions{})
+
+// mustEncMode returns the encoding mode for constant options. It panics if they
+// are invalid.
+func mustEncMode(options cbor.EncOptions) cbor.UserBufferEncMode {
+	mode, err := options.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// MarshalSized is Marshal for a value whose encoding has about the given size, for which it
+// takes no more memory than that.
+func MarshalSized(value any, size int) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Grow(size)
+	err := encMode.MarshalToBuffer(value, &buf)
+	return buf.Bytes(), eris.Wrap(err, "encode")
+}
+
 // Unmarshal decodes data into the value that dst points to. It fails if data
 // holds anything but exactly one valid value within the limits of this package.
 func Unmarshal(data []byte, dst any) error {
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -150,3 +150,19 @@
 		assert.Len(t, value, len(large))
 	}
 }
+
+// Guards against an encoding that differs from that of the versions before, by which turns are compared.
+func TestMarshalSizedEncodesAsMarshal(t *testing.T) {
+	value := struct {
+		A []byte
+		B []string
+		C int64
+	}{A: []byte("x"), B: []string{"y", "z"}, C: 1 << 40}
+	want, err := codec.Marshal(&value)
+	require.NoError(t, err)
+	for _, size := range []int{0, 1, 1000} {
+		got, err := codec.MarshalSized(&value, size)
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+}
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -141,6 +142,12 @@
 // evicted.
 func (conn *Conn) Reserve(n int64) bool { return conn.holder.Reserve(n) }
 
+// ReserveInOrder is Reserve for a request that may call Await if there is no room.
+func (conn *Conn) ReserveInOrder(n int64) bool { return conn.holder.ReserveInOrder(n) }
+
+// Await is Reserve for a request that is whole, and waits for room as Holder.Await does.
+func (conn *Conn) Await(ctx context.Context, n int64) bool { return conn.holder.Await(ctx, n) }
+
 // Charge charges n bytes, which may be negative, up to Done, and reports whether there is room for
 // them.
 func (conn *Conn) Charge(n int64) bool { return conn.holder.Charge(n) }
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -68,6 +68,8 @@
 	// connections, the oldest first.
 	waiting      [classes]list.List
 	waitingConns list.List
+	// queue lists the reservations that wait for room, of type *reservation, the oldest first.
+	queue list.List
 	// evicted counts the holders that were evicted, and refused the connections and
 	// reservations for which there was no room.
 	evicted, refused int64
@@ -103,17 +105,25 @@
 	victims := limiter.makeRoom(n, holder.held, holder)
 	ok := !holder.evicted && limiter.fits(n, holder.held)
 	if (ok || force) && !holder.ended {
-		limiter.used += n
-		if holder.evicted {
-			limiter.closing += n
-		}
-		limiter.setHeld(holder, holder.held+n)
+		limiter.charge(holder, n)
 	}
 	limiter.mu.Unlock()
 	limiter.end(victims, !ok && n > 0)
 	return ok
 }
 
+// charge charges n bytes, which may be negative, to holder.
+func (limiter *Limiter) charge(holder *Holder, n int64) {
+	limiter.used += n
+	if holder.evicted {
+		limiter.closing += n
+	}
+	limiter.setHeld(holder, holder.held+n)
+	if n < 0 {
+		limiter.grant()
+	}
+}
+
 // limits returns the memory that may be used for a holder of a class, once evicted holders have
 // ended and until then. Only holders of the lowest class may use the slack, so that ordinary
 // requests do not wait for the memory of large ones.
@@ -326,7 +336,7 @@
 	holder.limiter.mu.Lock()
 	defer holder.limiter.mu.Unlock()
 	if freed := holder.held - n; freed > 0 && !holder.ended {
-		holder.limiter.free(holder, freed)
+		holder.limiter.charge(holder, -freed)
 	}
 }
 
@@ -348,8 +358,9 @@
 	if holder.element != nil {
 		limiter.leave(holder)
 	}
-	limiter.free(holder, holder.held)
+	held := holder.held
 	holder.ended = true
+	limiter.charge(holder, -held)
 	if holder.isConn && !holder.evicted {
 		limiter.conns--
 	}
@@ -358,15 +369,6 @@
 	limiter.report(used, conns)
 }
 
-// free frees n bytes of a holder.
-func (limiter *Limiter) free(holder *Holder, n int64) {
-	limiter.used -= n
-	if holder.evicted {
-		limiter.closing -= n
-	}
-	limiter.setHeld(holder, holder.held-n)
-}
-
 // setHeld sets the memory of a holder and moves it to the class for that.
 func (limiter *Limiter) setHeld(holder *Holder, held int64) {
 	if holder.element == nil {
--- a/connlimit/server.go
+++ b/connlimit/server.go
@@ -65,6 +65,14 @@
 	})
 }
 
+// Reserve charges n bytes to the connection of a request to a handler of NewServer until its
+// response is complete. It reports whether there is room; there is always on a connection without
+// limits.
+func Reserve(r *http.Request, n int64) bool {
+	conn, ok := r.Context().Value(connKey{}).(*Conn)
+	return !ok || conn.Reserve(n)
+}
+
 // ResetAborted is deferred by handlers of requests on conn. If the handler panics, as it does to
 // abort a response, the connection of a request of HTTP/1.0 ends with a reset: a response to it
 // may have no length and be whole once the connection is closed.
--- a/entrypeer/turns.go
+++ b/entrypeer/turns.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/wagtaildrum/wagtaildrum/archive"
+	"github.com/wagtaildrum/wagtaildrum/connlimit"
 )
 
 // TurnCache holds turns in memory. *archive.Archive implements it.
@@ -50,11 +51,15 @@
 	return response.Turns, nil
 }
 
-// handleTurns serves a request for turns in memory.
+// handleTurns serves a request for turns in memory, if there is room to send them.
 func (server *Server) handleTurns(w http.ResponseWriter, r *http.Request) {
 	var message turnsRequest
 	if !decode(w, r, &message) {
 		return
 	}
+	if !connlimit.Reserve(r, archive.CachedMemory) {
+		http.Error(w, "no memory for turns", http.StatusServiceUnavailable)
+		return
+	}
 	server.reply(w, &turnsResponse{Turns: server.Turns.Cached(message.ID)})
 }
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -198,8 +198,9 @@
 	waiting, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	release, err := e.serviceQueue.gate.Acquire(waiting, ticket)
-	e.queueTime = e.Clock.Now().Sub(now)
-	e.metrics.queue.RecordDuration(e.queueTime)
+	waited := e.Clock.Now().Sub(now)
+	e.queueTime += waited
+	e.metrics.queue.RecordDuration(waited)
 	var refused *admission.Error
 	if errors.As(err, &refused) {
 		return e.orEnded(ctx, refuse(ReasonEndpointsFull, http.StatusServiceUnavailable, max(refused.RetryAfter(), busyRetryAfter), err))
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -24,7 +25,7 @@
 	defaultMaxBody = 4 << 20
 )
 
-// reserveMemory reserves memory for a body or prompt, or refuses the request if
+// reserveMemory reserves memory for a body or a conversation, or refuses the request if
 // the limit is exceeded. A process that exceeds its memory is killed together
 // with all its requests.
 func (e *exchange) reserveMemory(size int64) error {
@@ -34,6 +35,41 @@
 	return nil
 }
 
+// tryMemory reserves memory for a request whose body is complete. It reports whether there is
+// room for which no other request waits.
+func (e *exchange) tryMemory(size int64) bool {
+	if e.countBodyMemory(size) && (e.conn == nil || e.conn.ReserveInOrder(size)) {
+		return true
+	}
+	e.countBodyMemory(-size)
+	return false
+}
+
+// awaitMemory is tryMemory, but waits for memory as long as the caller waits for the first event,
+// unless there can't be any. The request leaves its slot meanwhile, which others can use.
+func (e *exchange) awaitMemory(ctx context.Context, size int64) error {
+	if e.tryMemory(size) {
+		return nil
+	}
+	if e.conn == nil {
+		return e.refuseWithoutMemory()
+	}
+	e.serviceQueue.gate.Abandon()
+	e.releaseSlot = nil
+	began := e.Clock.Now()
+	waiting, cancel := context.WithTimeout(ctx, e.untilEventTimeout())
+	ok := e.conn.Await(waiting, size)
+	cancel()
+	waited := e.Clock.Now().Sub(began)
+	e.memoryWait += waited
+	e.metrics.memory.RecordDuration(waited)
+	if !ok {
+		return e.refuseWithoutMemory()
+	}
+	e.countBodyMemory(size)
+	return e.admit(ctx)
+}
+
 // refuseWithoutMemory returns the refusal of a request for which there is no memory.
 func (e *exchange) refuseWithoutMemory() *refusal {
 	return refuse(ReasonNoMemory, http.StatusServiceUnavailable, busyRetryAfter, nil)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -188,7 +188,7 @@
 	e.Dialect.Prepare(header, ForwardInfo{Endpoint: choice.Endpoint().ID, Organisation: e.organisationName(), Deadline: e.deadline.Sub(e.Clock.Now())})
 	return &upstream.Request{
 		Address: choice.Endpoint().Address, Method: e.r.Method, Target: e.r.RequestURI, Host: e.r.Host, Header: header,
-		Body: e.prompt, HasBody: e.r.ContentLength != 0, IDHeader: e.Dialect.IDHeader(),
+		Prefix: e.conversation.parts, Body: e.body, HasBody: e.r.ContentLength != 0, IDHeader: e.Dialect.IDHeader(),
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,7 @@
 	// that Loads observes.
 	Programs *overload.Admitter
 	Loads    *overload.Meter
-	// MaxBodyBytes bounds the memory for the bodies and prompts of all requests in
+	// MaxBodyBytes bounds the memory for the bodies and conversations of all requests in
 	// flight, in bytes; 0 means no limit.
 	MaxBodyBytes int64
 	// Shutdown is the planned end of the process.
@@ -75,7 +75,7 @@
 	serviceQueues *serviceQueues
 	usage         *overload.Usage
 	inFlight      atomic.Int64
-	// bodyMemory is the number of bytes reserved for the bodies, prompts and
+	// bodyMemory is the number of bytes reserved for the bodies, conversations and
 	// responses of the requests in flight.
 	bodyMemory atomic.Int64
 	// background holds an element for each endpoint that is being watched or checked
@@ -85,10 +85,10 @@
 
 // metrics holds the metrics of a Gateway; refused is indexed by Reason.
 type metrics struct {
-	requests, served, failed, sends, resumed                      tally.Counter
-	healthChecks, watchesSkipped                                  tally.Counter
-	refused                                                       [ReasonShuttingDown + 1]tally.Counter
-	latency, firstEvent, reserve, extend, storeTurn, queue, quota tally.Histogram
+	requests, served, failed, sends, resumed                              tally.Counter
+	healthChecks, watchesSkipped                                          tally.Counter
+	refused                                                               [ReasonShuttingDown + 1]tally.Counter
+	latency, firstEvent, reserve, extend, storeTurn, queue, quota, memory tally.Histogram
 }
 
 // New returns a Gateway that uses the given parts.
@@ -101,7 +101,7 @@
 		sends: scope.Counter("sends"), resumed: scope.Counter("resumed"),
 		healthChecks: scope.Counter("health_checks"), watchesSkipped: scope.Counter("endpoint_watches_skipped"),
 		latency: scope.Histogram("request_seconds", buckets), firstEvent: scope.Histogram("first_event_seconds", buckets),
-		reserve: scope.Histogram("budget_seconds", buckets), extend: scope.Histogram("budget_extend_seconds", buckets), storeTurn: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets), quota: scope.Histogram("quota_seconds", buckets),
+		reserve: scope.Histogram("budget_seconds", buckets), extend: scope.Histogram("budget_extend_seconds", buckets), storeTurn: scope.Histogram("keep_turn_seconds", buckets), queue: scope.Histogram("queue_seconds", buckets), quota: scope.Histogram("quota_seconds", buckets), memory: scope.Histogram("memory_wait_seconds", buckets),
 	}
 	for reason := range gateway.metrics.refused {
 		gateway.metrics.refused[reason] = scope.Tagged(map[string]string{"reason": Reason(reason).String()}).Counter("refused")
@@ -157,7 +157,7 @@
 	Routes        int    `json:"routes"`
 	Endpoints     int    `json:"endpoints"`
 	InFlight      int64  `json:"in_flight"`
-	// BodyBytes is the memory held for bodies, prompts and responses.
+	// BodyBytes is the memory held for bodies, conversations and responses.
 	BodyBytes int64 `json:"body_bytes"`
 	Programs  int   `json:"programs"`
 	// Witnessed is the number of programs whose grants are recorded for other instances.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -43,6 +43,9 @@
 	if e.queueTime >= time.Millisecond {
 		attrs = append(attrs, slog.Duration("queued", e.queueTime), slog.Int("priority", e.priority))
 	}
+	if e.memoryWait >= time.Millisecond || reason == ReasonNoMemory {
+		attrs = append(attrs, slog.Duration("memory_wait", e.memoryWait), slog.Int64("memory", e.memoryUsed), slog.Int64("conversation", e.conversation.memory))
+	}
 	if e.spendsBudget() {
 		attrs = append(attrs, slog.Int64("budget", e.call.Budget), slog.Int64("most", e.call.MaxTokens), slog.Int64("spent", e.spentTokens()), slog.Duration("first", e.timeToFirstEvent))
 		if e.reservation != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,7 +11,6 @@
 	"github.com/wagtaildrum/wagtaildrum/account"
 	"github.com/wagtaildrum/wagtaildrum/clock"
 	"github.com/wagtaildrum/wagtaildrum/connlimit"
-	"github.com/wagtaildrum/wagtaildrum/history"
 	"github.com/wagtaildrum/wagtaildrum/overload"
 	"github.com/wagtaildrum/wagtaildrum/quarantine"
 	"github.com/wagtaildrum/wagtaildrum/resumption"
@@ -75,22 +74,22 @@
 	service  string
 	arrived  time.Time
 	deadline time.Time
-	// body is the request's body; prompt is what endpoints receive, the body
-	// preceded by the conversation if the route keeps history.
-	body   []byte
-	prompt []byte
+	// body is the request's body, and conversation what endpoints receive before it if the
+	// route keeps history. conversationMemory is what is reserved for that.
+	body               []byte
+	conversation       conversation
+	conversationMemory conversationMemory
 	// bodyTimedOut is set if the body was not complete in time.
 	bodyTimedOut bool
 
 	// conn is the connection to which memory is charged; nil if it has no limits.
 	conn *connlimit.Conn
-	// memoryUsed is the number of bytes reserved for the body, the prompt and
+	// memoryUsed is the number of bytes reserved for the body, the conversation and
 	// what is kept of the response, and responseMemory the last of these.
 	memoryUsed, responseMemory int64
-	// chain holds the earlier turns of the conversation, the oldest first, and
-	// storeTime is how long storing the turn took.
-	chain     []*history.Turn
-	storeTime time.Duration
+	// memoryWait is how long the request waited for memory, and storeTime how long storing
+	// the turn took.
+	memoryWait, storeTime time.Duration
 	// reservation is the budget reserved for the turn; nil for a request that
 	// spends none.
 	reservation *account.Reservation
@@ -172,6 +171,7 @@
 	defer gateway.inFlight.Add(-1)
 	gateway.metrics.requests.Inc(1)
 	e := &exchange{Gateway: gateway, w: w, r: r, conn: limitedConn(r), arrived: gateway.Clock.Now()}
+	e.conversationMemory.exchange = e
 	e.finish(e.serve())
 }
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -40,8 +40,7 @@
 // request.
 func (e *exchange) retryStore(ctx context.Context, f func(ctx context.Context) error) error {
 	maxWait := min(maxStoreWait, time.Duration(maxStoreWaitShare*float64(e.deadline.Sub(e.arrived))))
-	timeout := max(e.arrived.Add(e.eventTimeout()-refusalMargin).Sub(e.Clock.Now()), minStoreTimeout)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, max(e.untilEventTimeout(), minStoreTimeout))
 	defer cancel()
 	for {
 		err := f(ctx)
@@ -54,6 +53,12 @@
 	}
 }
 
+// untilEventTimeout returns the time until the request has to be refused if its caller is to receive
+// the refusal before it gives up waiting for an event.
+func (e *exchange) untilEventTimeout() time.Duration {
+	return e.arrived.Add(e.eventTimeout() - refusalMargin).Sub(e.Clock.Now())
+}
+
 // storeUnavailable returns the refusal of a request that needs the store.
 func (e *exchange) storeUnavailable(err error) *refusal {
 	retryAfter := storeRetryAfter
--- a/history/turn_test.go
+++ b/history/turn_test.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -19,12 +21,15 @@
 	"github.com/wagtaildrum/wagtaildrum/history"
 )
 
+// prompt returns the parts of the prompt for a chain as one text.
+func prompt(chain []*history.Turn) string { return string(bytes.Join(history.PromptParts(chain), nil)) }
+
 func TestPromptContainsChainByteForByte(t *testing.T) {
 	first := &history.Turn{ID: "a", Input: []byte("question\r\n"), Events: [][]byte{[]byte("one"), {}, []byte("two\nlines")}}
 	second := &history.Turn{ID: "b", Ancestors: first.Chain(), Input: []byte("more"), Events: [][]byte{[]byte("three")}}
-	assert.Equal(t, "question\r\none\n\ntwo\nlines\nmorethree\nlast", string(history.Prompt([]*history.Turn{first, second}, []byte("last"))))
+	assert.Equal(t, "question\r\none\n\ntwo\nlines\nmorethree\nlast", prompt([]*history.Turn{first, second})+"last")
 	assert.Equal(t, []string{"a", "b"}, second.Chain())
-	assert.Equal(t, "alone", string(history.Prompt(nil, []byte("alone"))))
+	assert.Equal(t, "alone", prompt(nil)+"alone")
 }
 
 func TestEncodeDecodeRoundTrip(t *testing.T) {
@@ -123,10 +128,10 @@
 	})
 }
 
-func ExamplePrompt() {
+func ExamplePromptParts() {
 	turn := &history.Turn{ID: "a", Input: []byte("hello "), Events: [][]byte{[]byte("hi")}}
-	fmt.Printf("%q\n", history.Prompt([]*history.Turn{turn}, []byte("bye")))
-	// Output: "hello hi\nbye"
+	fmt.Printf("%q\n", bytes.Join(history.PromptParts([]*history.Turn{turn}), nil))
+	// Output: "hello hi\n"
 }
 
 // Guards against a turn that is decoded with the bytes of another turn, or
@@ -174,3 +179,95 @@
 	require.NoError(t, err)
 	assert.Equal(t, "x", again.Organisation)
 }
+
+// Guards against memory that is taken for a turn without being reserved, and a reservation that is larger than the turn.
+func TestMemoryIsReservedBeforeDecoding(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range 200 {
+		turn := &history.Turn{ID: "t", Ancestors: []string{"a", strings.Repeat("b", rng.IntN(60))}, AncestorBytes: rng.Int64N(1 << 40), Input: bytes.Repeat([]byte("x"), rng.IntN(200_000))}
+		for range rng.IntN(50) {
+			turn.Events = append(turn.Events, bytes.Repeat([]byte("y"), rng.IntN(100)))
+		}
+		rows, err := turn.Encode(1000)
+		require.NoError(t, err)
+		reserved := int64(0)
+		got, err := history.DecodeWithin("t", rows, func(size int64) error {
+			reserved = size
+			return nil
+		})
+		require.NoError(t, err)
+		require.Equal(t, turn.AncestorBytes, got.AncestorBytes)
+		require.Equal(t, turn.Memory(), got.Memory())
+		require.LessOrEqual(t, reserved, turn.Memory())
+		require.GreaterOrEqual(t, reserved, int64(turn.Size()))
+		_, err = history.DecodeWithin("t", rows, func(int64) error { return errNoRoom })
+		require.ErrorIs(t, err, errNoRoom)
+	}
+}
+
+var errNoRoom = errors.New("no room in this test")
+
+// Guards against many large turns that are decoded, or encoded, at once, each of which takes its size again.
+func TestLargeTurnsAreCodedOneAtATime(t *testing.T) {
+	const size, parallel = 4 << 20, 16
+	turn := &history.Turn{ID: "t", Input: make([]byte, size)}
+	rows, err := turn.Encode(40_000)
+	require.NoError(t, err)
+	highest := heapWhile(func() {
+		var all sync.WaitGroup
+		for range parallel {
+			all.Go(func() {
+				_, err := turn.Encode(40_000)
+				assert.NoError(t, err)
+			})
+		}
+		all.Wait()
+	})
+	t.Logf("encoding: %d MB", highest>>20)
+	assert.Less(t, highest, uint64(parallel/2*size))
+	highest = heapWhile(func() {
+		var all sync.WaitGroup
+		for range parallel {
+			all.Go(func() {
+				got, err := history.Decode("t", rows)
+				assert.NoError(t, err)
+				assert.Len(t, got.Input, size)
+			})
+		}
+		all.Wait()
+	})
+	t.Logf("decoding: %d MB", highest>>20)
+	assert.Less(t, highest, uint64((parallel+parallel/2)*size), "the turns themselves, and less than as much again")
+}
+
+// heapWhile returns how much memory is in use at most while f runs, beyond that before.
+func heapWhile(f func()) uint64 {
+	defer debug.SetGCPercent(debug.SetGCPercent(5))
+	runtime.GC()
+	var before, now runtime.MemStats
+	runtime.ReadMemStats(&before)
+	highest, ended := uint64(0), make(chan struct{})
+	go func() {
+		defer close(ended)
+		f()
+	}()
+	for {
+		runtime.ReadMemStats(&now)
+		highest = max(highest, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
+		select {
+		case <-ended:
+			return highest
+		case <-time.After(100 * time.Microsecond):
+		}
+	}
+}
+
+// Guards against the input of a large turn that is copied for each request that continues it.
+func TestPromptPartsShareLargeInputs(t *testing.T) {
+	large := &history.Turn{ID: "a", Input: bytes.Repeat([]byte("x"), 10_000), Events: [][]byte{[]byte("one")}}
+	parts := history.PromptParts([]*history.Turn{large, {ID: "b", Input: []byte("two"), Events: [][]byte{[]byte("three")}}, large})
+	require.Len(t, parts, 4)
+	assert.Same(t, &large.Input[0], &parts[0][0])
+	assert.Same(t, &large.Input[0], &parts[2][0])
+	assert.Equal(t, "one\ntwothree\n", string(parts[1]))
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -63,6 +63,8 @@
 	// Host is the value of the Host header.
 	Host   string
 	Header http.Header
+	// Prefix holds the parts of the body that precede Body.
+	Prefix [][]byte
 	Body   []byte
 	// HasBody tells an empty body from no body: with an empty one a
 	// Content-Length of 0 is sent.
@@ -73,6 +75,23 @@
 	IDHeader string
 }
 
+// bodySize returns the size of the whole body.
+func (request *Request) bodySize() int {
+	size := len(request.Body)
+	for _, part := range request.Prefix {
+		size += len(part)
+	}
+	return size
+}
+
+// buffers returns the encoded request with the given head.
+func (request *Request) buffers(head []byte) net.Buffers {
+	buffers := make(net.Buffers, 0, len(request.Prefix)+2)
+	buffers = append(buffers, head)
+	buffers = append(buffers, request.Prefix...)
+	return append(buffers, request.Body)
+}
+
 // Response is the response of an endpoint. Body returns io.EOF only if the body
 // is complete. The caller must call Close.
 type Response struct {
@@ -153,12 +172,12 @@
 	}
 	head := encodeHead(request)
 	var sent <-chan error
-	if len(request.Body) <= maxInlineBody {
-		if _, err := c.Write(append(head, request.Body...)); err != nil {
+	if request.bodySize() <= maxInlineBody {
+		if _, err := c.Write(bytes.Join(request.buffers(head), nil)); err != nil {
 			return fail(StageSend, err)
 		}
 	} else {
-		sent = c.send(head, request.Body)
+		sent = c.send(request.buffers(head))
 	}
 	received, err := c.readHead(request)
 	if err != nil {
@@ -184,10 +203,10 @@
 // the result on the returned channel. An endpoint may respond before it has
 // read the body and then stop reading, which would block a writer that has to
 // finish first.
-func (c *conn) send(head, body []byte) <-chan error {
+func (c *conn) send(buffers net.Buffers) <-chan error {
 	sent := make(chan error, 1)
 	go func() {
-		_, err := c.WriteBuffers(net.Buffers{head, body})
+		_, err := c.WriteBuffers(buffers)
 		sent <- err
 	}()
 	return sent
@@ -261,9 +280,9 @@
 	buf.WriteString(request.Host)
 	buf.WriteString("\r\n")
 	_ = request.Header.Write(&buf) // writing to a bytes.Buffer cannot fail
-	if request.HasBody || len(request.Body) > 0 {
+	if size := request.bodySize(); request.HasBody || size > 0 {
 		buf.WriteString("Content-Length: ")
-		buf.WriteString(strconv.Itoa(len(request.Body)))
+		buf.WriteString(strconv.Itoa(size))
 		buf.WriteString("\r\n")
 	}
 	buf.WriteString("\r\n")
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -403,3 +403,26 @@
 	require.NoError(t, <-done)
 	require.NoError(t, <-done)
 }
+
+// Guards against parts of a body that are sent in another order, not at all, or not counted.
+func TestPrefixPrecedesTheBody(t *testing.T) {
+	for _, size := range []int{1, 1000, 300_000} {
+		address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+			for {
+				id, _, body, err := read(reader)
+				if err != nil {
+					return
+				}
+				respond(conn, id, "", fmt.Sprintf("%d %s", len(body), strings.Trim(body, "x")))
+			}
+		})
+		client := upstream.NewClient()
+		r := request(address, "r", "c")
+		r.Prefix = [][]byte{[]byte("a" + strings.Repeat("x", size)), nil, []byte("b")}
+		for range 2 {
+			body, _, err := do(t, client, r)
+			require.NoError(t, err)
+			assert.Equal(t, fmt.Sprintf("%d a%sbc", size+3, strings.Repeat("x", size)), body)
+		}
+	}
+}
