entrypeer, quota: instances that the others do not know grant no quota

What callers saw: nothing; what organisations saw: more requests than their quota, for as long as it lasted.

Cause: an instance counted itself among the candidates for the home of a quota from its start on, before its row was written, and after the row had gone. It did not notice that: a removed row, or one missing in the whole table, was not looked at. And the removal by a stopping instance had no condition, so that one that the store performs late removed the row of the next start.

Change: an instance is a home once it has read its own row, and no longer when the row has gone; its buckets are dropped then. Of two instances that have read their rows, the one whose row was written later knows the other and takes its bucket over. The row is looked for in each version of the table from the one of its write on, and written again. Writes and removals of the row are conditional. The time since which the others tell an instance of crashes begins anew with its row. An instance that knows no listed one has requests with a quota wait for half a second, then refuses them; readiness does not wait.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -67,6 +67,9 @@
 	// OnUnavailable is called when the store becomes unavailable, and OnAvailable when it is
 	// available again.
 	OnUnavailable, OnAvailable func()
+	// OnVersion, unless nil, is called with the version up to which ReplaceAll and Apply have
+	// delivered the table, after each successful read.
+	OnVersion func(version uint64)
 	// OnCurrent, unless nil, is called after each successful read with the time at
 	// which the table was last known to be current. allChanges is set if Apply has
 	// received each change since the last call: other instances, from which the
@@ -212,6 +215,7 @@
 	}
 	follower.source.ReplaceAll(rows)
 	follower.table.Replace(rows, version, confirmedAt)
+	follower.reportVersion(version)
 	return version, rowsVersion, nil
 }
 
@@ -238,6 +242,7 @@
 	for _, row := range follower.table.Apply(rows, page.Version, follower.clock.Now().Add(-page.Age)) {
 		follower.source.Apply(row)
 	}
+	follower.reportVersion(page.Version)
 	follower.gather(ctx, changed)
 	// The monotonic clock may not count a suspension.
 	now := follower.clock.Now()
@@ -245,6 +250,13 @@
 	return page.Version, isComplete && waited <= maxWatchTime, nil
 }
 
+// reportVersion calls OnVersion.
+func (follower *Follower) reportVersion(version uint64) {
+	if follower.source.OnVersion != nil {
+		follower.source.OnVersion(version)
+	}
+}
+
 // observeChanges reports whether a page of the store with the given rows holds each
 // change, and not only the latest one of each row: the protocol leaves open which. It
 // is known to be the former once a page has held several changes of one row.
--- a/entrypeer/credit.go
+++ b/entrypeer/credit.go
@@ -219,9 +219,9 @@
 	return client.directory.homes(organisation, all)
 }
 
-// homes returns up to maxHomeCandidates instances, this one included, ranked by
+// homes returns up to maxHomeCandidates instances ranked by
 // their rendezvous score for organisation. Excluded instances are left out
-// unless all is set.
+// unless all is set, and so is this one while it is not listed: the others don't consider it.
 func (directory *Directory) homes(organisation string, all bool) []string {
 	type candidate struct {
 		name  string
@@ -239,7 +239,9 @@
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	now := directory.clock.Now()
-	consider(directory.selfKey().Name)
+	if directory.listed != 0 {
+		consider(directory.selfKey().Name)
+	}
 	for name := range directory.instances {
 		if name != directory.selfKey().Name && (all || !directory.isExcluded(name, now)) {
 			consider(name)
--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -88,9 +89,12 @@
 	// exclusions holds the instances that failed or announced a shutdown, by
 	// name.
 	exclusions map[string]exclusion
-	// overwritten receives a value when the row of this instance was found to
-	// hold another incarnation's entry.
-	overwritten chan struct{}
+	// listed is the version of the row of this instance in the table as last read, 0 if the
+	// table has no row with its entry. Then the other instances don't know it either, or soon
+	// won't. written is the version at which the row was last written, 0 if it is not known to be
+	// there, and removed receives a value when it no longer is.
+	listed, written uint64
+	removed         chan struct{}
 	// unreachable holds the names of the instances that could not be reached
 	// since the last response from any instance.
 	unreachable map[string]struct{}
@@ -121,7 +125,7 @@
 
 // NewDirectory returns a directory that holds no instance but self.
 func NewDirectory(self Instance, clk clock.Clock) *Directory {
-	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, exclusions: map[string]exclusion{}, unreachable: map[string]struct{}{}, noStoreUntil: map[string]time.Time{}, overwritten: make(chan struct{}, 1), loaded: make(chan struct{}), changedAt: clk.Now(), joinedAt: map[string]time.Time{}}
+	return &Directory{self: self, clock: clk, instances: map[string]Instance{}, exclusions: map[string]exclusion{}, unreachable: map[string]struct{}{}, noStoreUntil: map[string]time.Time{}, removed: make(chan struct{}, 1), loaded: make(chan struct{}), changedAt: clk.Now(), joinedAt: map[string]time.Time{}}
 }
 
 // selfKey returns the key of this instance's row.
@@ -135,11 +139,11 @@
 // all instances start at once, their entries wait in one partition for up to a
 // second.
 //
-// The function writes the entry again whenever an earlier incarnation's entry is
-// found there: a write of that incarnation whose response was lost may be applied
-// seconds later, and other instances could then not find the holder of the
-// present incarnation's budget accounts. The function runs until its context
-// ends, then sends nil on done.
+// The function writes the entry again whenever the table turns out to have no row
+// with it: a write or a removal of an earlier incarnation whose response was lost may be
+// applied seconds later, and an operator may remove it. Other instances could then not find the
+// holder of the present incarnation's budget accounts, and would not agree with it on the homes of
+// quotas. The function runs until its context ends, then sends nil on done.
 func (directory *Directory) Join(first, s store.Store, log *slog.Logger) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
 		defer func() { done <- nil }()
@@ -152,15 +156,16 @@
 		throttledBackoff := retry.Backoff{Initial: throttledJoinBackoff, Max: maxThrottledJoinBackoff}
 		through := first
 		for {
-			_, err := through.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: directory.selfKey(), Value: value}}})
+			version, err := directory.write(ctx, through, value)
 			if err == nil {
-				directory.recordWritten()
-				log.Info("entry of this instance written; other instances can find it", "address", directory.self.Address, "owner", directory.self.Owner)
+				directory.recordWritten(version)
+				log.Info("entry of this instance written; other instances can find it", "address", directory.self.Address, "owner", directory.self.Owner, "version", version)
 				backoff = retry.Backoff{Initial: initialJoinBackoff, Max: maxJoinBackoff}
 				select {
 				case <-ctx.Done():
 					return
-				case <-directory.overwritten:
+				case <-directory.removed:
+					log.Warn("entry of this instance is gone: writing it again; until others know it, this instance is no home of quotas", "version", version)
 					continue
 				}
 			}
@@ -178,36 +183,151 @@
 	}
 }
 
-// recordWritten records that the entry of this instance was written.
-func (directory *Directory) recordWritten() {
+// maxConflicts bounds the attempts to write or remove a row that others change meanwhile.
+const maxConflicts = 4
+
+// write writes the entry of this instance and returns the version of its row. A write without a
+// response may be applied later, when the row may be that of the next incarnation, so each one is
+// made conditional on the row that it replaces.
+func (directory *Directory) write(ctx context.Context, s store.Store, value []byte) (version uint64, err error) {
+	key, replaced := directory.selfKey(), uint64(0)
+	for range maxConflicts {
+		version, err = s.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: key, Version: replaced}}, Puts: []store.Put{{Key: key, Value: value}}})
+		current, isConflict := conflictingRow(err, key)
+		if !isConflict {
+			return version, err
+		}
+		if directory.isOwn(current) {
+			return current.Version, nil // an earlier attempt was applied
+		}
+		replaced = current.Version
+	}
+	return 0, err
+}
+
+// conflictingRow returns the row of key as a failed condition found it, with version 0 if there is
+// none. It returns false if err is no conflict.
+func conflictingRow(err error, key store.Key) (store.Row, bool) {
+	var failure *store.Error
+	if !errors.As(err, &failure) || failure.Failure() != store.FailureConflict {
+		return store.Row{}, false
+	}
+	for _, row := range failure.Rows() {
+		if row.Key == key {
+			return row, true
+		}
+	}
+	return store.Row{Key: key}, true
+}
+
+// isOwn reports whether a row has the entry of this incarnation.
+func (directory *Directory) isOwn(row store.Row) bool {
+	var instance Instance
+	return row.Version > 0 && codec.Unmarshal(row.Value, &instance) == nil && instance.Owner == directory.self.Owner
+}
+
+// recordWritten records that the entry of this instance was written at a version.
+func (directory *Directory) recordWritten(version uint64) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
+	directory.written = version
 	if directory.writtenAt.IsZero() {
 		directory.writtenAt = directory.clock.Now()
 	}
 }
 
-// Leave deletes the entry of this instance from the table. It returns the error
-// of the store.
+// Leave deletes the entry of this instance from the table, unless it is that of another
+// incarnation: a deletion without a response may be applied later, when the next one has
+// written its own. It returns the error of the store.
 func (directory *Directory) Leave(ctx context.Context, s store.Store) error {
-	_, err := s.Commit(ctx, store.Transaction{Deletes: []store.Key{directory.selfKey()}})
+	key := directory.selfKey()
+	directory.mu.Lock()
+	row := store.Row{Key: key, Version: max(directory.listed, directory.written)}
+	directory.mu.Unlock()
+	if row.Version == 0 {
+		current, err := store.Get(ctx, s, key)
+		if err != nil || !directory.isOwn(current) {
+			return err
+		}
+		row = current
+	}
+	var err error
+	for range maxConflicts {
+		_, err = s.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: key, Version: row.Version}}, Deletes: []store.Key{key}})
+		current, isConflict := conflictingRow(err, key)
+		if !isConflict {
+			return err
+		}
+		if !directory.isOwn(current) {
+			return nil
+		}
+		row = current
+	}
 	return err
 }
 
+// Listed implements quota.Peers. It reports whether the table, as last read, has the entry of this
+// instance. Of two instances that are listed, at least one then knows the other: the one whose
+// entry was written later.
+func (client *Client) Listed() bool { return client.directory.isListed() }
+
+func (directory *Directory) isListed() bool {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	return directory.listed != 0
+}
+
+// setListed records the version of the row with the entry of this instance, 0 for none. The caller
+// must hold mu.
+func (directory *Directory) setListed(version uint64) {
+	if (version == 0) != (directory.listed == 0) {
+		directory.changedAt = directory.clock.Now()
+	}
+	directory.listed = version
+}
+
+// observeVersion records that the table was read up to a version. If it should have the entry of
+// this instance and does not, the entry is to be written again.
+func (directory *Directory) observeVersion(version uint64) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	if directory.listed != 0 || directory.written == 0 || version < directory.written {
+		return
+	}
+	directory.written, directory.writtenAt = 0, time.Time{}
+	select {
+	case directory.removed <- struct{}{}:
+	default: // a notification is pending
+	}
+}
+
 // Source returns the discovery source that applies the table to the directory.
 func (directory *Directory) Source(log *slog.Logger) discovery.Source {
-	return discovery.Source{Table: table, WatchTimeout: watchWait, MaxGatherDelay: maxGatherDelay, OnUnavailable: func() {}, OnAvailable: func() {}, Apply: func(row store.Row) { directory.apply(row, log) }, ReplaceAll: func(rows []store.Row) {
+	return discovery.Source{Table: table, WatchTimeout: watchWait, MaxGatherDelay: maxGatherDelay, OnUnavailable: func() {}, OnAvailable: func() {}, OnVersion: directory.observeVersion, Apply: func(row store.Row) {
 		directory.mu.Lock()
-		clear(directory.instances)
-		directory.ordered = nil
-		directory.mu.Unlock()
-		for _, row := range rows {
-			directory.apply(row, log)
-		}
+		defer directory.mu.Unlock()
+		directory.apply(row, log)
+	}, ReplaceAll: func(rows []store.Row) {
+		directory.replaceAll(rows, log)
 		directory.loadOnce.Do(func() { close(directory.loaded) })
 	}}
 }
 
+// replaceAll replaces what is known by the rows of the table.
+func (directory *Directory) replaceAll(rows []store.Row, log *slog.Logger) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	clear(directory.instances)
+	directory.ordered = nil
+	self := directory.selfKey().Name
+	if !slices.ContainsFunc(rows, func(row store.Row) bool { return row.Key.Name == self }) {
+		directory.setListed(0)
+	}
+	for _, row := range rows {
+		directory.apply(row, log)
+	}
+}
+
 // Members implements account.Members.
 func (directory *Directory) Members() (self string, all []string) {
 	directory.mu.Lock()
@@ -224,10 +344,13 @@
 }
 
 // apply updates the directory from one row of the table. A row that cannot be
-// decoded is logged and changes nothing.
+// decoded is logged and changes nothing, unless it is that of this instance. The caller must hold
+// mu.
 func (directory *Directory) apply(row store.Row, log *slog.Logger) {
-	directory.mu.Lock()
-	defer directory.mu.Unlock()
+	if row.Key.Name == directory.selfKey().Name {
+		directory.applySelf(row)
+		return
+	}
 	if row.Removed {
 		delete(directory.instances, row.Key.Name)
 		directory.ordered = nil
@@ -242,22 +365,22 @@
 		return
 	}
 	instance.Name = row.Key.Name
-	switch {
-	case instance.Owner == directory.self.Owner:
-	case instance.Name == directory.selfKey().Name:
-		select {
-		case directory.overwritten <- struct{}{}:
-		default: // a notification is pending
-		}
-	default:
-		if directory.instances[row.Key.Name] != instance {
-			delete(directory.exclusions, row.Key.Name) // restarted, so earlier failures no longer count
-			directory.changedAt = directory.clock.Now()
-			directory.joinedAt[row.Key.Name] = directory.changedAt
-		}
-		directory.instances[row.Key.Name] = instance
-		directory.ordered = nil
+	if directory.instances[row.Key.Name] != instance {
+		delete(directory.exclusions, row.Key.Name) // restarted, so earlier failures no longer count
+		directory.changedAt = directory.clock.Now()
+		directory.joinedAt[row.Key.Name] = directory.changedAt
+	}
+	directory.instances[row.Key.Name] = instance
+	directory.ordered = nil
+}
+
+// applySelf records what the table has in the row of this instance. The caller must hold mu.
+func (directory *Directory) applySelf(row store.Row) {
+	if row.Removed || !directory.isOwn(row) {
+		directory.setListed(0)
+		return
 	}
+	directory.setListed(row.Version)
 }
 
 // neighbours returns the names of the reachable instances of this data centre,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -118,6 +118,8 @@
 
 func (singleInstance) Self() string { return "i" }
 
+func (singleInstance) Listed() bool { return true }
+
 func (singleInstance) JoinedAt(string) time.Time { return time.Time{} }
 
 func (singleInstance) StableFor() time.Duration { return time.Hour }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -33,6 +33,9 @@
 		request.Program = xxhash.Sum64String(e.program)
 	}
 	wait, err := e.Quotas.Take(ctx, e.organisation.Name, limit, request)
+	for errors.Is(err, quota.ErrUnlisted) && e.Clock.Now().Sub(e.arrived) < startupWait && clock.Sleep(ctx, startupPollInterval) {
+		wait, err = e.Quotas.Take(ctx, e.organisation.Name, limit, request)
+	}
 	defer func() { e.metrics.quota.RecordDuration(e.Clock.Now().Sub(began)) }()
 	var exhausted *quota.ExhaustedError
 	switch {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -74,6 +74,8 @@
 	// instance that is stopping still responds; one that departed has stopped
 	// as planned and removed its entry.
 	crashed, suspended, partitioned, stopping, departed bool
+	// unlisted is set while the membership has no entry of the instance.
+	unlisted bool
 	// members is the membership as this instance has recorded it, news the
 	// updates that it has yet to receive.
 	members           map[string]bool
@@ -155,7 +157,9 @@
 		if n.at.After(now) || m.partitioned {
 			return false
 		}
-		if n.joined {
+		if n.name == m.name {
+			m.unlisted = !n.joined
+		} else if n.joined {
 			m.members[n.name] = true
 			m.joined[n.name] = now
 			delete(m.unreachableUntil, n.name)
@@ -177,7 +181,7 @@
 	m.applyNews()
 	var names []string
 	for name := range m.members {
-		if all || !m.fleet.clock.Now().Before(m.unreachableUntil[name]) {
+		if (all || !m.fleet.clock.Now().Before(m.unreachableUntil[name])) && (name != m.name || m.Listed()) {
 			names = append(names, name)
 		}
 	}
@@ -193,6 +197,9 @@
 // Self implements quota.Peers.
 func (m *member) Self() string { return m.name }
 
+// Listed implements quota.Peers.
+func (m *member) Listed() bool { return !m.unlisted }
+
 // JoinedAt implements quota.Peers.
 func (m *member) JoinedAt(name string) time.Time { return m.joined[name] }
 
@@ -401,6 +408,38 @@
 	}
 }
 
+// Guards against more requests than the quota and the tolerance while entries of running instances vanish from the membership,
+// and come back, which each instance learns at its own time.
+func TestNoWindowExceedsQuotaWhileEntriesVanish(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, uint64(seed), 3+seed%9)
+			f.limit("x", 20, 20)
+			listed := map[*member]bool{}
+			for _, m := range f.instances {
+				listed[m] = true
+			}
+			for range 900 {
+				f.clock.Advance(time.Duration(5+f.random.IntN(45)) * time.Millisecond)
+				f.heartbeat()
+				for range 4 {
+					f.request("x", f.instances[f.random.IntN(len(f.instances))])
+				}
+				if f.random.IntN(15) > 0 {
+					continue
+				}
+				m := f.instances[f.random.IntN(len(f.instances))]
+				listed[m] = !listed[m]
+				f.record("entry of %s is there: %t", m.name, listed[m])
+				f.announce(m, listed[m])
+				m.news = append(m.news, news{at: f.clock.Now().Add(time.Duration(f.random.IntN(500)) * time.Millisecond), name: m.name, joined: listed[m]})
+			}
+			f.check("x")
+			require.Greater(t, len(f.sent["x"]), 100)
+		})
+	}
+}
+
 // simulate sends bursts of requests far above the quotas while it injects
 // faults, and checks every window.
 func (f *fleet) simulate() {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -58,6 +58,9 @@
 	Homes(organisation string, all bool) []string
 	// Self returns the name of this instance.
 	Self() string
+	// Listed reports whether the other instances know this one, or will once they have
+	// received the latest changes of the membership. Homes leaves this instance out otherwise.
+	Listed() bool
 	// JoinedAt returns when an instance last joined or restarted.
 	JoinedAt(instance string) time.Time
 	// StableFor returns the time since an instance last joined or left.
@@ -100,6 +103,10 @@
 // organisation, and can't reach the home.
 var ErrNotHome = errors.New("no reachable home instance for the quota of the organisation")
 
+// ErrUnlisted is returned by an instance that the others don't know, and that
+// knows no other.
+var ErrUnlisted = errors.New("the instances that share the quota are not known yet")
+
 // ExhaustedError is returned when an organisation has no credit at present.
 type ExhaustedError struct {
 	organisation, home string
@@ -245,6 +252,8 @@
 				return response, home, nil
 			}
 			lastErr = err
+		case len(limiter.peers.Homes(request.Organisation, true)) == 0:
+			return CreditResponse{}, "", ErrUnlisted
 		}
 		if ctx.Err() != nil {
 			break
--- a/quota/reachability.go
+++ b/quota/reachability.go
@@ -181,12 +181,20 @@
 }
 
 // checkIsolation reports whether no other instance can be reached. It drops the
-// buckets held here if this instance was suspended or isolated.
+// buckets held here if this instance was suspended or isolated, and while it is
+// not listed, since the others then have another home.
 func (limiter *Limiter) checkIsolation() bool {
-	isolated := limiter.isUnreachable()
+	isolated, isListed := limiter.isUnreachable(), limiter.peers.Listed()
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	now := limiter.clock.Now()
+	if !isListed {
+		if len(limiter.buckets) > 0 {
+			limiter.log.Info("this instance is not listed: local quota balances dropped", "organisations", len(limiter.buckets))
+			clear(limiter.buckets)
+		}
+		limiter.activeSince = now
+	}
 	absent := now.Sub(limiter.lastHeartbeat)
 	if absent > maxHeartbeatGap || limiter.isolated && !isolated {
 		limiter.log.Info("contact restored after suspension or isolation: local quota balances dropped", "absent", absent, "isolated", limiter.isolated, "organisations", len(limiter.buckets))
