discovery: a late write does not replace a later checkpoint

What callers saw: nothing yet; found by looking for writes that may be performed late and have no condition. A checkpoint of software versions that the store performs late replaced a newer one. After a loss of power of all instances the history since it may no longer be there, and streams are not resumed.

Cause: the write had no condition.

Change: it is conditional on the checkpoint last read or written. After a conflict the current one is kept if it is of a later version, and replaced otherwise. No further calls are made without a conflict.

TestLateCheckpointDoesNotReplaceLaterOne failed before.

--- a/discovery/checkpoint.go
+++ b/discovery/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -102,11 +103,41 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
 	defer cancel()
-	if _, err := versions.store.Commit(ctx, store.Transaction{Puts: []store.Put{{Key: checkpointKey, Value: value}}}); err != nil {
+	if err := versions.write(ctx, &written, value); err != nil {
 		versions.log.Warn("checkpoint of software versions not written", "err", err)
 	}
 }
 
+// write writes a checkpoint, encoded as value, unless there is a later one. A write without a
+// response may be applied later, so each one is made conditional on the checkpoint that it
+// replaces.
+func (versions *Versions) write(ctx context.Context, written *checkpoint, value []byte) error {
+	replaced := versions.checkpointVersion.Load()
+	for {
+		version, err := versions.store.Commit(ctx, store.Transaction{Conditions: []store.Condition{{Key: checkpointKey, Version: replaced}}, Puts: []store.Put{{Key: checkpointKey, Value: value}}})
+		var failure *store.Error
+		if !errors.As(err, &failure) || failure.Failure() != store.FailureConflict {
+			if err == nil {
+				versions.checkpointVersion.Store(version)
+			}
+			return err
+		}
+		var current checkpoint
+		previous := replaced
+		replaced = 0
+		for _, row := range failure.Rows() {
+			if row.Key == checkpointKey && row.Version > 0 {
+				replaced = row.Version
+				_ = codec.Unmarshal(row.Value, &current) // one that cannot be decoded is replaced
+			}
+		}
+		versions.checkpointVersion.Store(replaced)
+		if current.Version >= written.Version || replaced == previous {
+			return nil // an earlier attempt, or another instance, wrote it
+		}
+	}
+}
+
 // replay extends what the list knows of sole versions by the latest checkpoint and
 // the changes since. For each time since which the list is followed, the store
 // serves this once at most. Concurrent calls wait for the same reading. It reports
@@ -172,6 +203,7 @@
 	case row.Version == 0:
 		return nil, &HistoryError{problem: "there is no checkpoint"}
 	}
+	versions.checkpointVersion.Store(row.Version)
 	var latest checkpoint
 	if err := codec.Unmarshal(row.Value, &latest); err != nil {
 		return nil, &HistoryError{problem: "checkpoint cannot be decoded: " + err.Error()}
--- a/discovery/checkpoint_test.go
+++ b/discovery/checkpoint_test.go
@@ -362,6 +362,33 @@
 	assert.Equal(t, commits+1, s.Commits())
 }
 
+// Guards against streams that are not resumed after a loss of power, since a late write replaced the checkpoint by an earlier one.
+func TestLateCheckpointDoesNotReplaceLaterOne(t *testing.T) {
+	s := &countingStore{Memory: storetest.New()}
+	putEndpoint(t, s.Memory, "a", "model", "v1")
+	key := store.Key{Table: "versions", Name: "sole"}
+	first := startFollowing(t, s, clock.Real{}, time.Minute)
+	first.versions.Checkpoint(t.Context(), resumePeriod)
+	s.SetFault(func(op, _ string) storetest.Fault {
+		if op == "commit" {
+			return storetest.LoseRequest
+		}
+		return storetest.None
+	})
+	first.versions.Checkpoint(t.Context(), resumePeriod)
+	s.SetFault(func(string, string) storetest.Fault { return storetest.None })
+	putEndpoint(t, s.Memory, "b", "model", "v1")
+	startFollowing(t, s, clock.Real{}, time.Minute).versions.Checkpoint(t.Context(), resumePeriod)
+	before, err := store.Get(t.Context(), s, key)
+	require.NoError(t, err)
+	require.NotZero(t, before.Version)
+	s.ApplyLost()
+	first.stop()
+	after, err := store.Get(t.Context(), s, key)
+	require.NoError(t, err)
+	assert.Equal(t, before, after)
+}
+
 // Guards against all instances of a large deployment that read the heartbeats of all endpoints at once.
 func TestHistoryOfManyEndpointsIsNotRead(t *testing.T) {
 	s := &countingStore{Memory: storetest.New()}
--- a/discovery/versions.go
+++ b/discovery/versions.go
@@ -15,6 +15,10 @@
 // Versions tells which software versions the endpoints of a service have. It
 // implements resumption.Versions.
 type Versions struct {
+	// checkpointVersion is the version of the checkpoint in the store as last read or written, 0
+	// for none.
+	checkpointVersion atomic.Uint64
+
 	list     *membership.List
 	follower *Follower
 	store    store.Store
