--- a/entrypeer/listed_test.go
+++ b/entrypeer/listed_test.go
@@ -57,7 +57,7 @@
 	go discovery.NewFollower(s, m.directory.Source(log), clk, log, tally.NoopScope).Run(ctx, followed)
 	t.Cleanup(func() {
 		cancel()
-		<-followed
+		require.NoError(t, <-followed)
 	})
 	return m
 }
@@ -74,7 +74,7 @@
 	first := join(t, memory, "a", "a-1")
 	first.awaitListed(t)
 	first.cancel()
-	<-first.joined
+	require.NoError(t, <-first.joined)
 	memory.SetFault(func(op, _ string) storetest.Fault {
 		if op == "commit" {
 			return storetest.LoseRequest
@@ -100,7 +100,7 @@
 	first := join(t, memory, "a", "a-1")
 	time.Sleep(20 * time.Millisecond)
 	first.cancel()
-	<-first.joined
+	require.NoError(t, <-first.joined)
 	memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
 	join(t, memory, "a", "a-2").awaitListed(t)
 	memory.ApplyLost()
@@ -172,7 +172,7 @@
 	m := join(t, memory, "a", "a-1")
 	m.awaitListed(t)
 	m.cancel()
-	<-m.joined
+	require.NoError(t, <-m.joined)
 	row, err := store.Get(context.Background(), memory, entryKey("a"))
 	require.NoError(t, err)
 	require.NoError(t, memory.Apply(store.Transaction{Puts: []store.Put{{Key: entryKey("a"), Value: row.Value}}}), "a late copy of its own write")
