tests: each guard of the conversations' memory and of the instances' entries

A second look for room when a reservation is queued is gone, since both are done under one lock, and so is a time that the last change of the membership covers: no test could hold them.

--- a/archive/cache_internal_test.go
+++ b/archive/cache_internal_test.go
@@ -1,11 +1,13 @@
 package archive
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/wagtaildrum/wagtaildrum/history"
 )
@@ -34,3 +36,20 @@
 	assert.Positive(t, cached.turns.Len())
 	assert.LessOrEqual(t, used, int64(limit))
 }
+
+// Guards against a cache that takes its whole share beside the calls in progress, which have the same share.
+func TestCacheMakesRoomForCalls(t *testing.T) {
+	cached := newCache(4 << 20)
+	for n := range 100 {
+		cached.put(&history.Turn{ID: fmt.Sprint(n), Input: make([]byte, 100<<10)})
+	}
+	assert.Greater(t, cached.size, int64(3<<20))
+	release, err := newWork(cached).acquire(context.Background(), 3<<20)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, cached.size, int64(1<<20))
+	assert.NotNil(t, cached.get("99"), "the latest stay")
+	cached.put(&history.Turn{ID: "next", Input: make([]byte, 100<<10)})
+	assert.LessOrEqual(t, cached.size, int64(1<<20))
+	release()
+	assert.Zero(t, cached.lent)
+}
--- a/connlimit/queue.go
+++ b/connlimit/queue.go
@@ -18,8 +18,11 @@
 // ReserveInOrder is Reserve for a holder that may call Await if there is no room: it does not take
 // the room for which others wait there.
 func (holder *Holder) ReserveInOrder(n int64) bool {
-	ok, victims := holder.limiter.reserveInOrder(holder, n)
-	holder.limiter.end(victims, false)
+	limiter := holder.limiter
+	limiter.mu.Lock()
+	ok, victims := limiter.reserveInOrder(holder, n)
+	limiter.mu.Unlock()
+	limiter.end(victims, false)
 	return ok
 }
 
@@ -29,12 +32,14 @@
 // once if there might never be room: if all other holders end but those that wait, too.
 func (holder *Holder) Await(ctx context.Context, n int64) bool {
 	limiter := holder.limiter
+	limiter.mu.Lock()
 	ok, victims := limiter.reserveInOrder(holder, n)
 	var waiting *reservation
 	var element *list.Element
 	if !ok {
 		waiting, element = limiter.enqueue(holder, n)
 	}
+	limiter.mu.Unlock()
 	limiter.end(victims, !ok && waiting == nil)
 	if waiting == nil {
 		return ok
@@ -48,10 +53,8 @@
 }
 
 // reserveInOrder charges n bytes to holder if there is room and nobody waits for it, and evicts
-// holders for it, which it returns.
+// holders for it, which it returns. The caller must hold mu.
 func (limiter *Limiter) reserveInOrder(holder *Holder, n int64) (ok bool, victims []*Holder) {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
 	victims = limiter.makeRoom(n, holder.held, holder)
 	isLarge := classOf(holder.held+n) > 0
 	ok = !holder.ended && limiter.fits(n, holder.held) && (!isLarge || limiter.queue.Len() == 0)
@@ -61,17 +64,15 @@
 	return ok, victims
 }
 
-// enqueue adds a reservation to the queue, nil if it might never be granted there.
+// enqueue adds a reservation to the queue, nil if it might never be granted there. The caller must
+// hold mu.
 func (limiter *Limiter) enqueue(holder *Holder, n int64) (*reservation, *list.Element) {
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
 	waiting := &reservation{holder: holder, n: n, decided: make(chan struct{})}
 	element := limiter.queue.PushBack(waiting)
 	if holder.ended || !limiter.canGrantAll() {
 		limiter.queue.Remove(element)
 		return nil, nil
 	}
-	limiter.grant() // room may have become free meanwhile
 	return waiting, element
 }
 
--- a/discovery/checkpoint_test.go
+++ b/discovery/checkpoint_test.go
@@ -389,6 +389,25 @@
 	assert.Equal(t, before, after)
 }
 
+// Guards against a checkpoint of an instance that is behind, which replaces a later one.
+func TestEarlierCheckpointDoesNotReplaceLaterOne(t *testing.T) {
+	s := &countingStore{Memory: storetest.New()}
+	putEndpoint(t, s.Memory, "a", "model", "v1")
+	behind := startFollowing(t, s, clock.Real{}, time.Minute)
+	behind.versions.Checkpoint(t.Context(), resumePeriod)
+	behind.stop()
+	putEndpoint(t, s.Memory, "b", "model", "v1")
+	startFollowing(t, s, clock.Real{}, time.Minute).versions.Checkpoint(t.Context(), resumePeriod)
+	key := store.Key{Table: "versions", Name: "sole"}
+	later, err := store.Get(t.Context(), s, key)
+	require.NoError(t, err)
+	behind.versions.Checkpoint(t.Context(), resumePeriod)
+	now, err := store.Get(t.Context(), s, key)
+	require.NoError(t, err)
+	assert.Equal(t, later, now)
+	assert.Equal(t, 4, s.Commits(), "two entries and two checkpoints")
+}
+
 // Guards against all instances of a large deployment that read the heartbeats of all endpoints at once.
 func TestHistoryOfManyEndpointsIsNotRead(t *testing.T) {
 	s := &countingStore{Memory: storetest.New()}
--- a/entrypeer/listed_test.go
+++ b/entrypeer/listed_test.go
@@ -180,6 +180,20 @@
 	assert.Empty(t, entryOwner(t, memory, "a"))
 }
 
+// Guards against an instance that removes the entry of the incarnation that has replaced it meanwhile.
+func TestLeaveKeepsTheEntryThatReplacedItsOwn(t *testing.T) {
+	memory := storetest.New()
+	m := join(t, memory, "a", "a-1")
+	m.awaitListed(t)
+	m.cancel()
+	require.NoError(t, <-m.joined)
+	value, err := codec.Marshal(&entrypeer.Instance{Owner: "a-2"})
+	require.NoError(t, err)
+	require.NoError(t, memory.Apply(store.Transaction{Puts: []store.Put{{Key: entryKey("a"), Value: value}}}))
+	require.NoError(t, m.directory.Leave(context.Background(), memory))
+	assert.Equal(t, "a-2", entryOwner(t, memory, "a"))
+}
+
 // Guards against quotas granted beside the homes that the others know: instances are homes once their entries are in the table
 // that they have read.
 func TestUnlistedInstancesGrantNoQuota(t *testing.T) {
--- a/gateway/evictedupload_test.go
+++ b/gateway/evictedupload_test.go
@@ -26,6 +26,9 @@
 			require.Eventually(t, func() bool { return i.fixture.limiter.Used() > size }, 5*time.Second, time.Millisecond)
 			require.Nil(t, i.fixture.limiter.NewHolder(500_000, func() {}), "there is no room before the upload has ended")
 		}
+		if sent == size-part {
+			assert.Less(t, i.fixture.limiter.Used(), int64(size/2), "others can have its room")
+		}
 		_, err := conn.Write(make([]byte, part))
 		require.NoError(t, err, "after %d bytes", sent)
 		time.Sleep(3 * time.Millisecond)
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -57,3 +58,22 @@
 	response, _ := i.mustSend(callerRequest{path: "/post/x", id: "served", body: "b", header: withKey("secret-x", nil)})
 	assert.Equal(t, 200, response.StatusCode)
 }
+
+// Guards against callers whose attempts are used up while an instance that has just started is not known to the others yet.
+func TestRequestsWaitUntilTheInstanceIsListed(t *testing.T) {
+	b := newFixture(t)
+	b.configure(4, platformtest.Organisation{Name: "x", Keys: []string{"kx"}, Rate: 1000, Burst: 1000})
+	i := b.startInstance()
+	time.Sleep(100 * time.Millisecond) // credit accrues
+	b.unlisted.Store(true)
+	time.AfterFunc(200*time.Millisecond, func() { b.unlisted.Store(false) })
+	response, body := i.mustSend(callerRequest{path: "/post/x", id: "waits", body: "x", header: map[string]string{"Api-Key": "kx"}})
+	assert.Equal(t, http.StatusOK, response.StatusCode, body)
+	b.unlisted.Store(true)
+	began := time.Now()
+	response, body = i.mustSend(callerRequest{path: "/post/x", id: "refused", body: "x", header: map[string]string{"Api-Key": "kx"}})
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Contains(t, body, "QuotaUnknown")
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Less(t, time.Since(began), time.Second)
+}
--- a/gateway/turnmemory_test.go
+++ b/gateway/turnmemory_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/wagtaildrum/wagtaildrum/connlimit"
 	"github.com/wagtaildrum/wagtaildrum/gateway"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
+	"github.com/wagtaildrum/wagtaildrum/store/storetest"
 )
 
 // startWithConversations starts an instance whose callers may make it hold so many bytes, and has
@@ -83,6 +85,7 @@
 // though there is memory in time.
 func TestTurnThatWaitsForMemoryLeavesItsSlot(t *testing.T) {
 	i, last := startWithConversations(t, 6<<20, 1, 400_000)
+	i.fixture.model.EventDelay = 100 * time.Millisecond
 	holder := i.fixture.limiter.NewHolder(4<<20, func() {})
 	require.NotNil(t, holder)
 	result := make(chan int, 1)
@@ -99,6 +102,14 @@
 	response, _ := i.mustSend(callerRequest{path: "/post/x", id: "other", body: "x"})
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	holder.End()
+	assert.Eventually(t, func() bool {
+		for _, service := range i.State().(gateway.State).Services {
+			if service.Name == "model" && service.Running == 1 {
+				return true
+			}
+		}
+		return false
+	}, 2*time.Second, time.Millisecond, "it has a slot while it runs")
 	assert.Equal(t, http.StatusOK, <-result)
 }
 
@@ -115,6 +126,39 @@
 	assert.NotEmpty(t, response.Header.Get("Retry-After"))
 	assert.Less(t, time.Since(began), 2*time.Second, "its caller waits as long for the first event")
 	assert.Len(t, i.fixture.model.ReceivedRequests(), runs)
+	more := i.fixture.limiter.NewHolder(300<<10, func() {})
+	require.NotNil(t, more)
+	defer more.End()
+	began = time.Now()
+	response, _ = i.mustSend(continuation(1, "first", "", 400_000)) // there is room for its body, not to store it
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Greater(t, time.Since(began), time.Second, "waits")
+	assert.Less(t, time.Since(began), 2*time.Second)
+	assert.Len(t, i.fixture.model.ReceivedRequests(), runs)
+}
+
+// Guards against a conversation that takes its memory while the turn is stored, which may take long.
+func TestConversationIsReleasedBeforeTheTurnIsStored(t *testing.T) {
+	i, last := startWithConversations(t, 6<<20, 1, 400_000)
+	i.fixture.model.EventDelay = 50 * time.Millisecond
+	var isRefused atomic.Bool
+	isRefused.Store(true)
+	i.fixture.memory.SetFault(func(op, partition string) storetest.Fault {
+		if op == "commit" && strings.HasPrefix(partition, "turn-") && isRefused.Load() {
+			return storetest.Refuse
+		}
+		return storetest.None
+	})
+	result := make(chan int, 1)
+	go func() {
+		response, _ := i.mustSend(continuation(0, "stored", last[0], 100_000))
+		result <- response.StatusCode
+	}()
+	require.Eventually(t, func() bool { return i.fixture.limiter.Used() > 1200_000 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return i.fixture.limiter.Used() < 400_000 }, 2*time.Second, time.Millisecond)
+	require.Empty(t, result)
+	isRefused.Store(false)
+	assert.Equal(t, http.StatusOK, <-result)
 }
 
 // Guards against a turn that has run and is lost since there is no memory to store it: its room is kept from the beginning.
--- a/quota/guard_test.go
+++ b/quota/guard_test.go
@@ -70,6 +70,20 @@
 	assert.LessOrEqual(t, f.drainAt(order[0]), 1, "the fallback home granted all accrued credit")
 }
 
+// Guards against a quota granted twice: an instance that was not listed for a while is listed again and has its old bucket,
+// while another home has granted the same credit.
+func TestHomeIsEmptyAfterItWasUnlisted(t *testing.T) {
+	f, order := reliableFleet(t)
+	require.NoError(t, f.take(order[0]))
+	order[0].unlisted = true
+	for _, m := range order[1:] {
+		delete(m.members, order[0].name)
+	}
+	f.drainFor(3*time.Second, order[1], order[2])
+	order[0].unlisted, order[0].membershipChanged = false, f.clock.Now()
+	assert.LessOrEqual(t, f.drainAt(order[0]), 1, "the other home granted all accrued credit")
+}
+
 // Guards against two homes at once, each with the full rate: an instance that
 // can't reach the home takes over, though other instances reach it.
 func TestUnconfirmedSuspicionDoesNotMoveHome(t *testing.T) {
--- a/quota/reachability.go
+++ b/quota/reachability.go
@@ -188,12 +188,9 @@
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	now := limiter.clock.Now()
-	if !isListed {
-		if len(limiter.buckets) > 0 {
-			limiter.log.Info("this instance is not listed: local quota balances dropped", "organisations", len(limiter.buckets))
-			clear(limiter.buckets)
-		}
-		limiter.activeSince = now
+	if !isListed && len(limiter.buckets) > 0 {
+		limiter.log.Info("this instance is not listed: local quota balances dropped", "organisations", len(limiter.buckets))
+		clear(limiter.buckets)
 	}
 	absent := now.Sub(limiter.lastHeartbeat)
 	if absent > maxHeartbeatGap || limiter.isolated && !isolated {
