--- a/archive/archive_test.go
+++ b/archive/archive_test.go
@@ -53,7 +53,7 @@
 	for _, reader := range []*archive.Archive{a, open(memory)} {
 		for _, owner := range []string{"", "x", "y"} {
 			for _, requester := range []string{"", "x", "y", "z"} {
-				chain, err := reader.Chain(ctx, requester, "of-"+owner, "", archive.Unlimited{})
+				chain, err := reader.Chain(ctx, requester, "of-"+owner, "", unlimited{})
 				if requester == owner {
 					require.NoError(t, err)
 					assert.Equal(t, []string{"of-" + owner}, ids(chain))
@@ -74,11 +74,11 @@
 	require.NoError(t, a.Save(ctx, turn("t1")))
 	require.NoError(t, a.Save(ctx, turn("t2", "t1")))
 	require.NoError(t, a.Save(ctx, turn("t3", "t1", "t2")))
-	chain, err := open(memory).Chain(ctx, "", "t3", "", archive.Unlimited{})
+	chain, err := open(memory).Chain(ctx, "", "t3", "", unlimited{})
 	require.NoError(t, err)
 	assert.Equal(t, []string{"t1", "t2", "t3"}, ids(chain))
 	assert.Equal(t, "input of t1event of t1\ninput of t2event of t2\ninput of t3event of t3\nx", string(bytes.Join(history.PromptParts(chain), nil))+"x")
-	_, err = open(memory).Chain(ctx, "", "t4", "", archive.Unlimited{})
+	_, err = open(memory).Chain(ctx, "", "t4", "", unlimited{})
 	var unknown *archive.UnknownTurnError
 	assert.ErrorAs(t, err, &unknown)
 }
@@ -102,7 +102,7 @@
 	})
 	for _, id := range []string{"t1", "never"} {
 		primary = ""
-		_, err := open(memory).Chain(ctx, "", id, "", archive.Unlimited{})
+		_, err := open(memory).Chain(ctx, "", id, "", unlimited{})
 		assert.True(t, store.Unserved(err), "%s: %v", id, err)
 	}
 }
@@ -128,7 +128,7 @@
 		require.NoError(t, open(memory).Save(bounded, turn(id)))
 		cancel()
 		memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
-		chain, err := open(memory).Chain(ctx, "", id, "", archive.Unlimited{})
+		chain, err := open(memory).Chain(ctx, "", id, "", unlimited{})
 		require.NoError(t, err)
 		assert.Equal(t, []string{id}, ids(chain))
 	}
@@ -144,7 +144,7 @@
 	other.Input = []byte("another")
 	var conflict *archive.TurnConflictError
 	require.ErrorAs(t, a.Save(ctx, other), &conflict)
-	chain, err := open(memory).Chain(ctx, "", "t1", "", archive.Unlimited{})
+	chain, err := open(memory).Chain(ctx, "", "t1", "", unlimited{})
 	require.NoError(t, err)
 	assert.Equal(t, "input of t1", string(chain[0].Input))
 }
@@ -159,7 +159,7 @@
 		long.Input[i] = byte(rng.Uint32())
 	}
 	require.NoError(t, open(memory).Save(ctx, long))
-	chain, err := open(memory).Chain(ctx, "", "a/b!c d", "", archive.Unlimited{})
+	chain, err := open(memory).Chain(ctx, "", "a/b!c d", "", unlimited{})
 	require.NoError(t, err)
 	assert.Equal(t, long.Input, chain[0].Input)
 }
@@ -221,7 +221,7 @@
 					if in.write {
 						out.found = open(memory).Save(ctx, turn(in.id)) == nil
 					} else {
-						_, err := open(memory).Chain(ctx, "", in.id, "", archive.Unlimited{})
+						_, err := open(memory).Chain(ctx, "", in.id, "", unlimited{})
 						_, unknown := err.(*archive.UnknownTurnError)
 						out = registerOutput{found: err == nil, unknown: unknown}
 					}
--- a/archive/bench_test.go
+++ b/archive/bench_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/wagtaildrum/wagtaildrum/archive"
 	"github.com/wagtaildrum/wagtaildrum/platform"
 	"github.com/wagtaildrum/wagtaildrum/platform/platformtest"
 	"github.com/wagtaildrum/wagtaildrum/store/storetest"
@@ -31,7 +30,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := open(client).Chain(context.Background(), "", "t5", "", archive.Unlimited{}); err != nil {
+		if _, err := open(client).Chain(context.Background(), "", "t5", "", unlimited{}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/archive/faults_test.go
+++ b/archive/faults_test.go
@@ -140,7 +140,7 @@
 func (l *lineage) read(want *history.Turn) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	chain, err := l.instance().Chain(ctx, "", want.ID, l.name(), archive.Unlimited{})
+	chain, err := l.instance().Chain(ctx, "", want.ID, l.name(), unlimited{})
 	if err != nil {
 		assert.True(l.t, store.Unserved(err), "%s: %v", want.ID, err)
 		return
@@ -156,12 +156,12 @@
 	l.memory.SetFault(func(string, string) storetest.Fault { return storetest.None })
 	l.memory.ApplyLost()
 	for _, want := range l.saved {
-		chain, err := open(l.memory).Chain(context.Background(), "", want.ID, "", archive.Unlimited{})
+		chain, err := open(l.memory).Chain(context.Background(), "", want.ID, "", unlimited{})
 		require.NoError(l.t, err, want.ID)
 		assert.Equal(l.t, want.Input, chain[len(chain)-1].Input, want.ID)
 	}
 	for _, want := range l.tried {
-		chain, err := open(l.memory).Chain(context.Background(), "", want.ID, "", archive.Unlimited{})
+		chain, err := open(l.memory).Chain(context.Background(), "", want.ID, "", unlimited{})
 		if err != nil {
 			var unknown *archive.UnknownTurnError
 			require.ErrorAs(l.t, err, &unknown, want.ID)
--- a/archive/large_test.go
+++ b/archive/large_test.go
@@ -42,7 +42,7 @@
 			}
 			require.NoError(t, open(client).Save(ctx, large), "a repeat")
 			require.NoError(t, open(client).Save(ctx, turn("t2", "t1")))
-			chain, err := open(client).Chain(ctx, "", "t2", "", archive.Unlimited{})
+			chain, err := open(client).Chain(ctx, "", "t2", "", unlimited{})
 			require.NoError(t, err)
 			assert.Equal(t, large.Input, chain[0].Input)
 			other := largeTurn("t1", size+1)
--- a/archive/lookup_test.go
+++ b/archive/lookup_test.go
@@ -42,19 +42,19 @@
 	ctx := context.Background()
 	memory := storetest.New()
 	a := open(memory)
-	_, err := a.Chain(ctx, "", "never", "", archive.Unlimited{})
+	_, err := a.Chain(ctx, "", "never", "", unlimited{})
 	assert.Contains(t, logged(t, err), `lookup.turn=never lookup.result=NotStored lookup.partitions="turn-21: 0 rows; turn-27: 0 rows"`)
-	_, err = openIn(memory, fleet{}).Chain(ctx, "", "never", "x", archive.Unlimited{})
+	_, err = openIn(memory, fleet{}).Chain(ctx, "", "never", "x", unlimited{})
 	assert.Contains(t, logged(t, err), `lookup.peer=x lookup.peer_turns=0 lookup.peer_err="no such instance"`)
 	memory.SetFault(refusePartition("turn-27"))
-	_, err = a.Chain(ctx, "", "never", "", archive.Unlimited{})
+	_, err = a.Chain(ctx, "", "never", "", unlimited{})
 	assert.True(t, store.Unserved(err), "%v", err)
 	assert.Contains(t, logged(t, err), `lookup.result=Unread lookup.partitions="turn-21: 0 rows; turn-27: store read: Refused: test"`)
 	memory.SetFault(refusePartition(""))
 	owned := turn("owned")
 	owned.Organisation = "y"
 	require.NoError(t, a.Save(ctx, owned))
-	_, err = a.Chain(ctx, "x", "owned", "", archive.Unlimited{})
+	_, err = a.Chain(ctx, "x", "owned", "", unlimited{})
 	assert.Contains(t, logged(t, err), "lookup.result=OtherOrganisation")
 }
 
@@ -63,7 +63,7 @@
 func TestFailedLookupNamesMissingAncestor(t *testing.T) {
 	memory := storetest.New()
 	require.NoError(t, open(memory).Save(context.Background(), turn("t2", "t1")))
-	_, err := open(memory).Chain(context.Background(), "", "t2", "", archive.Unlimited{})
+	_, err := open(memory).Chain(context.Background(), "", "t2", "", unlimited{})
 	require.True(t, store.Is(err, store.FailureInvalid), "%v", err)
 	line := logged(t, err)
 	assert.Contains(t, line, "lookup.turn=t1 lookup.result=NotStored")
--- a/archive/memory.go
+++ b/archive/memory.go
@@ -19,18 +19,6 @@
 	Release(n int64)
 }
 
-// Unlimited is a Memory that always has room.
-type Unlimited struct{}
-
-// TryReserve implements Memory.
-func (Unlimited) TryReserve(int64) bool { return true }
-
-// Reserve implements Memory.
-func (Unlimited) Reserve(context.Context, int64) error { return nil }
-
-// Release implements Memory.
-func (Unlimited) Release(int64) {}
-
 // noRoomError is returned for turns for which there is no room without waiting.
 type noRoomError struct {
 	// needed is the memory that they are known to need, in bytes.
--- a/archive/memory_test.go
+++ b/archive/memory_test.go
@@ -21,6 +21,18 @@
 
 var errNoMemory = errors.New("no memory in this test")
 
+// unlimited is a Memory that always has room.
+type unlimited struct{}
+
+// TryReserve implements archive.Memory.
+func (unlimited) TryReserve(int64) bool { return true }
+
+// Reserve implements archive.Memory.
+func (unlimited) Reserve(context.Context, int64) error { return nil }
+
+// Release implements archive.Memory.
+func (unlimited) Release(int64) {}
+
 // limitedMemory is a Memory that has room for limit bytes. Reserve waits until room is closed, and
 // fails if it is nil.
 type limitedMemory struct {
@@ -193,7 +205,7 @@
 	var calls sync.WaitGroup
 	for n := range 30 {
 		calls.Go(func() {
-			_, err := a.Chain(context.Background(), "", last, "", archive.Unlimited{})
+			_, err := a.Chain(context.Background(), "", last, "", unlimited{})
 			assert.NoError(t, err)
 			large := largeTurn(fmt.Sprint("l", n), 300_000)
 			assert.NoError(t, a.Save(context.Background(), large))
@@ -221,7 +233,7 @@
 		var saveErr *archive.SaveError
 		assert.ErrorAs(t, <-done, &saveErr)
 	}
-	_, err := a.Chain(context.Background(), "", "never", "", archive.Unlimited{})
+	_, err := a.Chain(context.Background(), "", "never", "", unlimited{})
 	var unknown *archive.UnknownTurnError
 	assert.ErrorAs(t, err, &unknown, "their memory is free again")
 }
@@ -254,7 +266,7 @@
 	rows, err := large.Encode(40_000)
 	require.NoError(t, err)
 	reads := countReads(s)
-	_, err = openIn(s, sentPeers{{ID: "large", Rows: rows}}).Chain(context.Background(), "", "large", "x", archive.Unlimited{})
+	_, err = openIn(s, sentPeers{{ID: "large", Rows: rows}}).Chain(context.Background(), "", "large", "x", unlimited{})
 	require.NoError(t, err)
 	assert.Positive(t, reads.Load(), "read from the store")
 }
--- a/archive/peer_test.go
+++ b/archive/peer_test.go
@@ -58,7 +58,7 @@
 		next := turn(fmt.Sprintf("t%02d", n))
 		if n > 0 {
 			var err error
-			chain, err = instance.Chain(ctx, "", fmt.Sprintf("t%02d", n-1), holder, archive.Unlimited{})
+			chain, err = instance.Chain(ctx, "", fmt.Sprintf("t%02d", n-1), holder, unlimited{})
 			require.NoError(t, err)
 			next.Ancestors = chain[len(chain)-1].Chain()
 		}
@@ -102,11 +102,11 @@
 		"stopped": fleet{}, "evicted": fleet{"x": empty}, "garbled": garbledPeers{}, "partial": partialPeers{}, "silent": silentPeers{},
 	} {
 		started := time.Now()
-		chain, err := openIn(memory, peers).Chain(context.Background(), "", "t03", "x", archive.Unlimited{})
+		chain, err := openIn(memory, peers).Chain(context.Background(), "", "t03", "x", unlimited{})
 		require.NoError(t, err, name)
 		assert.Equal(t, []string{"t00", "t01", "t02", "t03"}, ids(chain), name)
 		assert.Less(t, time.Since(started), time.Second, name)
-		_, err = openIn(memory, peers).Chain(context.Background(), "", "never", "x", archive.Unlimited{})
+		_, err = openIn(memory, peers).Chain(context.Background(), "", "never", "x", unlimited{})
 		var unknown *archive.UnknownTurnError
 		assert.ErrorAs(t, err, &unknown, name)
 	}
