entrypeer: an instance that has left does not write its entry again

What callers saw: nothing yet.

Cause: since an instance notices that its row is gone, it also noticed that it had removed the row itself, and wrote it again while its writer ran. In a planned stop the writer has ended by then; after a failure of the callers' listener it has not, and the row of the ended process would stay. The test passed if it looked while the row was gone.

Change: leaving ends the noticing.

TestEntryStaysRemovedAfterLeave failed before, 5 of 5, and passes; the tests of entries pass three times with the race detector.

--- a/entrypeer/directory.go
+++ b/entrypeer/directory.go
@@ -95,6 +95,8 @@
 	// there, and removed receives a value when it no longer is.
 	listed, written uint64
 	removed         chan struct{}
+	// hasLeft is set once this instance removes its entry itself.
+	hasLeft bool
 	// unreachable holds the names of the instances that could not be reached
 	// since the last response from any instance.
 	unreachable map[string]struct{}
@@ -242,6 +244,7 @@
 func (directory *Directory) Leave(ctx context.Context, s store.Store) error {
 	key := directory.selfKey()
 	directory.mu.Lock()
+	directory.hasLeft = true
 	row := store.Row{Key: key, Version: max(directory.listed, directory.written)}
 	directory.mu.Unlock()
 	if row.Version == 0 {
@@ -291,7 +294,7 @@
 func (directory *Directory) observeVersion(version uint64) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	if directory.listed != 0 || directory.written == 0 || version < directory.written {
+	if directory.hasLeft || directory.listed != 0 || directory.written == 0 || version < directory.written {
 		return
 	}
 	directory.written, directory.writtenAt = 0, time.Time{}
--- a/entrypeer/listed_test.go
+++ b/entrypeer/listed_test.go
@@ -151,6 +151,17 @@
 	assert.Equal(t, 5, memory.Commits())
 }
 
+// Guards against an instance that writes its entry again after it has left, since it is told that the entry is gone.
+func TestEntryStaysRemovedAfterLeave(t *testing.T) {
+	memory := storetest.New()
+	m := join(t, memory, "a", "a-1")
+	m.awaitListed(t)
+	require.NoError(t, m.directory.Leave(context.Background(), memory))
+	require.Eventually(t, func() bool { return !m.client.Listed() }, 3*time.Second, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	assert.Empty(t, entryOwner(t, memory, "a"))
+}
+
 // Guards against an instance that removes the entry of another incarnation, or leaves its own, as it stops.
 func TestLeaveRemovesOwnEntryAlone(t *testing.T) {
 	for _, owner := range []string{"a-1", "a-2", ""} {
