gateway, connlimit: refused uploads are read until their caller has the response

Cause: an answered upload was read on until its client paused for 20 ms. On a busy machine clients pause for longer, and closing a connection with unread bytes resets it. All of the broken requests were in the log with status 503 and NoMemory. Refusals of connections that stay had the same cause: net/http closes them half a second after the response.

Change: after the response the write side is shut down, and the connection is read until the client closes it, until the request's deadline or the end of a planned stop. The number of such connections is bounded; the oldest is closed beyond that.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -16,10 +16,6 @@
 	refuseTimeout = 20 * time.Millisecond
 	// lingerTimeout is how long a connection is read whose request's head is too large.
 	lingerTimeout = 200 * time.Millisecond
-	// uploadTimeout is how long a connection is read whose request was answered before it was
-	// whole, and lingerBuffer the size of each read.
-	uploadTimeout = time.Second
-	lingerBuffer  = 16 << 10
 )
 
 // Responses to connections that are closed. Both statuses promise that no request in transit
@@ -156,17 +152,17 @@
 // them.
 func (conn *Conn) Charge(n int64) bool { return conn.holder.Charge(n) }
 
-// Linger discards what the client of an evicted connection still sends of a request that was
-// answered. Closing a connection with unread bytes resets it, and the client might not receive the
-// response. It ends once the client pauses, and frees what was charged for the request.
-func (conn *Conn) Linger() {
+// Linger is called after a request was answered that is not whole. It shuts down the write side, and
+// discards what the client still sends until that closes the connection or ctx ends: closing a
+// connection with unread bytes resets it, and the client might not receive the response. It frees
+// what was charged for the request. If many connections linger, the oldest of them is closed.
+func (conn *Conn) Linger(ctx context.Context) {
 	conn.holder.ReleaseTo(connCost)
-	buffer := make([]byte, lingerBuffer)
-	for until := time.Now().Add(uploadTimeout); time.Now().Before(until); {
-		_ = conn.Conn.SetReadDeadline(time.Now().Add(refuseTimeout)) // Read fails if the connection is closed
-		if _, err := conn.Conn.Read(buffer); err != nil {
-			return
-		}
+	defer conn.limiter.addLingering(conn)()
+	_ = conn.Conn.SetReadDeadline(time.Time{}) // the calls of Conn fail if the connection is closed
+	defer context.AfterFunc(ctx, func() { _ = conn.Conn.SetReadDeadline(time.Unix(1, 0)) })()
+	if conn.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, conn.Conn)
 	}
 }
 
--- a/connlimit/conn_test.go
+++ b/connlimit/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -432,3 +433,44 @@
 	assert.NoError(t, err, "the missing last chunk tells")
 	assert.True(t, strings.HasSuffix(string(received), "\r\n\r\n4\r\npart\r\n"), "%q", received)
 }
+
+// Guards against connections that linger and together use up the descriptors of the process.
+func TestManyLingeringConnectionsCloseTheOldest(t *testing.T) {
+	const connections, lingering = 40, 5
+	limiter := connlimit.New(connlimit.Config{Name: "test", Connections: connections, Log: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	limited := connlimit.NewListener(listener, limiter)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan int, 3*lingering)
+	var clients []net.Conn
+	linger := func() {
+		n := len(clients)
+		clients = append(clients, dial(t, listener.Addr().String(), ""))
+		conn, err := limited.Accept()
+		require.NoError(t, err)
+		go func() {
+			conn.(*connlimit.Conn).Linger(ctx)
+			ended <- n
+		}()
+		_, err = clients[n].Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "the write side is shut down")
+	}
+	for n := range 2 * lingering {
+		linger()
+		if n >= lingering {
+			assert.Equal(t, n-lingering, <-ended, "the oldest is closed")
+		}
+	}
+	require.Empty(t, ended)
+	require.NoError(t, clients[2*lingering-1].Close())
+	assert.Equal(t, 2*lingering-1, <-ended, "the client has closed the connection")
+	linger()
+	_, err = clients[lingering].Write(make([]byte, 8<<20))
+	require.NoError(t, err, "what the client sends is read, since there was room for one more")
+	cancel()
+	for range lingering {
+		<-ended
+	}
+}
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -18,6 +18,9 @@
 	// ordinaryShare is the part of the limit that only holders of the lowest class may use,
 	// so that large requests and responses leave room for ordinary ones.
 	ordinaryShare = 1.0 / 6
+	// lingerShare is the number of connections that may linger, as a part of the limit on
+	// connections.
+	lingerShare = 1.0 / 8
 	// classBits is the binary logarithm of the memory that a holder of the lowest class
 	// has at most: a connection with an ordinary request.
 	classBits = 17
@@ -70,6 +73,8 @@
 	waitingConns list.List
 	// queue lists the reservations that wait for room, of type *reservation, the oldest first.
 	queue list.List
+	// lingering lists the connections that linger, of type *Conn, the oldest first.
+	lingering list.List
 	// evicted counts the holders that were evicted, and refused the connections and
 	// reservations for which there was no room.
 	evicted, refused int64
@@ -195,6 +200,26 @@
 	}
 }
 
+// addLingering adds a connection that lingers until the returned function is called. It closes the
+// oldest one if there are too many, so that they do not use up the descriptors of the process.
+func (limiter *Limiter) addLingering(conn *Conn) (remove func()) {
+	limiter.mu.Lock()
+	element := limiter.lingering.PushBack(conn)
+	var oldest *Conn
+	if limit := limiter.config.Connections; limit > 0 && limiter.lingering.Len() > max(1, int(lingerShare*float64(limit))) {
+		oldest = limiter.lingering.Remove(limiter.lingering.Front()).(*Conn)
+	}
+	limiter.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.Conn.Close()
+	}
+	return func() {
+		limiter.mu.Lock()
+		defer limiter.mu.Unlock()
+		limiter.lingering.Remove(element)
+	}
+}
+
 // end ends evicted holders, and counts and logs them and what was refused.
 func (limiter *Limiter) end(victims []*Holder, refused bool) {
 	if len(victims) == 0 && !refused {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -206,10 +206,27 @@
 // never read the refusal and would have to assume that the request ran. It does not
 // wait for a body that has timed out, whose connection is closed after the response.
 func (e *exchange) discardBody() {
+	if !e.bodyTimedOut {
+		_ = http.NewResponseController(e.w).SetReadDeadline(e.Clock.Now().Add(discardTimeout)) // not supported by test recorders
+		_, err := io.Copy(io.Discard, io.LimitReader(e.r.Body, defaultMaxBody))                // the caller may be gone
+		e.bodyTimedOut = errors.Is(err, os.ErrDeadlineExceeded) || e.conn != nil && e.conn.IsEvicted()
+	}
 	if e.bodyTimedOut {
 		e.w.Header().Set("Connection", "close")
-		return
 	}
-	_ = http.NewResponseController(e.w).SetReadDeadline(e.Clock.Now().Add(discardTimeout)) // not supported by test recorders
-	_, _ = io.Copy(io.Discard, io.LimitReader(e.r.Body, defaultMaxBody))                   // the caller may be gone
+}
+
+// linger sends the refusal of a request whose body is not complete, and discards what
+// the caller still sends until it has read the refusal, for at most the time that the
+// request had.
+func (e *exchange) linger() {
+	e.body = nil
+	_ = http.NewResponseController(e.w).Flush() // the caller may be gone
+	until := e.deadline
+	if until.IsZero() {
+		until = e.Clock.Now().Add(discardTimeout)
+	}
+	ctx, cancel := context.WithDeadline(e.Shutdown.Expired(), until)
+	defer cancel()
+	e.conn.Linger(ctx)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -79,7 +79,8 @@
 	body               []byte
 	conversation       conversation
 	conversationMemory conversationMemory
-	// bodyTimedOut is set if the body was not complete in time.
+	// bodyTimedOut is set if the body was not complete in time or before the connection
+	// was closed to make room for others.
 	bodyTimedOut bool
 
 	// conn is the connection to which memory is charged; nil if it has no limits.
@@ -426,10 +427,8 @@
 	e.setConnectionClose()
 	e.discardBody()
 	rejection.write(e.w)
-	if e.conn != nil && e.conn.IsEvicted() {
-		e.body = nil
-		_ = http.NewResponseController(e.w).Flush() // the caller may be gone
-		e.conn.Linger()
+	if e.conn != nil && e.bodyTimedOut {
+		e.linger()
 	}
 }
 
